--- /dev/null
+++ b/Makefile
@@ -0,0 +1,38 @@
+# Builds, checks and measures hornbeamcroft. Needs Go only; the tools are pinned in tools/go.mod.
+
+MODULES := . cmd/hornbeam-node cmd/hornbeam-standin cmd/hornbeamctl
+PACKAGES := ./... ./cmd/hornbeam-node/... ./cmd/hornbeam-standin/... ./cmd/hornbeamctl/...
+
+.PHONY: all build test format lint vet check demo bench tidy
+
+all: check test
+
+build:
+	go build -o bin/ ./cmd/hornbeam-node ./cmd/hornbeam-standin ./cmd/hornbeamctl
+
+test:
+	go test -race $(PACKAGES)
+
+format:
+	go -C tools tool gofumpt -w ..
+
+vet:
+	go vet $(PACKAGES)
+
+lint:
+	go build -o bin/revive github.com/mgechev/revive
+	bin/revive -set_exit_status -config revive.toml $(PACKAGES)
+
+# Fails if a file is not formatted, a linter rule is broken or vet finds a fault.
+check: vet
+	@test -z "$$(go -C tools tool gofumpt -l ..)" || { go -C tools tool gofumpt -l ..; echo 'run make format'; exit 1; }
+	@$(MAKE) --no-print-directory lint
+
+demo: build
+	bin/hornbeam-standin demo
+
+bench: build
+	bin/hornbeam-standin bench
+
+tidy:
+	for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
--- /dev/null
+++ b/cmd/hornbeamctl/main.go
@@ -0,0 +1,4 @@
+// Command placeholder.
+package main
+
+func main() {}
--- /dev/null
+++ b/member.go
@@ -0,0 +1,79 @@
+package hornbeamcroft
+
+import (
+	"net"
+
+	"github.com/go-faster/errors"
+)
+
+// MemberState is the state of an upstream and its node as the node announces it.
+type MemberState uint8
+
+// The member states. Dead is set by others; the rest by the member itself.
+const (
+	MemberStarting MemberState = iota
+	MemberServing
+	MemberDraining
+	MemberLeft
+	MemberDead
+)
+
+// String returns the name used in show and logs.
+func (s MemberState) String() string {
+	names := [...]string{"starting", "serving", "draining", "left", "dead"}
+	if int(s) >= len(names) {
+		return "invalid"
+	}
+	return names[s]
+}
+
+// Member is one upstream with its node. Records merge by (Incarnation, Sequence): the higher one wins, whatever the
+// order of arrival.
+type Member struct {
+	// Name is unique in the system and stable over restarts.
+	Name    string `cbor:"1,keyasint" json:"name"`
+	Service string `cbor:"2,keyasint" json:"service"`
+	Zone    string `cbor:"3,keyasint" json:"zone"`
+	// Address is the IP address and port of the node's links and calls.
+	Address string `cbor:"4,keyasint" json:"address"`
+	// Incarnation rises with every start of the node.
+	Incarnation uint64 `cbor:"5,keyasint" json:"incarnation"`
+	// Sequence rises with every change that the member announces in this incarnation.
+	Sequence uint64      `cbor:"6,keyasint" json:"sequence"`
+	State    MemberState `cbor:"7,keyasint" json:"state"`
+	// ColdFor is the number of milliseconds since the upstream started, capped; peers use it for slow start.
+	ColdFor uint32 `cbor:"8,keyasint,omitempty" json:"cold-for,omitempty"`
+}
+
+// maxNameLength bounds names from outside, in bytes.
+const maxNameLength = 128
+
+// Check reports whether the record is well formed.
+func (m Member) Check() error {
+	if m.Name == "" || len(m.Name) > maxNameLength {
+		return errors.Errorf("member name: length %d: allowed are 1 to %d bytes", len(m.Name), maxNameLength)
+	}
+	if len(m.Service) > maxNameLength || len(m.Zone) > maxNameLength {
+		return errors.Errorf("member %s: service or zone longer than %d bytes", m.Name, maxNameLength)
+	}
+	host, _, err := net.SplitHostPort(m.Address)
+	if err != nil || net.ParseIP(host) == nil {
+		return errors.Errorf("member %s: address %q: need an IP address and a port", m.Name, m.Address)
+	}
+	if m.State > MemberDead {
+		return errors.Errorf("member %s: state %d: allowed are 0 to %d", m.Name, m.State, MemberDead)
+	}
+	return nil
+}
+
+// Newer reports whether m replaces old in a merge. At the same version, the later state wins, so that a report of death
+// replaces the record it is about.
+func (m Member) Newer(old Member) bool {
+	if m.Incarnation != old.Incarnation {
+		return m.Incarnation > old.Incarnation
+	}
+	if m.Sequence != old.Sequence {
+		return m.Sequence > old.Sequence
+	}
+	return m.State > old.State
+}
