--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,129 @@
+package dispatcher
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+)
+
+// rawUpstream serves each connection with fn.
+func rawUpstream(t *testing.T, fn func(n int, conn net.Conn)) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for n := 0; ; n++ {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go fn(n, conn)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func open(address string) *Dispatcher {
+	d := &Dispatcher{Address: address, Connections: 4, MaxBody: func() int { return 1 << 16 }}
+	d.Open()
+	return d
+}
+
+func call(body string) Request {
+	return Request{Call: hornbeamcroft.Call{
+		Service: "cash-office", Type: "deposit", Key: "k1", Body: []byte(body), Remaining: time.Second,
+	}}
+}
+
+// TestNoTransparentResend guards against the HTTP client's own resend of a request with an Idempotency-Key on a kept
+// connection that breaks, which would run a deposit twice. Both with and without a body.
+func TestNoTransparentResend(t *testing.T) {
+	for _, body := range []string{"", "deposit"} {
+		is := is.New(t)
+		var received atomic.Int64
+		address := rawUpstream(t, func(_ int, conn net.Conn) {
+			defer func() { _ = conn.Close() }()
+			br := bufio.NewReader(conn)
+			for i := 0; ; i++ {
+				r, err := http.ReadRequest(br)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, r.Body)
+				received.Add(1)
+				if i == 1 {
+					return // the second request on the connection gets no answer
+				}
+				_, _ = conn.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"))
+			}
+		})
+		d := open(address)
+		first := d.Run(context.Background(), call(body))
+		is.Equal(first.Answer.Code, hornbeamcroft.CodeAnswered)
+		second := d.Run(context.Background(), call(body))
+		is.Equal(second.Answer.Code, hornbeamcroft.CodeOutcomeUnknown)
+		is.True(second.Broken)
+		is.Equal(received.Load(), int64(2)) // each Run reached the upstream once
+	}
+}
+
+// TestClaims guards against a claim that says more than is known, for each place where the exchange can be cut.
+func TestClaims(t *testing.T) {
+	answers := []struct {
+		name, raw string
+		want      hornbeamcroft.Code
+	}{
+		{"closed before the answer", "", hornbeamcroft.CodeOutcomeUnknown},
+		{"body shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nshort", hornbeamcroft.CodeAnswerTruncated},
+		{"last chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"end not marked", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", hornbeamcroft.CodeAnswerTruncated},
+		{"upstream did not start", "HTTP/1.1 503 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeUpstreamRefused},
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswered},
+	}
+	for _, tt := range answers {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			address := rawUpstream(t, func(_ int, conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = conn.Write([]byte(tt.raw))
+				}
+			})
+			is.Equal(open(address).Run(context.Background(), call("x")).Answer.Code, tt.want)
+		})
+	}
+}
+
+// TestUnreachableIsNotRun guards against "may have run" for a call that no upstream can have received.
+func TestUnreachableIsNotRun(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	is.Equal(open(address).Run(context.Background(), call("x")).Answer.Code, hornbeamcroft.CodeUpstreamUnreachable)
+}
+
+// TestCancelWhileRunningIsUnknown guards against "not run" for a call that was cancelled after it reached the upstream.
+func TestCancelWhileRunningIsUnknown(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	address := rawUpstream(t, func(_ int, conn net.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			cancel()
+		}
+	})
+	is.Equal(open(address).Run(ctx, call("x")).Answer.Code, hornbeamcroft.CodeCallerGone)
+}
