--- /dev/null
+++ b/executor/executor.go
@@ -0,0 +1,222 @@
+// Package executor runs calls at the upstream beside the node: it waits for admission, dispatches, and learns from the
+// outcome.
+package executor
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/admitter"
+	"hornbeamcroft/dispatcher"
+	"hornbeamcroft/registrar"
+)
+
+// tickInterval is how often waiting tickets are reconsidered.
+const tickInterval = 5 * time.Millisecond
+
+// Executor runs calls at one upstream. Set the exported fields before the first Execute. It is safe for concurrent use.
+type Executor struct {
+	Clock      hornbeamcroft.Clock
+	Calls      *registrar.Registrar
+	Dispatcher *dispatcher.Dispatcher
+	// Admission decides which calls run and when; it is called under the executor's lock.
+	Admission hornbeamcroft.Admitter
+	// OnCrash is told which calls were running when the upstream's connection broke; it may be nil.
+	OnCrash func(running []hornbeamcroft.Call)
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]chan hornbeamcroft.Decision
+	running map[uint64]hornbeamcroft.Call
+	ticking bool
+}
+
+// Options change how one call is run.
+type Options struct {
+	// Alone asks for an isolated run.
+	Alone bool
+	// StartBefore is the end of the permit on the host's monotonic clock in nanoseconds; zero if there is none.
+	StartBefore int64
+	// MayStart is asked right before the dispatch; nil means yes. A refusal becomes the answer's code.
+	MayStart func() hornbeamcroft.Code
+}
+
+// Execute runs the call and returns its answer with the unspent retry budget and the pressure.
+func (e *Executor) Execute(ctx context.Context, call hornbeamcroft.Call, opts Options) hornbeamcroft.Answer {
+	id, decision := e.admit(ctx, call, opts)
+	if !decision.Admitted {
+		return e.answer(hornbeamcroft.Answer{
+			Code: decision.Code, RetryAfter: decision.RetryAfter, Unspent: call.RetryBudget,
+		})
+	}
+	if opts.MayStart != nil {
+		if code := opts.MayStart(); code != 0 {
+			e.finish(id, hornbeamcroft.Sample{Ignore: true})
+			return e.answer(hornbeamcroft.Answer{Code: code, Unspent: call.RetryBudget})
+		}
+	}
+	run := e.Calls.Open(registrar.Running{
+		Token:      registrar.NewToken(),
+		Request:    call.Request,
+		Key:        call.Key,
+		Importance: call.Importance,
+		Depth:      call.Depth,
+		Deadline:   e.Clock.Now() + call.Remaining,
+		FirstSend:  call.FirstSend,
+		ReceivedAt: call.ReceivedAt,
+		Trace:      call.Trace,
+	}, call.RetryBudget)
+	e.mu.Lock()
+	if e.running == nil {
+		e.running = make(map[uint64]hornbeamcroft.Call)
+	}
+	e.running[id] = call
+	e.mu.Unlock()
+
+	start := e.Clock.Now()
+	res := e.Dispatcher.Run(ctx, dispatcher.Request{Call: call, Token: run.Token, StartBefore: opts.StartBefore})
+	if res.Broken {
+		e.reportCrash(ctx, &res)
+	}
+	e.mu.Lock()
+	delete(e.running, id)
+	e.mu.Unlock()
+	res.Answer.Unspent = e.Calls.Close(run)
+	e.finish(id, sample(res, e.Clock.Now()-start))
+	return e.answer(res.Answer)
+}
+
+// reportCrash tells a broken connection from a crash: after a crash nothing listens.
+func (e *Executor) reportCrash(ctx context.Context, res *dispatcher.Result) {
+	if e.Dispatcher.Probe(context.WithoutCancel(ctx)) {
+		return
+	}
+	if res.Answer.Code == hornbeamcroft.CodeOutcomeUnknown {
+		res.Answer.Code = hornbeamcroft.CodeUpstreamCrashed
+	}
+	if e.OnCrash == nil {
+		return
+	}
+	e.mu.Lock()
+	calls := make([]hornbeamcroft.Call, 0, len(e.running))
+	for _, c := range e.running {
+		calls = append(calls, c)
+	}
+	e.mu.Unlock()
+	e.OnCrash(calls)
+}
+
+func sample(res dispatcher.Result, took time.Duration) hornbeamcroft.Sample {
+	s := hornbeamcroft.Sample{ServiceTime: took}
+	switch res.Answer.Code {
+	case hornbeamcroft.CodeAnswered:
+		s.Overloaded = res.Answer.Status == 503 || res.Answer.Status == 429
+	case hornbeamcroft.CodeDeadlinePassed, hornbeamcroft.CodeUpstreamRefused:
+		s.Overloaded = true
+	default:
+		s.Ignore = true
+	}
+	return s
+}
+
+// answer adds the current pressure.
+func (e *Executor) answer(a hornbeamcroft.Answer) hornbeamcroft.Answer {
+	e.mu.Lock()
+	p := e.Admission.Pressure(e.Clock.Now())
+	e.mu.Unlock()
+	if p.Importance > 0 || p.Threshold < hornbeamcroft.ThresholdAll {
+		a.Pressure = append(a.Pressure, p)
+	}
+	return a
+}
+
+func (e *Executor) admit(ctx context.Context, call hornbeamcroft.Call, opts Options) (uint64, hornbeamcroft.Decision) {
+	ch := make(chan hornbeamcroft.Decision, 1)
+	now := e.Clock.Now()
+	e.mu.Lock()
+	e.nextID++
+	id := e.nextID
+	if e.waiting == nil {
+		e.waiting = make(map[uint64]chan hornbeamcroft.Decision)
+	}
+	e.waiting[id] = ch
+	e.spread(e.Admission.Arrive(now, hornbeamcroft.Ticket{
+		ID:         id,
+		Importance: call.Importance,
+		Depth:      call.Depth,
+		Hash:       admitter.Hash(call.Request),
+		Deadline:   now + call.Remaining,
+		Alone:      opts.Alone,
+	}))
+	e.startTicking()
+	e.mu.Unlock()
+	select {
+	case d := <-ch:
+		return id, d
+	case <-ctx.Done():
+	}
+	return id, e.withdraw(id, ch)
+}
+
+// withdraw cancels a waiting ticket. If it was admitted meanwhile, the admission is given back.
+func (e *Executor) withdraw(id uint64, ch chan hornbeamcroft.Decision) hornbeamcroft.Decision {
+	e.mu.Lock()
+	delete(e.waiting, id)
+	e.spread(e.Admission.Cancel(e.Clock.Now(), id))
+	e.mu.Unlock()
+	select {
+	case d := <-ch:
+		if d.Admitted {
+			e.finish(id, hornbeamcroft.Sample{Ignore: true})
+		}
+	default:
+	}
+	return hornbeamcroft.Decision{ID: id, Code: hornbeamcroft.CodeCancelledBeforeStart}
+}
+
+func (e *Executor) finish(id uint64, s hornbeamcroft.Sample) {
+	e.mu.Lock()
+	e.spread(e.Admission.Finish(e.Clock.Now(), id, s))
+	e.mu.Unlock()
+}
+
+// spread hands decisions to their tickets. The lock is held.
+func (e *Executor) spread(ds []hornbeamcroft.Decision) {
+	for _, d := range ds {
+		if ch := e.waiting[d.ID]; ch != nil {
+			delete(e.waiting, d.ID)
+			ch <- d
+		}
+	}
+}
+
+// startTicking runs a ticker for as long as tickets wait. The lock is held.
+func (e *Executor) startTicking() {
+	if e.ticking || len(e.waiting) == 0 {
+		return
+	}
+	e.ticking = true
+	go func() {
+		t := time.NewTicker(tickInterval)
+		defer t.Stop()
+		for range t.C {
+			e.mu.Lock()
+			e.spread(e.Admission.Tick(e.Clock.Now()))
+			if len(e.waiting) == 0 {
+				e.ticking = false
+				e.mu.Unlock()
+				return
+			}
+			e.mu.Unlock()
+		}
+	}()
+}
+
+// Load returns the calls that run and those that wait.
+func (e *Executor) Load() (running, waiting int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.running), len(e.waiting)
+}
--- /dev/null
+++ b/registrar/registrar.go
@@ -0,0 +1,263 @@
+// Package registrar keeps the calls that run at this node's upstream and the requests that entered here. A call that the
+// upstream's own code makes is matched to its parent, so that it inherits request id, importance, deadline and the
+// retry budget.
+package registrar
+
+import (
+	"encoding/hex"
+	"encoding/binary"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/retrier"
+)
+
+// keyLinger is how long the retry budget of a keyed request is remembered after it ended, so that a resend by the
+// caller draws on the same budget.
+const keyLinger = 30 * time.Second
+
+// maxLingering bounds the remembered requests; beyond it, new ones are not remembered.
+const maxLingering = 100_000
+
+// Running is a call in progress that may have child calls. It is not changed after Open.
+type Running struct {
+	ID uint64
+	// Token is what the upstream's own code passes back in Hornbeam-Call; empty for a request of an outside caller.
+	Token   string
+	Request string
+	// Key is the idempotency key of the call, from which keys of child calls are derived.
+	Key        string
+	Importance hornbeamcroft.Importance
+	// Depth is the depth of the call itself; 0 for a request of an outside caller.
+	Depth int
+	// Deadline is on the node's monotonic clock.
+	Deadline time.Duration
+	// FirstSend is true if no earlier send of Key can exist.
+	FirstSend  bool
+	ReceivedAt int64
+	// Trace is the traceparent header without its span id; child calls carry it.
+	Trace string
+}
+
+// Registrar holds the running calls. It is safe for concurrent use.
+type Registrar struct {
+	Clock hornbeamcroft.Clock
+
+	mu      sync.Mutex
+	nextID  uint64
+	retrier retrier.Retrier
+	byToken map[string]*Running
+	byTrace map[string][]*Running
+	byKey   map[string]*lingering
+	ended   []endedKey
+}
+
+// lingering is the record of a keyed request that entered here.
+type lingering struct {
+	running *Running
+	// users counts the sends in progress; the record lingers after the last one ends.
+	users int
+	until time.Duration
+}
+
+type endedKey struct {
+	key   string
+	until time.Duration
+}
+
+// New returns an empty Registrar.
+func New(clock hornbeamcroft.Clock) *Registrar {
+	return &Registrar{
+		Clock:   clock,
+		byToken: make(map[string]*Running),
+		byTrace: make(map[string][]*Running),
+		byKey:   make(map[string]*lingering),
+	}
+}
+
+// NewToken returns a random token of 128 bits.
+func NewToken() string {
+	var b [16]byte
+	binary.NativeEndian.PutUint64(b[:8], rand.Uint64())
+	binary.NativeEndian.PutUint64(b[8:], rand.Uint64())
+	return hex.EncodeToString(b[:])
+}
+
+// TraceID returns the trace id of a traceparent header, or "" if it is malformed.
+func TraceID(traceparent string) string {
+	parts := strings.Split(traceparent, "-")
+	if len(parts) < 4 || len(parts[1]) != 32 {
+		return ""
+	}
+	return parts[1]
+}
+
+// Traceparent returns a header with the trace id of the given one, or a new trace id, and a new span id.
+func Traceparent(old string) string {
+	id := TraceID(old)
+	if id == "" {
+		id = NewToken()
+	}
+	return "00-" + id + "-" + NewToken()[:16] + "-01"
+}
+
+// Open starts the record of a call at the upstream with the retry budget that came with it.
+func (g *Registrar) Open(run Running, budget int) *Running {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	r := g.open(run, budget)
+	if r.Token != "" {
+		g.byToken[r.Token] = r
+	}
+	if id := TraceID(r.Trace); id != "" && r.Token != "" {
+		g.byTrace[id] = append(g.byTrace[id], r)
+	}
+	return r
+}
+
+func (g *Registrar) open(run Running, budget int) *Running {
+	g.nextID++
+	run.ID = g.nextID
+	g.retrier.Open(run.ID, budget, run.Deadline)
+	return &run
+}
+
+// Close ends the record and returns the unspent retry budget.
+func (g *Registrar) Close(r *Running) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.byToken, r.Token)
+	if id := TraceID(r.Trace); id != "" {
+		g.removeTrace(id, r)
+	}
+	return g.retrier.Close(r.ID)
+}
+
+func (g *Registrar) removeTrace(id string, r *Running) {
+	list := g.byTrace[id]
+	for i := range list {
+		if list[i] == r {
+			list = append(list[:i], list[i+1:]...)
+			break
+		}
+	}
+	if len(list) == 0 {
+		delete(g.byTrace, id)
+		return
+	}
+	g.byTrace[id] = list
+}
+
+// Enter starts the record of a request of an outside caller. A resend of the same key gets the earlier record, so that
+// all sends share one retry budget.
+func (g *Registrar) Enter(run Running, budget int) *Running {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.expire()
+	if run.Key == "" {
+		return g.open(run, budget)
+	}
+	if l := g.byKey[run.Key]; l != nil {
+		l.users++
+		l.running.Deadline = max(l.running.Deadline, run.Deadline)
+		return l.running
+	}
+	r := g.open(run, budget)
+	if len(g.byKey) < maxLingering {
+		g.byKey[run.Key] = &lingering{running: r, users: 1}
+	}
+	return r
+}
+
+// Leave ends a send of a request of an outside caller.
+func (g *Registrar) Leave(r *Running) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	l := g.byKey[r.Key]
+	if r.Key == "" || l == nil || l.running != r {
+		g.retrier.Close(r.ID)
+		return
+	}
+	l.users--
+	if l.users == 0 {
+		l.until = g.Clock.Now() + keyLinger
+		g.ended = append(g.ended, endedKey{r.Key, l.until})
+	}
+}
+
+// expire drops remembered keys whose time is over.
+func (g *Registrar) expire() {
+	now := g.Clock.Now()
+	n := 0
+	for n < len(g.ended) && g.ended[n].until <= now {
+		e := g.ended[n]
+		if l := g.byKey[e.key]; l != nil && l.users == 0 && l.until <= now {
+			g.retrier.Close(l.running.ID)
+			delete(g.byKey, e.key)
+		}
+		n++
+	}
+	g.ended = g.ended[n:]
+}
+
+// Parent finds the call that made a child call: by the token, or else by the trace id. If several running calls have
+// the trace id, all are returned and the child call gets no retry budget.
+func (g *Registrar) Parent(token, traceparent string) []*Running {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if r := g.byToken[token]; r != nil && token != "" {
+		return []*Running{r}
+	}
+	id := TraceID(traceparent)
+	if id == "" {
+		return nil
+	}
+	return append([]*Running(nil), g.byTrace[id]...)
+}
+
+// Begin records a send of the child call under one of the parents.
+func (g *Registrar) Begin(parents []*Running, c retrier.Child) (retrier.Attempt, hornbeamcroft.Code) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(parents) == 1 {
+		return g.retrier.Begin(g.Clock.Now(), parents[0].ID, c)
+	}
+	ids := make([]uint64, len(parents))
+	for i, p := range parents {
+		ids[i] = p.ID
+	}
+	return g.retrier.BeginAmbiguous(g.Clock.Now(), ids, c)
+}
+
+// Decide says whether the call of the attempt may be repeated. A free repeat is counted at once.
+func (g *Registrar) Decide(rnd hornbeamcroft.Rand, a retrier.Attempt, c retrier.Child, f retrier.Failure) retrier.Verdict {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.retrier.Decide(g.Clock.Now(), rnd, a, c, f)
+	if v.Retry && v.Free {
+		v.Free = g.retrier.Reroute(a)
+		v.Retry = v.Free
+	}
+	return v
+}
+
+// End ends an attempt with the unspent budget of its answer; a lost answer has returned nothing.
+func (g *Registrar) End(a retrier.Attempt, unspent int, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if lost {
+		g.retrier.Lose(a)
+		return
+	}
+	g.retrier.Return(a, unspent)
+}
+
+// Len returns the number of calls at the upstream.
+func (g *Registrar) Len() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.byToken)
+}
