--- /dev/null
+++ b/admitter/hash.go
@@ -0,0 +1,24 @@
+package admitter
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"hornbeamcroft"
+)
+
+// hashShift keeps the upper 16 bits of the 64-bit hash, so that the survival hash is below hornbeamcroft.ThresholdAll.
+const hashShift = 48
+
+// Hash returns the survival hash of a request id. It is the same in every node, so that all services keep the same
+// requests.
+func Hash(request string) uint32 {
+	return uint32(xxhash.Sum64String(request) >> hashShift)
+}
+
+// Admits reports whether a service under pressure p admits a request of the importance with the survival hash.
+func Admits(p hornbeamcroft.Pressure, i hornbeamcroft.Importance, hash uint32) bool {
+	if i != p.Importance {
+		return i > p.Importance
+	}
+	return hash < p.Threshold
+}
--- /dev/null
+++ b/limiter/limiter.go
@@ -0,0 +1,156 @@
+// Package limiter adapts the number of calls that one upstream runs at once. It uses the service times and overload
+// errors that the node observes itself, never what a health or load endpoint reports.
+package limiter
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// windowTime and windowSamples are the least a window spans; a window of few samples follows noise.
+	windowTime    = 100 * time.Millisecond
+	windowSamples = 20
+	// windowCap ends a window with fewer samples, so that a slow upstream is noticed too.
+	windowCap = time.Second
+	// tolerance is the rise of the service time over its long-term minimum that does not lower the limit.
+	tolerance = 2.0
+	// leastGradient bounds the decrease by one window.
+	leastGradient = 0.5
+	// overloadFactor is the decrease by one window that holds an overload error.
+	overloadFactor = 0.7
+	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
+	riseTime = 60 * time.Second
+	// medianStep is the relative step of the median estimate for each sample.
+	medianStep = 0.05
+	// medianHalfLife halves the median when no sample arrives. Calls refused for it give no samples, so without decay an
+	// estimate from a slow phase would refuse all calls for ever.
+	medianHalfLife = time.Second
+)
+
+// Limiter holds the concurrency limit of one upstream. It is not safe for concurrent use.
+type Limiter struct {
+	// Ceiling is the number of slots that the operators configured; at least 1. The limit never exceeds it.
+	Ceiling int
+
+	limit float64
+	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
+	base, short float64
+	median      float64
+	lastSample  time.Duration
+	w           window
+}
+
+type window struct {
+	start      time.Duration
+	sum        float64
+	n          int
+	overloaded bool
+	// peak is the greatest number of calls in flight seen in the window.
+	peak int
+}
+
+// Limit returns the number of calls that may run at once, 1 to Ceiling.
+func (l *Limiter) Limit() int {
+	l.init()
+	return min(max(int(l.limit), 1), max(l.Ceiling, 1))
+}
+
+func (l *Limiter) init() {
+	if l.limit == 0 {
+		l.limit = float64(max(l.Ceiling, 1))
+	}
+}
+
+// Add records a finished call and the number of calls that were in flight with it.
+func (l *Limiter) Add(now, serviceTime time.Duration, inFlight int) {
+	l.init()
+	s := max(serviceTime.Seconds(), 1e-6)
+	l.addMedian(now, s)
+	l.open(now)
+	l.w.sum += s
+	l.w.n++
+	l.w.peak = max(l.w.peak, inFlight)
+	l.closeWindow(now)
+}
+
+// Overload records an overload error: the upstream refused a call or did not answer it in time.
+func (l *Limiter) Overload(now time.Duration, inFlight int) {
+	l.init()
+	l.open(now)
+	l.w.overloaded = true
+	l.w.peak = max(l.w.peak, inFlight)
+	l.closeWindow(now)
+}
+
+// Median returns the estimated p50 of the service time, zero if none is known.
+func (l *Limiter) Median(now time.Duration) time.Duration {
+	m := l.median
+	if idle := now - l.lastSample; idle > medianHalfLife {
+		m *= math.Exp2(1 - float64(idle)/float64(medianHalfLife))
+	}
+	return time.Duration(m * float64(time.Second))
+}
+
+func (l *Limiter) addMedian(now time.Duration, s float64) {
+	m := l.Median(now).Seconds()
+	switch {
+	case m == 0:
+		m = s
+	case s > m:
+		m *= 1 + medianStep
+	case s < m:
+		m /= 1 + medianStep
+	}
+	l.median, l.lastSample = m, now
+}
+
+func (l *Limiter) open(now time.Duration) {
+	if l.w.n == 0 && !l.w.overloaded {
+		l.w = window{start: now}
+	}
+}
+
+func (l *Limiter) closeWindow(now time.Duration) {
+	age := now - l.w.start
+	if age < windowTime || (l.w.n < windowSamples && age < windowCap && !l.w.overloaded) {
+		return
+	}
+	if l.w.n > 0 {
+		l.learn(l.w.sum/float64(l.w.n), age)
+	}
+	l.adapt()
+	l.w = window{start: now}
+}
+
+// learn updates the smoothed service time and its long-term minimum.
+func (l *Limiter) learn(mean float64, age time.Duration) {
+	if l.short == 0 {
+		l.short, l.base = mean, mean
+		return
+	}
+	l.short += (mean - l.short) / 2
+	if l.short < l.base {
+		l.base = l.short
+		return
+	}
+	l.base += (l.short - l.base) * math.Min(1, age.Seconds()/riseTime.Seconds())
+}
+
+func (l *Limiter) adapt() {
+	ceiling := float64(max(l.Ceiling, 1))
+	if l.w.overloaded {
+		l.limit = math.Max(1, l.limit*overloadFactor)
+		return
+	}
+	gradient := 1.0
+	if l.short > 0 {
+		gradient = math.Min(1, math.Max(leastGradient, tolerance*l.base/l.short))
+	}
+	if gradient == 1 && float64(l.w.peak) < l.limit/2 {
+		// A limit that is not used says nothing about a higher one.
+		return
+	}
+	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
+	l.limit = math.Min(ceiling, math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
+}
