--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -43,7 +43,7 @@
 	if _, i := t.find(a); moved(f.Code) && i >= 0 && r.open[i].reroutes < maxReroutes {
 		return Verdict{Retry: true, Free: true}
 	}
-	if r.held < 1 {
+	if !t.affords(r, c) {
 		return Verdict{Code: hornbeamcroft.CodeRetryBudgetSpent}
 	}
 	wait := max(t.Backoff.Wait(rnd, r.tries(c)), f.RetryAfter)
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -40,9 +40,17 @@
 	Share ShareRule
 	// Backoff bounds the wait before a repeat; the zero value stands for the defaults.
 	Backoff Backoff
+	// KeepRequests is the time for which OpenRequest keeps a record; DefaultKeepRequests if zero.
+	KeepRequests time.Duration
+	// PerHop is the number of attempts at each hop without regard to the budget, the baseline of measurements; zero
+	// for one budget per request.
+	PerHop int
 
 	records map[uint64]*record
 	serial  uint64
+	// requests maps the caller's key to its record; expiry holds the same requests in order of their expiry.
+	requests map[string]uint64
+	expiry   []keptRequest
 }
 
 // record is the state of one running call.
@@ -50,6 +58,8 @@
 	// held is the budget that is neither spent nor given to a child; at least 0.
 	held     int
 	deadline time.Duration
+	// kept is true if the record outlives Close for resends by the caller.
+	kept     bool
 	children []childState
 	open     []openAttempt
 }
@@ -90,10 +100,10 @@
 		return Attempt{}, hornbeamcroft.CodeDeadlineTooShort
 	}
 	repeat := !r.first(c)
-	if repeat {
-		if r.held < 1 {
-			return Attempt{}, hornbeamcroft.CodeRetryBudgetSpent
-		}
+	if repeat && !t.affords(r, c) {
+		return Attempt{}, hornbeamcroft.CodeRetryBudgetSpent
+	}
+	if repeat && t.PerHop == 0 {
 		r.held--
 	}
 	r.count(c)
@@ -134,6 +144,14 @@
 	return Attempt{Parent: parent, Serial: t.serial, Share: share, Repeat: repeat}
 }
 
+// affords reports whether a repeat of the child is covered.
+func (t *Retrier) affords(r *record, c Child) bool {
+	if t.PerHop > 0 {
+		return r.tries(c) < t.PerHop
+	}
+	return r.held >= 1
+}
+
 // Return ends an attempt with the unspent budget of its answer. It reports false if the attempt is no longer open: a
 // budget that returns late is dropped.
 func (t *Retrier) Return(a Attempt, unspent int) bool {
@@ -168,13 +186,15 @@
 }
 
 // Close ends a running call and returns the budget that its answer carries back. Shares that are still out count as
-// spent.
+// spent. The record of a kept request stays until it expires.
 func (t *Retrier) Close(id uint64) int {
 	r, ok := t.records[id]
 	if !ok {
 		return 0
 	}
-	delete(t.records, id)
+	if !r.kept {
+		delete(t.records, id)
+	}
 	return r.held
 }
 
