--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,385 @@
+// Package forwarder sends calls to other upstreams: it picks one, sends the call over a link or runs it at the own
+// upstream, asks for the outcome when a link is lost, and repeats the call within the request's retry budget.
+package forwarder
+
+import (
+	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+	"hornbeamcroft/admitter"
+	"hornbeamcroft/connector"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/propagator"
+	"hornbeamcroft/registrar"
+	"hornbeamcroft/retrier"
+)
+
+// maxLocalReroutes bounds the picks after a target that could not even be sent to.
+const maxLocalReroutes = 4
+
+// outcomePause is the wait between attempts to reach a node whose link was lost.
+const outcomePause = 50 * time.Millisecond
+
+// Target is where a call is sent.
+type Target struct {
+	Name    string
+	Address string
+	// Code is the reason if there is no target.
+	Code hornbeamcroft.Code
+	// Epoch is the roster epoch by which a home was chosen.
+	Epoch uint64
+}
+
+// Forwarder sends calls. Set the exported fields before the first Forward. It is safe for concurrent use.
+type Forwarder struct {
+	Clock hornbeamcroft.Clock
+	// Name is the node's own name; a call to it is run by Local.
+	Name        string
+	Incarnation uint64
+	Calls       *registrar.Registrar
+	Links       *connector.Connector
+	// Document returns the accepted document, or nil.
+	Document func() *hornbeamcroft.Document
+	// Local runs a call at the own upstream.
+	Local func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
+	// Home returns the home of a non-idempotent call's key.
+	Home func(call hornbeamcroft.Call) Target
+	// NewBalancer returns the balancer of a service.
+	NewBalancer func(service string) hornbeamcroft.Balancer
+	// ShedEarly is true if requests that a service below would shed are refused here.
+	ShedEarly bool
+
+	nextID atomic.Uint64
+
+	mu        sync.Mutex
+	balancers map[string]hornbeamcroft.Balancer
+	members   map[string]hornbeamcroft.Member
+	byService map[string][]hornbeamcroft.Member
+	pressure  propagator.Propagator
+}
+
+// Update sets the members that calls may be sent to.
+func (f *Forwarder) Update(members []hornbeamcroft.Member) {
+	now := f.Clock.Now()
+	byName := make(map[string]hornbeamcroft.Member, len(members))
+	byService := make(map[string][]hornbeamcroft.Member)
+	for _, m := range members {
+		byName[m.Name] = m
+		byService[m.Service] = append(byService[m.Service], m)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members, f.byService = byName, byService
+	for service, b := range f.balancers {
+		b.Update(now, byService[service])
+	}
+}
+
+// Member returns the record of a member.
+func (f *Forwarder) Member(name string) (hornbeamcroft.Member, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	m, ok := f.members[name]
+	return m, ok
+}
+
+// balancer returns the balancer of the service. The lock is held.
+func (f *Forwarder) balancer(service string) hornbeamcroft.Balancer {
+	b := f.balancers[service]
+	if b == nil {
+		b = f.NewBalancer(service)
+		if f.balancers == nil {
+			f.balancers = make(map[string]hornbeamcroft.Balancer)
+		}
+		f.balancers[service] = b
+		b.Update(f.Clock.Now(), f.byService[service])
+	}
+	return b
+}
+
+// Forward sends the call under one of the parents, with repeats, and returns the final answer.
+func (f *Forwarder) Forward(ctx context.Context, parents []*registrar.Running, call hornbeamcroft.Call,
+) hornbeamcroft.Answer {
+	if refusal, ok := f.shed(call); ok {
+		return refusal
+	}
+	child := retrier.Child{Service: call.Service, Type: call.Type, Content: call.Fingerprint}
+	var excluded []string
+	for {
+		attempt, code := f.Calls.Begin(parents, child)
+		if code != hornbeamcroft.CodeAnswered {
+			return f.refuse(call, code)
+		}
+		call.FirstSend = call.FirstSend && !attempt.Repeat
+		answer, again := f.attempt(ctx, call, child, attempt, &excluded)
+		if !again {
+			return answer
+		}
+	}
+}
+
+// refuse returns a refusal by this node. For a non-idempotent call that may have been sent before, the node cannot say
+// that its key did not run.
+func (f *Forwarder) refuse(call hornbeamcroft.Call, code hornbeamcroft.Code) hornbeamcroft.Answer {
+	if !call.Idempotent && !call.FirstSend && code.Claim() == hornbeamcroft.ClaimNotRun {
+		code = hornbeamcroft.CodeEarlierSendUnknown
+	}
+	return hornbeamcroft.Answer{Code: code, RetryAfter: time.Second}
+}
+
+// attempt sends the call once, and again at no cost while upstreams that did not take it can be avoided. It reports
+// whether another attempt is to be made.
+func (f *Forwarder) attempt(ctx context.Context, call hornbeamcroft.Call, child retrier.Child, attempt retrier.Attempt,
+	excluded *[]string,
+) (hornbeamcroft.Answer, bool) {
+	call.RetryBudget = attempt.Share
+	for reroutes := 0; ; {
+		answer, target, sent := f.send(ctx, call, *excluded)
+		if target != "" && answer.Code != hornbeamcroft.CodeAnswered {
+			*excluded = append(*excluded, target)
+		}
+		if !sent && target != "" && reroutes < maxLocalReroutes && ctx.Err() == nil {
+			reroutes++
+			if !call.Idempotent {
+				if !sleep(ctx, outcomePause) {
+					break
+				}
+				*excluded = nil
+			}
+			continue
+		}
+		v := f.Calls.Decide(randSource{}, attempt, child, retrier.Failure{
+			Code: answer.Code, Claim: answer.Code.Claim(), Idempotent: call.Idempotent, RetryAfter: answer.RetryAfter,
+		})
+		if v.Retry && v.Free {
+			continue
+		}
+		f.Calls.End(attempt, answer.Unspent, sent && lost(answer.Code))
+		if !v.Retry || !sleep(ctx, v.Wait) {
+			return f.settle(call, answer, sent), false
+		}
+		if len(*excluded) > 2*maxLocalReroutes {
+			*excluded = nil
+		}
+		return answer, true
+	}
+	f.Calls.End(attempt, call.RetryBudget, false)
+	return f.refuse(call, hornbeamcroft.CodeHomeUnreachable), false
+}
+
+// settle adjusts the claim of a refusal that this node made itself.
+func (f *Forwarder) settle(call hornbeamcroft.Call, a hornbeamcroft.Answer, sent bool) hornbeamcroft.Answer {
+	if sent {
+		return a
+	}
+	r := f.refuse(call, a.Code)
+	r.Pressure = a.Pressure
+	return r
+}
+
+func lost(c hornbeamcroft.Code) bool {
+	switch c {
+	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeDeadlinePassed, hornbeamcroft.CodeCallerGone:
+		return true
+	}
+	return false
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// randSource is the process-wide source of randomness, which is safe for concurrent use.
+type randSource struct{}
+
+func (randSource) Uint64() uint64   { return rand.Uint64() }
+func (randSource) IntN(n int) int   { return rand.IntN(n) }
+func (randSource) Float64() float64 { return rand.Float64() }
+
+// send sends the call to one target. It returns the target's name, and whether any byte of the call was sent.
+func (f *Forwarder) send(ctx context.Context, call hornbeamcroft.Call, excluded []string,
+) (answer hornbeamcroft.Answer, target string, sent bool) {
+	deadline, ok := ctx.Deadline()
+	if ok {
+		call.Remaining = time.Until(deadline)
+	}
+	if call.Remaining <= 0 {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}, "", false
+	}
+	t := f.target(call, excluded)
+	if t.Code != 0 {
+		return hornbeamcroft.Answer{Code: t.Code, RetryAfter: time.Second, Unspent: call.RetryBudget}, "", false
+	}
+	call.ID = f.nextID.Add(1)
+	call.Epoch = t.Epoch
+	start := f.Clock.Now()
+	answer, sent = f.exchange(ctx, t, call)
+	f.learn(call, t.Name, f.Clock.Now()-start, answer)
+	return answer, t.Name, sent
+}
+
+func (f *Forwarder) target(call hornbeamcroft.Call, excluded []string) Target {
+	if !call.Idempotent {
+		return f.Home(call)
+	}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	b := f.balancer(call.Service)
+	name, ok := b.Pick(now, randSource{}, func(name string) bool { return slices.Contains(excluded, name) })
+	if !ok && len(excluded) > 0 {
+		name, ok = b.Pick(now, randSource{}, nil)
+	}
+	if !ok {
+		return Target{Code: hornbeamcroft.CodeNoUpstream}
+	}
+	b.Start(now, name)
+	return Target{Name: name, Address: f.members[name].Address}
+}
+
+func (f *Forwarder) exchange(ctx context.Context, t Target, call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+	if t.Name == f.Name {
+		return f.Local(ctx, call), true
+	}
+	l, err := f.Links.Link(ctx, t.Address)
+	if err != nil {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamUnreachable, Unspent: call.RetryBudget}, false
+	}
+	a, err := l.Call(ctx, call)
+	switch {
+	case err == nil:
+		return a, true
+	case errors.Is(err, connector.ErrNotSent):
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamUnreachable, Unspent: call.RetryBudget}, false
+	case errors.Is(err, connector.ErrLinkLost):
+		return f.askOutcome(ctx, t, call, l.Peer.Incarnation), true
+	}
+	return hornbeamcroft.Answer{Code: ended(ctx)}, true
+}
+
+func ended(ctx context.Context) hornbeamcroft.Code {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return hornbeamcroft.CodeDeadlinePassed
+	}
+	return hornbeamcroft.CodeCallerGone
+}
+
+// askOutcome asks the executing node over a new link what became of a call whose link was lost. A node that restarted
+// meanwhile does not know.
+func (f *Forwarder) askOutcome(ctx context.Context, t Target, call hornbeamcroft.Call, incarnation uint64,
+) hornbeamcroft.Answer {
+	unknown := hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
+	for sleep(ctx, outcomePause) {
+		if m, ok := f.Member(t.Name); !ok || m.Incarnation > incarnation {
+			return unknown
+		}
+		l, err := f.Links.Link(ctx, t.Address)
+		if err != nil {
+			if call.Idempotent {
+				return unknown
+			}
+			continue
+		}
+		if l.Peer.Incarnation != incarnation {
+			return unknown
+		}
+		a, err := l.Outcome(ctx, framer.OutcomeQuery{
+			Sender: f.Name, Incarnation: f.Incarnation, ID: call.ID, Remaining: time.Until(deadlineOf(ctx)),
+		})
+		if err == nil {
+			return a
+		}
+	}
+	return hornbeamcroft.Answer{Code: ended(ctx)}
+}
+
+func deadlineOf(ctx context.Context) time.Time {
+	if d, ok := ctx.Deadline(); ok {
+		return d
+	}
+	return time.Now().Add(time.Second)
+}
+
+// learn passes the outcome to the balancer and the reported pressure to the propagator.
+func (f *Forwarder) learn(call hornbeamcroft.Call, target string, took time.Duration, a hornbeamcroft.Answer) {
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pressure.Observe(now, call.Service, a.Pressure)
+	if call.Idempotent {
+		f.balancer(call.Service).Finish(now, target, took, outcome(a))
+	}
+}
+
+func outcome(a hornbeamcroft.Answer) hornbeamcroft.Outcome {
+	switch a.Code {
+	case hornbeamcroft.CodeAnswered, hornbeamcroft.CodeAnsweredFromRecord:
+		if a.Status >= 500 {
+			return hornbeamcroft.OutcomeFailure
+		}
+		return hornbeamcroft.OutcomeSuccess
+	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated,
+		hornbeamcroft.CodeUpstreamUnreachable, hornbeamcroft.CodeUpstreamNotRegistered, hornbeamcroft.CodeDeadlinePassed:
+		return hornbeamcroft.OutcomeFailure
+	case hornbeamcroft.CodeCallerGone, hornbeamcroft.CodeCancelledBeforeStart:
+		return hornbeamcroft.OutcomeIgnored
+	}
+	return hornbeamcroft.OutcomeRefused
+}
+
+// shed refuses an idempotent request at its entry if a service below would shed it.
+func (f *Forwarder) shed(call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+	doc := f.Document()
+	if !f.ShedEarly || !call.Idempotent || call.Depth != 1 || doc == nil {
+		return hornbeamcroft.Answer{}, false
+	}
+	now := f.Clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	v := f.pressure.Admit(now, randSource{}, below(doc, call.Service), call.Importance, admitter.Hash(call.Request))
+	if v.Admitted {
+		return hornbeamcroft.Answer{}, false
+	}
+	code := hornbeamcroft.CodeServicePressedBelow
+	if v.Service == call.Service {
+		code = hornbeamcroft.CodeOverloaded
+	}
+	return hornbeamcroft.Answer{Code: code, RetryAfter: v.RetryAfter}, true
+}
+
+// below returns the service and all services that its calls can reach.
+func below(doc *hornbeamcroft.Document, service string) []string {
+	list := []string{service}
+	for i := 0; i < len(list); i++ {
+		for _, s := range doc.Services[list[i]].Calls {
+			if !slices.Contains(list, s) {
+				list = append(list, s)
+			}
+		}
+	}
+	return list
+}
+
+// Pressure returns the pressure that answers carry upwards, with the own service's level first.
+func (f *Forwarder) Pressure(own hornbeamcroft.Pressure) []hornbeamcroft.Pressure {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pressure.Export(f.Clock.Now(), own)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -4,8 +4,8 @@
 package registrar
 
 import (
-	"encoding/hex"
 	"encoding/binary"
+	"encoding/hex"
 	"math/rand/v2"
 	"strings"
 	"sync"
@@ -15,13 +15,6 @@
 	"hornbeamcroft/retrier"
 )
 
-// keyLinger is how long the retry budget of a keyed request is remembered after it ended, so that a resend by the
-// caller draws on the same budget.
-const keyLinger = 30 * time.Second
-
-// maxLingering bounds the remembered requests; beyond it, new ones are not remembered.
-const maxLingering = 100_000
-
 // Running is a call in progress that may have child calls. It is not changed after Open.
 type Running struct {
 	ID uint64
@@ -51,30 +44,16 @@
 	retrier retrier.Retrier
 	byToken map[string]*Running
 	byTrace map[string][]*Running
-	byKey   map[string]*lingering
-	ended   []endedKey
-}
-
-// lingering is the record of a keyed request that entered here.
-type lingering struct {
-	running *Running
-	// users counts the sends in progress; the record lingers after the last one ends.
-	users int
-	until time.Duration
 }
 
-type endedKey struct {
-	key   string
-	until time.Duration
-}
-
-// New returns an empty Registrar.
-func New(clock hornbeamcroft.Clock) *Registrar {
+// New returns an empty Registrar. perHop is the number of attempts at each hop in the baseline of measurements, and zero
+// for one retry budget per request.
+func New(clock hornbeamcroft.Clock, perHop int) *Registrar {
 	return &Registrar{
 		Clock:   clock,
+		retrier: retrier.Retrier{PerHop: perHop},
 		byToken: make(map[string]*Running),
 		byTrace: make(map[string][]*Running),
-		byKey:   make(map[string]*lingering),
 	}
 }
 
@@ -151,56 +130,24 @@
 	g.byTrace[id] = list
 }
 
-// Enter starts the record of a request of an outside caller. A resend of the same key gets the earlier record, so that
-// all sends share one retry budget.
+// Enter starts the record of a request of an outside caller. A resend with the same key shares the retry budget of the
+// earlier sends; key is "" for a request without one.
 func (g *Registrar) Enter(run Running, budget int) *Running {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.expire()
 	if run.Key == "" {
 		return g.open(run, budget)
 	}
-	if l := g.byKey[run.Key]; l != nil {
-		l.users++
-		l.running.Deadline = max(l.running.Deadline, run.Deadline)
-		return l.running
-	}
-	r := g.open(run, budget)
-	if len(g.byKey) < maxLingering {
-		g.byKey[run.Key] = &lingering{running: r, users: 1}
-	}
-	return r
+	g.nextID++
+	run.ID = g.retrier.OpenRequest(g.Clock.Now(), run.Key, g.nextID, budget, run.Deadline)
+	return &run
 }
 
-// Leave ends a send of a request of an outside caller.
+// Leave ends a send of a request of an outside caller. The budget of a keyed request is kept for resends.
 func (g *Registrar) Leave(r *Running) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	l := g.byKey[r.Key]
-	if r.Key == "" || l == nil || l.running != r {
-		g.retrier.Close(r.ID)
-		return
-	}
-	l.users--
-	if l.users == 0 {
-		l.until = g.Clock.Now() + keyLinger
-		g.ended = append(g.ended, endedKey{r.Key, l.until})
-	}
-}
-
-// expire drops remembered keys whose time is over.
-func (g *Registrar) expire() {
-	now := g.Clock.Now()
-	n := 0
-	for n < len(g.ended) && g.ended[n].until <= now {
-		e := g.ended[n]
-		if l := g.byKey[e.key]; l != nil && l.users == 0 && l.until <= now {
-			g.retrier.Close(l.running.ID)
-			delete(g.byKey, e.key)
-		}
-		n++
-	}
-	g.ended = g.ended[n:]
+	g.retrier.Close(r.ID)
 }
 
 // Parent finds the call that made a child call: by the token, or else by the trace id. If several running calls have
