--- /dev/null
+++ b/cmd/hornbeam-standin/platform/platform_test.go
@@ -0,0 +1,149 @@
+package platform
+
+import (
+	"context"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/etcdclient"
+)
+
+type fixture struct {
+	*is.I
+	server *Server
+	client *etcdclient.Client
+	now    time.Time
+}
+
+// newFixture serves the stand-in on loopback with a manual clock.
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{I: is.New(t), now: time.Unix(0, 0)}
+	f.server = &Server{Now: func() time.Time { return f.now }}
+	f.NoErr(f.server.Init())
+	web := httptest.NewServer(f.server)
+	t.Cleanup(web.Close)
+	f.client = &etcdclient.Client{Endpoints: []string{strings.TrimPrefix(web.URL, "http://")}, NoBreaker: true}
+	f.client.Init()
+	return f
+}
+
+func put(key, value string) []hornbeamcroft.Put {
+	return []hornbeamcroft.Put{{Key: key, Value: []byte(value)}}
+}
+
+// TestCompareAndSwap guards against a write whose condition does not hold.
+func TestCompareAndSwap(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	e, err := f.client.Get(ctx, "a")
+	f.NoErr(err)
+	f.Equal(e.ModRevision, int64(0))
+	res, err := f.client.Txn(ctx, []hornbeamcroft.Compare{{Key: "a"}}, put("a", "1"))
+	f.NoErr(err)
+	f.True(res.Succeeded)
+	again, err := f.client.Txn(ctx, []hornbeamcroft.Compare{{Key: "a"}}, put("a", "2"))
+	f.NoErr(err)
+	f.True(!again.Succeeded)
+	list, rev, err := f.client.List(ctx, "a")
+	f.NoErr(err)
+	f.Equal(string(list[0].Value), "1")
+	f.Equal(list[0].ModRevision, res.Revision)
+	f.Equal(rev, res.Revision)
+}
+
+// TestLostAnswer guards against a lost answer that is reported as not sent, or a switch that does not apply the write.
+func TestLostAnswer(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	f.server.SetFaults(Faults{LoseAnswers: 1})
+	_, err := f.client.Txn(ctx, nil, put("a", "1"))
+	f.True(err != nil)
+	f.True(!errors.Is(err, hornbeamcroft.ErrStoreUnreachable))
+	e, err := f.client.Get(ctx, "a")
+	f.NoErr(err)
+	f.Equal(string(e.Value), "1")
+}
+
+// TestNotSent guards against a refused connection that is reported as a possible write.
+func TestNotSent(t *testing.T) {
+	f := newFixture(t)
+	client := etcdclient.New("127.0.0.1:1")
+	_, err := client.Txn(t.Context(), nil, put("a", "1"))
+	f.True(errors.Is(err, hornbeamcroft.ErrStoreUnreachable))
+}
+
+// TestNextEndpoint guards against a dead endpoint that hides a live one.
+func TestNextEndpoint(t *testing.T) {
+	f := newFixture(t)
+	client := etcdclient.New("127.0.0.1:1", f.client.Endpoints[0])
+	_, err := client.Txn(t.Context(), nil, put("a", "1"))
+	f.NoErr(err)
+}
+
+// TestLease guards against keys that outlive their lease, and renewals that fail to extend it.
+func TestLease(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	id, err := f.client.Grant(ctx, 2*time.Second)
+	f.NoErr(err)
+	_, err = f.client.Txn(ctx, nil, []hornbeamcroft.Put{{Key: "a", Lease: id}})
+	f.NoErr(err)
+	f.now = f.now.Add(1500 * time.Millisecond)
+	f.NoErr(f.client.KeepAlive(ctx, id))
+	f.now = f.now.Add(1500 * time.Millisecond)
+	e, err := f.client.Get(ctx, "a")
+	f.NoErr(err)
+	f.Equal(e.Lease, id)
+	f.now = f.now.Add(time.Second)
+	e, err = f.client.Get(ctx, "a")
+	f.NoErr(err)
+	f.Equal(e.ModRevision, int64(0))
+	f.True(errors.Is(f.client.KeepAlive(ctx, id), hornbeamcroft.ErrLeaseNotFound))
+	f.True(errors.Is(f.client.Revoke(ctx, id), hornbeamcroft.ErrLeaseNotFound))
+	_, err = f.client.Txn(ctx, nil, []hornbeamcroft.Put{{Key: "a", Lease: id}})
+	f.True(errors.Is(err, hornbeamcroft.ErrLeaseNotFound))
+}
+
+// TestWatch guards against lost, repeated or reordered events, and against a watch that survives a restore.
+func TestWatch(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	f.server.state.save("empty")
+	_, err := f.client.Txn(ctx, nil, put("p/a", "1"))
+	f.NoErr(err)
+	events := make(chan hornbeamcroft.Event)
+	ended := make(chan error, 1)
+	go func() {
+		ended <- f.client.Watch(ctx, "p/", 1, func(e hornbeamcroft.Event) { events <- e })
+	}()
+	f.Equal(string((<-events).Entry.Value), "1")
+	_, err = f.client.Txn(ctx, nil, put("q", "other"))
+	f.NoErr(err)
+	_, err = f.client.Txn(ctx, nil, []hornbeamcroft.Put{{Key: "p/a", Delete: true}})
+	f.NoErr(err)
+	f.True((<-events).Deleted)
+	f.True(f.server.state.restore("empty"))
+	f.True(<-ended != nil)
+	err = f.client.Watch(ctx, "p/", 4, func(hornbeamcroft.Event) {})
+	f.True(errors.Is(err, etcdclient.ErrStoreOlder))
+}
+
+// TestLargeValue guards against values above the platform's limit of 1 MB.
+func TestLargeValue(t *testing.T) {
+	f := newFixture(t)
+	_, err := f.client.Txn(t.Context(), nil, put("a", strings.Repeat("x", maxValue+1)))
+	f.True(err != nil)
+	_, err = f.client.Txn(t.Context(), nil, put("a", strings.Repeat("x", maxValue)))
+	f.NoErr(err)
+}
+
+// TestDown guards against a store that answers or counts nothing while it is switched down.
+func TestDown(t *testing.T) {
+	f := newFixture(t)
+	f.server.SetFaults(Faults{Down: true})
+	_, err := f.client.Get(context.Background(), "a")
+	f.True(err != nil)
+	f.Equal(f.server.Counts()["/v3/kv/range"], 1)
+}
--- /dev/null
+++ b/parser/parser_test.go
@@ -0,0 +1,107 @@
+package parser
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+)
+
+const small = `; preamble
+[platform]
+owner = platform
+max-ejected = 25%
+
+[service desk]
+owner = desk
+slots = 170
+connections = 1100   ; per upstream
+calls = cash
+
+[service cash]
+owner = cash
+slots = 15
+connections = 190
+
+[request cash/deposit]
+owner = cash
+importance = high
+timeout = 2s
+
+[objective cash/deposit]
+owner = cash
+answered = 99.9%
+within = 1s
+within-share = 0.99
+`
+
+// TestParse guards against a lost key, a wrong unit or a wrong default.
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	doc, err := ParseText([]byte(small))
+	is.NoErr(err)
+	is.Equal(doc.Platform.MaxEjected, 0.25)
+	is.Equal(doc.Platform.KeyWindow, 10*time.Minute)
+	is.Equal(doc.Services["desk"].Calls, []string{"cash"})
+	is.Equal(doc.Services["cash"].Connections, 190)
+	r := doc.Requests["cash/deposit"]
+	is.Equal(r.Importance, hornbeamcroft.ImportanceHigh)
+	is.Equal(r.Idempotent, false) // the safe default
+	is.Equal(r.ExtraAttempts, DefaultExtraAttempts)
+	is.Equal(doc.Objectives["cash/deposit"].Period, 720*time.Hour)
+}
+
+// TestSplitJoin guards against sections that change on their way through Join.
+func TestSplitJoin(t *testing.T) {
+	is := is.New(t)
+	sections, err := Split([]byte(small))
+	is.NoErr(err)
+	again, err := Split(Join(sections))
+	is.NoErr(err)
+	is.Equal(sections, again)
+}
+
+// TestProblems guards against a fault that is accepted, or that hides others.
+func TestProblems(t *testing.T) {
+	tests := []struct{ name, old, replacement, want string }{
+		{"unknown key", "slots = 15", "slots = 15\nslot = 3", "[service cash] slot = 3: unknown key; allowed are owner, slots"},
+		{"missing unit", "timeout = 2s", "timeout = 2", "[request cash/deposit] timeout = 2: allowed is a duration from 1ms to 10m"},
+		{"wrong unit", "slots = 15", "slots = 15s", "[service cash] slots = 15s: allowed is an integer"},
+		{"missing key", "slots = 15", "", "[service cash] slots = (missing): required"},
+		{"missing owner", "owner = cash\nslots", "slots", "[service cash] owner = (missing)"},
+		{"unknown section", "[platform]", "[plattform]", "[plattform]: unknown section; allowed are [platform]"},
+		{"missing service", "calls = cash", "calls = cesh", "[service desk] calls = cesh: missing reference"},
+		{"missing request", "[objective cash/deposit]", "[objective cash/deposits]", "missing reference: the document has no [request cash/deposits]"},
+		{"cycle", "connections = 190", "connections = 190\ncalls = desk", "call cycle cash -> desk -> cash"},
+		{"connections below slots", "connections = 190", "connections = 14", "contradiction: allowed is at least the 15 slots"},
+		{"within above timeout", "within = 1s", "within = 3s", "contradiction: allowed is at most the request's timeout of 2s"},
+		{"within alone", "within-share = 0.99", "", "within and within-share are allowed together only"},
+		{"key twice", "slots = 15", "slots = 15\nslots = 16", "slots = 15, 16: the key appears twice"},
+		{"section twice", "[service cash]", "[service desk]", "the section appears twice"},
+		{"key outside", "; preamble", "slots = 1", "keys are allowed inside a section only"},
+		{"too deep", "owner = platform", "owner = platform\nmax-depth = 1", "contradiction: 2 levels of calls"},
+		{"window below skew", "owner = platform", "owner = platform\nkey-window = 10s\nclock-skew = 5s", "more than twice the clock-skew of 5s"},
+		{"share of 1", "99.9%", "100%", "allowed is a share above 0 and below 1"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(small, tt.old))
+			_, err := ParseText([]byte(strings.Replace(small, tt.old, tt.replacement, 1)))
+			is.True(err != nil)
+			if !strings.Contains(err.Error(), tt.want) {
+				t.Errorf("got %q, want %q", err, tt.want)
+			}
+		})
+	}
+}
+
+// TestAllProblemsAtOnce guards against a report that stops at the first fault.
+func TestAllProblemsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := ParseText([]byte("[service a]\nowner = x\nslots = 0\nconnections = many\ncalls = b\n[strange]\nowner = x\n"))
+	is.Equal(len(AsProblems(err)), 4)
+}
