--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -1,4 +1,26 @@
-// Command placeholder.
+// Command hornbeam-standin holds the stand-ins that tests, the demo and the measurements of hornbeamcroft use.
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/urfave/cli/v3"
+
+	"hornbeamcroft/cmd/hornbeam-standin/upstream"
+)
+
+func main() {
+	cmd := &cli.Command{
+		Name:  "hornbeam-standin",
+		Usage: "stand-ins for tests, demo and measurements",
+		Commands: []*cli.Command{
+			upstream.Command(),
+		},
+	}
+	if err := cmd.Run(context.Background(), os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
