--- /dev/null
+++ b/cmd/hornbeam-standin/caller/caller_test.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/matryer/is"
+
+	"hornbeamcroft/cmd/hornbeam-standin/exchange"
+)
+
+func readFile(t *testing.T, file string, v any) {
+	t.Helper()
+	data, err := os.ReadFile(file)
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	}
+	if err != nil {
+		t.Fatal(file, err)
+	}
+}
+
+// Guards against goodput that counts failed, damaged or late answers in the wrong place. Each file names its case.
+func TestAccount(t *testing.T) {
+	files, _ := filepath.Glob("testdata/account/*.json")
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			is := is.New(t)
+			var s struct {
+				Actions []Action
+				Want    Count
+			}
+			readFile(t, file, &s)
+			got := NewReport(Settings{Mix: []Mix{{Target: "sizing/size", Share: 1}}}, s.Actions).Total
+			got.histogram = nil
+			is.Equal(got, s.Want)
+		})
+	}
+	is.New(t).True(len(files) > 0)
+}
+
+// Guards against a mixed-up or truncated answer that passes as whole.
+func TestClassify(t *testing.T) {
+	is := is.New(t)
+	var cases []struct {
+		Name, Claim, Body string
+		Status            int
+		Want              Result
+	}
+	readFile(t, "testdata/classify/cases.json", &cases)
+	is.True(len(cases) > 0)
+	for _, c := range cases {
+		got, _ := classify(Send{Claim: c.Claim, Status: c.Status}, exchange.Request{Marker: "m1", AnswerBytes: 3}, []byte(c.Body))
+		is.Equal(c.Name+" "+string(got), c.Name+" "+string(c.Want))
+	}
+}
+
+// Guards against resends with another key, a wrong attempt number or after success, and against arrivals that wait for
+// answers.
+func TestRun(t *testing.T) {
+	is := is.New(t)
+	var mu sync.Mutex
+	attempts := make(map[string][]string)
+	node := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		mu.Lock()
+		key := r.Header.Get("Idempotency-Key")
+		attempts[key] = append(attempts[key], r.Header.Get("Hornbeam-Attempt"))
+		n := len(attempts[key])
+		mu.Unlock()
+		if n == 1 {
+			w.Header().Set("Hornbeam-Code", "200")
+			w.Header().Set("Hornbeam-Claim", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		var request exchange.Request
+		_ = json.NewDecoder(r.Body).Decode(&request)
+		w.Header().Set("Hornbeam-Claim", "ran")
+		_ = json.NewEncoder(w).Encode(exchange.NewReply(request, "sizing", "size", ""))
+	}))
+	defer node.Close()
+	c := Caller{Settings: Settings{
+		Nodes: []string{strings.TrimPrefix(node.URL, "http://")}, Rate: 200, Time: 200 * time.Millisecond, Seed: 7, Tries: 3,
+		Timeout: time.Minute, Mix: []Mix{{Target: "sizing/size", Share: 1}},
+	}}
+	report, err := c.Run(t.Context())
+	is.NoErr(err)
+	is.True(report.Total.Offered > 0)
+	is.Equal(report.Total.Whole, report.Total.Offered)
+	is.Equal(report.Total.Sends, 2*report.Total.Offered)
+	is.Equal(len(attempts), report.Total.Offered)
+	for key, got := range attempts {
+		is.Equal(uuid.MustParse(key).Version(), uuid.Version(7))
+		is.True(slices.Equal(got, []string{"1", "2"}))
+	}
+}
+
+// Guards against a load that differs between two builds that are compared with one seed.
+func TestArrivalsAreSeeded(t *testing.T) {
+	is := is.New(t)
+	var times [2]time.Duration
+	for i := range times {
+		cfg := Settings{Rate: 10, Seed: 3, Phases: []Phase{{At: time.Second, Factor: 10}}}
+		for n := 0; n < 100; n++ {
+			c := Caller{Settings: cfg}
+			c.seed()
+			times[i] += c.gap(times[i])
+		}
+	}
+	is.Equal(times[0], times[1])
+	is.Equal(Settings{Rate: 10, Phases: []Phase{{At: time.Second, Factor: 3}}}.rateAt(time.Second), 30.0)
+}
--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hornbeamcroft/cmd/hornbeam-standin/caller"
 	"hornbeamcroft/cmd/hornbeam-standin/upstream"
 )
 
@@ -16,6 +17,7 @@
 		Name:  "hornbeam-standin",
 		Usage: "stand-ins for tests, demo and measurements",
 		Commands: []*cli.Command{
+			caller.Command(),
 			upstream.Command(),
 		},
 	}
--- a/cmd/hornbeam-standin/upstream/child.go
+++ b/cmd/hornbeam-standin/upstream/child.go
@@ -1,7 +1,6 @@
 package upstream
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -49,11 +48,11 @@
 	if err != nil {
 		return errors.Wrap(err, "encode child call")
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.node+"/call/"+target, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.node+"/call/"+target, http.NoBody)
 	if err != nil {
 		return errors.Wrap(err, "child call")
 	}
-	req.Header.Set("Content-Type", "application/json")
+	exchange.SetBody(req, body)
 	for _, name := range []string{exchange.HeaderCall, exchange.HeaderTrace} {
 		if v := parent.Get(name); v != "" {
 			req.Header.Set(name, v)
--- a/cmd/hornbeam-standin/upstream/recorder.go
+++ b/cmd/hornbeam-standin/upstream/recorder.go
@@ -1,12 +1,19 @@
 package upstream
 
 import (
+	"bytes"
+	"encoding/json"
+	"os"
 	"sync"
 	"time"
+
+	"github.com/go-faster/errors"
 )
 
 // Execution records one run of a request.
 type Execution struct {
+	// Run numbers the runs of one process from 0.
+	Run     int    `json:"run"`
 	Service string `json:"service"`
 	Type    string `json:"type"`
 	Key     string `json:"key,omitempty"`
@@ -30,6 +37,34 @@
 	mu   sync.Mutex
 	runs []Execution
 	lost int
+	// file is nil if no file is kept.
+	file *os.File
+}
+
+// openRecord opens the file for appending; an empty name gives nil.
+func openRecord(name string) (*os.File, error) {
+	if name == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(name, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "record")
+	}
+	return f, nil
+}
+
+// write appends e. The line reaches the kernel before the request goes on, so a killed process loses nothing.
+func (r *recorder) write(e Execution) {
+	if r.file == nil {
+		return
+	}
+	line, err := json.Marshal(e)
+	if err == nil {
+		_, err = r.file.Write(append(line, '\n'))
+	}
+	if err != nil {
+		r.lost++
+	}
 }
 
 // start records that a run begins and returns its number.
@@ -41,7 +76,9 @@
 		r.lost++
 		return -1
 	}
+	e.Run = len(r.runs)
 	r.runs = append(r.runs, e)
+	r.write(e)
 	return len(r.runs) - 1
 }
 
@@ -55,6 +92,7 @@
 	e := &r.runs[n]
 	e.End = time.Now().UnixNano()
 	e.Work, e.Cancelled, e.Status = int64(work), cancelled, status
+	r.write(*e)
 }
 
 // list returns a copy of the record and the number of runs that it could not hold.
@@ -63,3 +101,28 @@
 	defer r.mu.Unlock()
 	return append([]Execution{}, r.runs...), r.lost
 }
+
+// ReadRecord reads a file of executions. A run that started and did not end, because its process was killed, has End 0.
+// Several processes may have written to the file one after the other.
+func ReadRecord(data []byte) ([]Execution, error) {
+	type run struct {
+		number int
+		start  int64
+	}
+	var runs []Execution
+	known := make(map[run]int)
+	for dec := json.NewDecoder(bytes.NewReader(data)); dec.More(); {
+		var e Execution
+		if err := dec.Decode(&e); err != nil {
+			return nil, errors.Wrap(err, "record")
+		}
+		id := run{e.Run, e.Start}
+		if n, ok := known[id]; ok {
+			runs[n] = e
+			continue
+		}
+		known[id] = len(runs)
+		runs = append(runs, e)
+	}
+	return runs, nil
+}
--- a/cmd/hornbeam-standin/upstream/settings.go
+++ b/cmd/hornbeam-standin/upstream/settings.go
@@ -52,6 +52,10 @@
 	// Tries is the number of times that the upstream's own code tries a child call; at least 1.
 	Tries int `ini:"tries"`
 
+	// Record names a file to which each start and end of a run is appended, so that the record survives a kill; empty
+	// for none.
+	Record string `ini:"record"`
+
 	// Types by name. A type that is not listed has the ServiceTime and no child calls.
 	Types map[string]Type `ini:"-"`
 }
--- a/cmd/hornbeam-standin/upstream/upstream.go
+++ b/cmd/hornbeam-standin/upstream/upstream.go
@@ -45,7 +45,13 @@
 		_ = calls.Close()
 		return nil, errors.Wrap(err, "listen for control")
 	}
+	record, err := openRecord(cfg.Record)
+	if err != nil {
+		_, _ = calls.Close(), control.Close()
+		return nil, err
+	}
 	return &Upstream{
+		recorder: recorder{file: record},
 		Settings: cfg, Exit: os.Exit, calls: calls, control: control, gate: newGate(calls, cfg.Connections),
 		slots: make(chan struct{}, cfg.Slots), pace: newPace(cfg), children: newChildren(cfg),
 	}, nil
@@ -61,7 +67,7 @@
 func (u *Upstream) Run(ctx context.Context) error {
 	logx.Disable()
 	handler, err := newHandler([]rest.Route{
-		{Method: http.MethodPost, Path: "/call/:service/:type", Handler: u.serveCall},
+		{Method: http.MethodPost, Path: "/:service/:type", Handler: u.serveCall},
 		{Method: http.MethodGet, Path: "/health", Handler: u.serveHealth},
 	})
 	if err != nil {
--- a/cmd/hornbeam-standin/upstream/upstream_test.go
+++ b/cmd/hornbeam-standin/upstream/upstream_test.go
@@ -112,7 +112,7 @@
 func call(t *testing.T, u *Upstream, s scenario) (int, []byte) {
 	t.Helper()
 	body, _ := json.Marshal(s.Body)
-	r, _ := http.NewRequest(http.MethodPost, "http://"+u.Address()+"/call/sizing/"+s.Type, bytes.NewReader(body))
+	r, _ := http.NewRequest(http.MethodPost, "http://"+u.Address()+"/sizing/"+s.Type, bytes.NewReader(body))
 	for name, v := range s.Headers {
 		r.Header.Set(name, v)
 	}
@@ -151,7 +151,7 @@
 	// The default client kept its connection, which is silent now; the caller's timeout must end the wait.
 	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
 	defer cancel()
-	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Address()+"/call/sizing/size", strings.NewReader(`{"marker":"m"}`))
+	r, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+u.Address()+"/sizing/size", strings.NewReader(`{"marker":"m"}`))
 	_, err = http.DefaultClient.Do(r)
 	is.True(err != nil)
 	status, _ = call(t, u, s)
@@ -164,7 +164,7 @@
 	u, _ := start(t, "[upstream]\nservice = sizing\nservice-time = 1ms\nslots = 1\nconnections = 1")
 	try := func() (*http.Response, error) {
 		c := &http.Client{Transport: &http.Transport{}}
-		return c.Post("http://"+u.Address()+"/call/sizing/size", "application/json", strings.NewReader(`{"marker":"m"}`))
+		return c.Post("http://"+u.Address()+"/sizing/size", "application/json", strings.NewReader(`{"marker":"m"}`))
 	}
 	first, err := try()
 	is.NoErr(err)
