--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -8,7 +8,9 @@
 
 	"github.com/urfave/cli/v3"
 
+	"hornbeamcroft/cmd/hornbeam-standin/caller"
 	"hornbeamcroft/cmd/hornbeam-standin/platform"
+	"hornbeamcroft/cmd/hornbeam-standin/upstream"
 )
 
 func main() {
@@ -16,7 +18,9 @@
 		Name:  "hornbeam-standin",
 		Usage: "stand-ins for tests, the demo and measurements",
 		Commands: []*cli.Command{
+			caller.Command(),
 			platform.Command(),
+			upstream.Command(),
 		},
 	}
 	if err := cmd.Run(context.Background(), os.Args); err != nil {
