--- a/connector/connector.go
+++ b/connector/connector.go
@@ -61,6 +61,8 @@
 	OnOutcome func(ctx context.Context, q framer.OutcomeQuery) hornbeamcroft.Answer
 	// OnMessage handles all other frames in the link's order. An error closes the link.
 	OnMessage func(l *Link, t framer.Type, payload []byte) error
+	// OnUp is called when the handshake of a link is done.
+	OnUp func(l *Link)
 	// OnDown is called once when a link has ended.
 	OnDown func(l *Link)
 	Log    *log.Logger
@@ -180,6 +182,18 @@
 	return d.link
 }
 
+// Peer returns an open link with the named node, whichever side opened it, or nil.
+func (c *Connector) Peer(name string) *Link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for l := range c.links {
+		if l.Peer.Name == name && !l.Ended() {
+			return l
+		}
+	}
+	return nil
+}
+
 // Forget closes the link to an address that is no longer needed.
 func (c *Connector) Forget(address string) {
 	c.mu.Lock()
@@ -282,6 +296,10 @@
 	go l.read()
 	if closed {
 		l.Close(errors.New("node stops"))
+		return l, nil
+	}
+	if c.OnUp != nil {
+		c.OnUp(l)
 	}
 	return l, nil
 }
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -220,3 +220,22 @@
 	defer e.mu.Unlock()
 	return len(e.running), len(e.waiting)
 }
+
+// Replace puts another admission in force. Calls that the former one admitted run on and are not counted by the new one;
+// calls that waited are refused as not run.
+func (e *Executor) Replace(a hornbeamcroft.Admitter) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.Admission = a
+	for id, ch := range e.waiting {
+		delete(e.waiting, id)
+		ch <- hornbeamcroft.Decision{ID: id, Code: hornbeamcroft.CodeOverloaded, RetryAfter: tickInterval}
+	}
+}
+
+// Pressure returns the admission level of the own upstream.
+func (e *Executor) Pressure() hornbeamcroft.Pressure {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.Admission.Pressure(e.Clock.Now())
+}
--- /dev/null
+++ b/server/members.go
@@ -0,0 +1,226 @@
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+	"hornbeamcroft/connector"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/tracker"
+)
+
+// membership drives the tracker: it passes in time and messages, and sends what comes back.
+type membership struct {
+	s *Server
+
+	mu      sync.Mutex
+	tracker *tracker.Tracker
+	random  *rand.Rand
+	version uint64
+	views   []tracker.View
+	byServe map[string][]hornbeamcroft.Member
+	dialing map[string]bool
+}
+
+func newMembership(s *Server) (*membership, error) {
+	n := s.Settings.Node
+	state := hornbeamcroft.MemberStarting
+	if n.Upstream == "" {
+		state = hornbeamcroft.MemberServing
+	}
+	t, err := tracker.New(s.clock.Now(), tracker.Config{
+		Self: hornbeamcroft.Member{
+			Name: n.Name, Service: n.Service, Zone: n.Zone, Address: n.Listen, Incarnation: s.incarnation, State: state,
+		},
+		Peers: n.Peers,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &membership{
+		s: s, tracker: t, dialing: make(map[string]bool),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}, nil
+}
+
+// run ticks the tracker until ctx ends.
+func (m *membership) run(ctx context.Context) {
+	t := time.NewTicker(tracker.TickInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Tick(now, m.random) })
+		m.keepLinks(ctx)
+	}
+}
+
+// step runs fn under the lock, takes over changes and sends the messages.
+func (m *membership) step(fn func(now time.Duration) []tracker.Outgoing) {
+	m.mu.Lock()
+	out := fn(m.s.clock.Now())
+	changed := m.tracker.Version() != m.version
+	if changed {
+		m.version = m.tracker.Version()
+		m.views = m.tracker.Members()
+	}
+	views := m.views
+	m.mu.Unlock()
+	if changed {
+		m.publish(views)
+	}
+	for _, o := range out {
+		m.send(o)
+	}
+}
+
+// publish passes the members that may get work to the forwarder.
+func (m *membership) publish(views []tracker.View) {
+	var live []hornbeamcroft.Member
+	byService := make(map[string][]hornbeamcroft.Member)
+	for _, v := range views {
+		if v.Routable() && v.Service != "" {
+			live = append(live, v.Member)
+			byService[v.Service] = append(byService[v.Service], v.Member)
+		}
+	}
+	m.mu.Lock()
+	m.byServe = byService
+	m.mu.Unlock()
+	m.s.forwarder.Update(live)
+}
+
+// service returns the members of a service that may get work.
+func (m *membership) service(name string) []hornbeamcroft.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.byServe[name]
+}
+
+// keepLinks opens the links that the tracker wants.
+func (m *membership) keepLinks(ctx context.Context) {
+	m.mu.Lock()
+	peers := m.tracker.Links()
+	m.mu.Unlock()
+	for _, p := range peers {
+		if m.s.links.Existing(p.Address) == nil {
+			m.dial(ctx, p.Address)
+		}
+	}
+}
+
+// dial opens a link in the background, at most once at a time for an address.
+func (m *membership) dial(ctx context.Context, address string) {
+	m.mu.Lock()
+	busy := m.dialing[address]
+	m.dialing[address] = true
+	m.mu.Unlock()
+	if busy {
+		return
+	}
+	go func() {
+		_, _ = m.s.links.Link(ctx, address)
+		m.mu.Lock()
+		delete(m.dialing, address)
+		m.mu.Unlock()
+	}()
+}
+
+// frameType returns the frame type of a tracker message.
+func frameType(msg tracker.Message) framer.Type {
+	switch msg.(type) {
+	case tracker.Heartbeat:
+		return framer.TypeHeartbeat
+	case tracker.Suspect:
+		return framer.TypeSuspicion
+	case tracker.RosterChange:
+		return framer.TypeRosterChange
+	}
+	return framer.TypeRosterDigest
+}
+
+// send sends a message over an existing link, or dials one. What cannot be sent is dropped; the tracker repairs it.
+func (m *membership) send(o tracker.Outgoing) {
+	l := m.s.links.Peer(o.To)
+	if l == nil && o.Address != "" {
+		l = m.s.links.Existing(o.Address)
+	}
+	t := frameType(o.Message)
+	if l != nil {
+		go func() { _ = l.Send(t, o.Message) }()
+		return
+	}
+	if o.Address == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if l, err := m.s.links.Link(ctx, o.Address); err == nil {
+			_ = l.Send(t, o.Message)
+		}
+	}()
+}
+
+func (m *membership) linkUp(l *connector.Link) {
+	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.LinkUp(now, l.Peer.Name) })
+}
+
+// receive decodes a tracker message and passes it in.
+func (m *membership) receive(l *connector.Link, t framer.Type, payload []byte) error {
+	msg, err := decode(t, payload)
+	if err != nil {
+		return err
+	}
+	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Receive(now, l.Peer.Name, msg) })
+	return nil
+}
+
+func decode(t framer.Type, payload []byte) (tracker.Message, error) {
+	switch t {
+	case framer.TypeHeartbeat:
+		return decodeAs[tracker.Heartbeat](payload)
+	case framer.TypeSuspicion:
+		return decodeAs[tracker.Suspect](payload)
+	case framer.TypeRosterChange:
+		return decodeAs[tracker.RosterChange](payload)
+	case framer.TypeRosterDigest:
+		return decodeAs[tracker.RosterDigest](payload)
+	}
+	return nil, errors.Errorf("frame type %d is not expected", t)
+}
+
+func decodeAs[T tracker.Message](payload []byte) (tracker.Message, error) {
+	var v T
+	if err := framer.Decode(payload, any(&v).(framer.Checker)); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// announce changes the own state in the roster.
+func (m *membership) announce(state hornbeamcroft.MemberState) {
+	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Announce(now, state, 0) })
+}
+
+// self returns the own record.
+func (m *membership) self() hornbeamcroft.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Self()
+}
+
+// all returns all known members.
+func (m *membership) all() []tracker.View {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.views
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,244 @@
+// Package server is the node: it puts the cores, the links and the HTTP endpoints together and runs them until a planned
+// stop is over.
+package server
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+	"hornbeamcroft/admitter"
+	"hornbeamcroft/balancer"
+	"hornbeamcroft/connector"
+	"hornbeamcroft/dispatcher"
+	"hornbeamcroft/executor"
+	"hornbeamcroft/filer"
+	"hornbeamcroft/forwarder"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/loader"
+	"hornbeamcroft/logger"
+	"hornbeamcroft/receiver"
+	"hornbeamcroft/registrar"
+	"hornbeamcroft/rotator"
+)
+
+// Defaults that apply until a document is accepted.
+const (
+	defaultMaxBody     = 1 << 20
+	defaultSlots       = 100
+	defaultConnections = 200
+)
+
+// perHopAttempts is the number of attempts at each hop in the per-hop baseline.
+const perHopAttempts = 3
+
+// Server is one node. Set the exported fields before Run.
+type Server struct {
+	Settings loader.Settings
+	Store    hornbeamcroft.Store
+	Log      logger.Logger
+
+	clock       clock
+	incarnation uint64
+	document    atomic.Pointer[hornbeamcroft.Document]
+	draining    atomic.Bool
+	drainOnce   sync.Once
+	drainStart  chan struct{}
+	outside     atomic.Int64
+	serving     atomic.Int64
+
+	calls      *registrar.Registrar
+	links      *connector.Connector
+	dispatcher *dispatcher.Dispatcher
+	executor   *executor.Executor
+	forwarder  *forwarder.Forwarder
+	receiver   *receiver.Receiver
+	members    *membership
+	metrics    *metricSet
+}
+
+// Run serves until ctx ends or a drain is asked for over the operators' endpoint, then stops gracefully.
+func (s *Server) Run(ctx context.Context) error {
+	if err := s.build(); err != nil {
+		return err
+	}
+	// Background work outlives ctx until the planned stop is over.
+	work, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	ends := make(chan error, 2)
+	public, err := s.listenPublic(ends)
+	if err != nil {
+		return err
+	}
+	operators, err := s.listenOperators(ends)
+	if err != nil {
+		return err
+	}
+	go s.links.Run(work)
+	go s.members.run(work)
+	go s.watchDocument(work)
+	if s.Settings.Node.Upstream != "" {
+		go s.watchUpstream(work)
+	}
+	s.Log.Info().Str("name", s.Settings.Node.Name).Str("listen", s.Settings.Node.Listen).Msg("server: started")
+	select {
+	case err := <-ends:
+		return err
+	case <-ctx.Done():
+	case <-s.drainStart:
+	}
+	s.drain()
+	shutdown, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	public(shutdown)
+	operators(shutdown)
+	s.Log.Info().Msg("server: stopped")
+	return nil
+}
+
+func (s *Server) build() error {
+	cfg := s.Settings
+	s.clock = newClock()
+	s.incarnation = uint64(time.Now().UnixMilli())
+	s.drainStart = make(chan struct{})
+	s.metrics = newMetricSet()
+	perHop := 0
+	if cfg.Policy.Retries == "per-hop" {
+		perHop = perHopAttempts
+	}
+	s.calls = registrar.New(s.clock, perHop)
+	s.links = &connector.Connector{
+		Self:      s.hello,
+		Key:       []byte(cfg.Security.ClusterKey),
+		MaxBody:   s.maxBody,
+		OnCall:    s.onCall,
+		OnOutcome: s.onOutcome,
+		OnMessage: s.onMessage,
+		OnUp:      func(l *connector.Link) { s.members.linkUp(l) },
+		Log:       s.Log.Logger,
+	}
+	members, err := newMembership(s)
+	if err != nil {
+		return errors.Wrap(err, "server")
+	}
+	s.members = members
+	if cfg.Node.Upstream != "" {
+		s.buildExecutor()
+	}
+	s.forwarder = &forwarder.Forwarder{
+		Clock:       s.clock,
+		Name:        cfg.Node.Name,
+		Incarnation: s.incarnation,
+		Calls:       s.calls,
+		Links:       s.links,
+		Document:    s.document.Load,
+		Local:       s.execute,
+		Home:        s.home,
+		NewBalancer: s.newBalancer,
+		ShedEarly:   cfg.Policy.Admission == "adaptive",
+	}
+	s.receiver = &receiver.Receiver{
+		Clock:     s.clock,
+		Calls:     s.calls,
+		Document:  s.document.Load,
+		Draining:  s.draining.Load,
+		Forward:   s.forwarder.Forward,
+		DeriveKey: deriveKey,
+		OnAnswer:  s.metrics.answered,
+	}
+	return nil
+}
+
+func (s *Server) buildExecutor() {
+	s.dispatcher = &dispatcher.Dispatcher{
+		Address: s.Settings.Node.Upstream, Connections: defaultConnections, MaxBody: s.maxBody,
+	}
+	s.dispatcher.Open()
+	s.executor = &executor.Executor{
+		Clock: s.clock, Calls: s.calls, Dispatcher: s.dispatcher, Admission: s.newAdmitter(hornbeamcroft.Service{}),
+		OnCrash: s.onCrash,
+	}
+}
+
+func (s *Server) newAdmitter(service hornbeamcroft.Service) hornbeamcroft.Admitter {
+	slots := service.Slots
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	name := s.Settings.Node.Service
+	switch s.Settings.Policy.Admission {
+	case "fixed":
+		return &filer.Filer{Service: name, Slots: slots}
+	case "none":
+		return &filer.Filer{Service: name}
+	}
+	return &admitter.Admitter{Service: name, Slots: slots, QueueTime: service.QueueTime}
+}
+
+func (s *Server) newBalancer(service string) hornbeamcroft.Balancer {
+	if s.Settings.Policy.Balancer == "round-robin" {
+		return &rotator.Rotator{}
+	}
+	b := &balancer.Balancer{Zone: s.Settings.Node.Zone}
+	if doc := s.document.Load(); doc != nil {
+		b.ZoneDelay = doc.Services[service].ZoneDelay
+		b.SlowStart = doc.Services[service].SlowStart
+	}
+	return b
+}
+
+func (s *Server) hello() framer.Hello {
+	n := s.Settings.Node
+	return framer.Hello{
+		Name: n.Name, Incarnation: s.incarnation, Zone: n.Zone, Service: n.Service, Address: n.Listen,
+		Credit: connector.DefaultCredit,
+	}
+}
+
+func (s *Server) maxBody() int {
+	if doc := s.document.Load(); doc != nil {
+		return doc.Platform.MaxBody
+	}
+	return defaultMaxBody
+}
+
+// onCall runs a call that another node sent.
+func (s *Server) onCall(ctx context.Context, _ framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	if call.Service != s.Settings.Node.Service || s.executor == nil {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUnknownService, Unspent: call.RetryBudget}
+	}
+	return s.execute(ctx, call)
+}
+
+// execute runs a call at the own upstream.
+func (s *Server) execute(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	if s.draining.Load() {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
+	}
+	s.serving.Add(1)
+	defer s.serving.Add(-1)
+	a := s.executor.Execute(ctx, call, executor.Options{})
+	own := hornbeamcroft.Pressure{Service: call.Service, Threshold: hornbeamcroft.ThresholdAll}
+	if len(a.Pressure) > 0 {
+		own = a.Pressure[0]
+	}
+	a.Pressure = s.forwarder.Pressure(own)
+	return a
+}
+
+func (s *Server) onOutcome(context.Context, framer.OutcomeQuery) hornbeamcroft.Answer {
+	return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
+}
+
+func (s *Server) onMessage(l *connector.Link, t framer.Type, payload []byte) error {
+	return s.members.receive(l, t, payload)
+}
+
+func (s *Server) onCrash(running []hornbeamcroft.Call) {
+	s.Log.Warn().Int("running", len(running)).Msg("server: upstream crashed")
+	s.members.announce(hornbeamcroft.MemberStarting)
+}
