--- a/connector/handshake.go
+++ b/connector/handshake.go
@@ -76,7 +76,10 @@
 	if err != nil {
 		return err
 	}
-	return errors.Wrap(conn.WriteMessage(websocket.BinaryMessage, frame), "handshake")
+	if err := conn.WriteMessage(websocket.BinaryMessage, frame); err != nil {
+		return errors.Wrap(err, "handshake")
+	}
+	return nil
 }
 
 func readFrame(conn *websocket.Conn, want framer.Type, v framer.Checker) error {
--- /dev/null
+++ b/loader/loader_test.go
@@ -0,0 +1,54 @@
+package loader
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const valid = `[node]
+name = order-desk-1
+service = order-desk
+zone = quimper
+listen = 127.0.0.1:7101
+operators-listen = 127.0.0.1:7201
+upstream = 127.0.0.1:7301
+[store]
+endpoints = 127.0.0.1:7001
+[security]
+cluster-key = 0123456789abcdef
+operators-key = 0123456789abcdef
+`
+
+// TestAllErrorsAtOnce guards against a check that stops at the first error, and against secrets in messages.
+func TestAllErrorsAtOnce(t *testing.T) {
+	is := is.New(t)
+	_, err := Load([]byte(valid))
+	is.NoErr(err)
+	broken := strings.NewReplacer(
+		"zone = quimper", "zone =\ncolour = red",
+		"listen = 127.0.0.1:7101", "listen = order-desk:7101",
+		"cluster-key = 0123456789abcdef", "cluster-key = short-secret",
+	).Replace(valid)
+	_, err = Load([]byte(broken))
+	is.True(err != nil)
+	for _, want := range []string{"[node] zone", "[node] colour: unknown key", "[node] listen", "[security] cluster-key"} {
+		is.True(strings.Contains(err.Error(), want)) // each error is listed
+	}
+	is.True(!strings.Contains(err.Error(), "short-secret"))
+}
+
+// TestReferencePage guards against a settings page that differs from the code.
+func TestReferencePage(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../docs/settings-node.md")
+	is.NoErr(err)
+	for _, k := range Keys {
+		row := "| " + strings.Join([]string{k.Section, "`" + k.Name + "`", k.Default, k.Allowed}, " | ") + " |"
+		if !strings.Contains(string(page), row) {
+			t.Errorf("docs/settings-node.md lacks the row %s", row)
+		}
+	}
+}
--- a/tracker/messages.go
+++ b/tracker/messages.go
@@ -167,7 +167,9 @@
 		return errors.New("roster digest: the own record belongs to a join only, and the zone's name is bounded")
 	}
 	if d.Self != nil {
-		return errors.Wrap(d.Self.Check(), "roster digest")
+		if err := d.Self.Check(); err != nil {
+			return errors.Wrap(err, "roster digest")
+		}
 	}
 	return nil
 }
