--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -178,7 +178,7 @@
 					return
 				}
 				n.retrier.Return(a, ans.unspent)
-				if c.cfg.pressure {
+				if c.cfg.pressure && (c.cfg.lostFrom == 0 || c.now < c.cfg.lostFrom) {
 					n.propagator.Observe(c.now, c.serve[to], ans.pressure)
 				}
 				finish(ans, outcome(ans))
--- a/scenarios/config_test.go
+++ b/scenarios/config_test.go
@@ -13,16 +13,16 @@
 
 // config holds the parameters of a chain as a script gives them.
 type config struct {
-	seed                                                  uint64
-	services, upstreams, slots                            int
-	cores, low, high, background, slow, probe, maxEjected float64
-	work, deadline, end, from, to, join                   time.Duration
-	zoneDelay, slowStart, halfLife, resend                time.Duration
-	tries, perHop, budget, callerTries                    int
-	admission, balancer                                   string
-	independent, pressure, trace                          bool
-	share                                                 retrier.ShareRule
-	traits                                                map[int]trait
+	seed                                                        uint64
+	services, upstreams, slots                                  int
+	cores, low, high, background, slow, probe, maxEjected, lost float64
+	work, deadline, end, from, to, join                         time.Duration
+	zoneDelay, slowStart, halfLife, resend, lostFrom            time.Duration
+	tries, perHop, budget, callerTries, depth                   int
+	admission, balancer                                         string
+	independent, pressure, trace                                bool
+	share                                                       retrier.ShareRule
+	traits                                                      map[int]trait
 }
 
 // trait is what sets one upstream of each service apart.
@@ -92,7 +92,7 @@
 func (c *config) floats() map[string]*float64 {
 	return map[string]*float64{
 		"cores": &c.cores, "low": &c.low, "high": &c.high, "background": &c.background, "slow": &c.slow,
-		"probe": &c.probe, "max-ejected": &c.maxEjected,
+		"probe": &c.probe, "max-ejected": &c.maxEjected, "lost": &c.lost,
 	}
 }
 
@@ -100,6 +100,7 @@
 	return map[string]*int{
 		"services": &c.services, "upstreams": &c.upstreams, "slots": &c.slots, "tries": &c.tries,
 		"per-hop": &c.perHop, "budget": &c.budget, "caller-tries": &c.callerTries,
+		"depth": &c.depth,
 	}
 }
 
@@ -107,6 +108,7 @@
 	return map[string]*time.Duration{
 		"work": &c.work, "deadline": &c.deadline, "end": &c.end, "from": &c.from, "to": &c.to, "join": &c.join,
 		"zone-delay": &c.zoneDelay, "slow-start": &c.slowStart, "half-life": &c.halfLife, "resend": &c.resend,
+		"lost-from": &c.lostFrom,
 	}
 }
 
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -23,7 +23,7 @@
 			e.Values["results"] = map[string]float64{}
 			return nil
 		},
-		Cmds: map[string]func(*testscript.TestScript, bool, []string){"chain": runChain, "expect": expect},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){"chain": runChain, "layers": runLayers, "expect": expect},
 	})
 }
 
