retrier: run the budget property longer

With 100 short runs the property passed although Return gave back the whole share in place of the unspent part. It fails now for that fault.

--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -18,6 +18,9 @@
 	// A fixed seed makes a failure repeatable.
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	// A return of too much shows only after a child spent and answered; 100 checks with short runs miss it.
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.steps", "60")
 	os.Exit(m.Run())
 }
 
