limiter: lower the limit by the share of overload errors

Cause: with deadlines near the service time, some calls time out at any limit. One timeout in a window cut the limit by 0.7, so it sank to 3 where 10 would run. Change: a window counts as overloaded above 10 % of overload errors.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -17,7 +17,10 @@
 	tolerance = 2.0
 	// leastGradient bounds the decrease by one window.
 	leastGradient = 0.5
-	// overloadFactor is the decrease by one window that holds an overload error.
+	// overloadShare is the share of overload errors in a window from which the limit is lowered; a few calls time out
+	// at any limit when service times vary.
+	overloadShare = 0.1
+	// overloadFactor is the decrease by one window of overload errors.
 	overloadFactor = 0.7
 	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
 	riseTime = 60 * time.Second
@@ -45,7 +48,7 @@
 	start      time.Duration
 	sum        float64
 	n          int
-	overloaded bool
+	overloaded int
 	// peak is the greatest number of calls in flight seen in the window.
 	peak int
 }
@@ -78,7 +81,7 @@
 func (l *Limiter) Overload(now time.Duration, inFlight int) {
 	l.init()
 	l.open(now)
-	l.w.overloaded = true
+	l.w.overloaded++
 	l.w.peak = max(l.w.peak, inFlight)
 	l.closeWindow(now)
 }
@@ -106,14 +109,14 @@
 }
 
 func (l *Limiter) open(now time.Duration) {
-	if l.w.n == 0 && !l.w.overloaded {
+	if l.w.n+l.w.overloaded == 0 {
 		l.w = window{start: now}
 	}
 }
 
 func (l *Limiter) closeWindow(now time.Duration) {
 	age := now - l.w.start
-	if age < windowTime || (l.w.n < windowSamples && age < windowCap && !l.w.overloaded) {
+	if age < windowTime || (l.w.n+l.w.overloaded < windowSamples && age < windowCap) {
 		return
 	}
 	if l.w.n > 0 {
@@ -139,7 +142,7 @@
 
 func (l *Limiter) adapt() {
 	ceiling := float64(max(l.Ceiling, 1))
-	if l.w.overloaded {
+	if float64(l.w.overloaded) > overloadShare*float64(l.w.n+l.w.overloaded) {
 		l.limit = math.Max(1, l.limit*overloadFactor)
 		return
 	}
