admitter: pass unused importance levels at once on recovery

Cause: after the slow-down the level rose through normal, which had no calls, at the same pace as through used levels, 2.5 s for each. Change: an importance without an arrival for 30 s is passed in one window.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -56,6 +56,7 @@
 // Arrive offers a ticket.
 func (a *Admitter) Arrive(now time.Duration, t hornbeamcroft.Ticket) []hornbeamcroft.Decision {
 	a.init(now)
+	a.level.w.arrived[t.Importance]++
 	if !Admits(a.level.pressure(""), t.Importance, t.Hash) {
 		return []hornbeamcroft.Decision{refuse(t, hornbeamcroft.CodeOverloaded, levelRetryAfter)}
 	}
--- a/admitter/level.go
+++ b/admitter/level.go
@@ -17,6 +17,10 @@
 	headroom = 0.05
 	// leastShare is the share below which the level passes on to the next importance.
 	leastShare = 0.01
+	// seenFactor fades the memory of arrivals with each window, to a half within 7 s.
+	seenFactor = 0.99
+	// leastSeen is the memory below which an importance counts as unused; one arrival is remembered for 30 s.
+	leastSeen = 0.05
 	// maxIdleWindows bounds the work after a long time without calls; the level is fully relaxed by then.
 	maxIdleWindows = 300
 )
@@ -26,6 +30,8 @@
 	importance hornbeamcroft.Importance
 	// share is admitted at importance, 0 to 1.
 	share float64
+	// seen is the fading number of arrivals by importance, shed ones included.
+	seen  [hornbeamcroft.ImportanceCount]float64
 	w     levelCount
 	ready bool
 }
@@ -33,6 +39,8 @@
 // levelCount counts what happened in one window.
 type levelCount struct {
 	start time.Duration
+	// arrived counts all arrivals, by importance.
+	arrived [hornbeamcroft.ImportanceCount]int
 	// offered counts the arrivals that the level admitted, by importance.
 	offered [hornbeamcroft.ImportanceCount]int
 	// started counts the calls that began to run.
@@ -64,6 +72,9 @@
 }
 
 func (l *level) closeWindow() {
+	for i, n := range l.w.arrived {
+		l.seen[i] = l.seen[i]*seenFactor + float64(n)
+	}
 	if l.w.dropped == 0 {
 		l.relax()
 		return
@@ -75,8 +86,13 @@
 	l.tighten(float64(offered) - float64(l.w.started)*(1-headroom))
 }
 
-// relax admits more; from a share of 1 it goes on with the next lower importance.
+// relax admits more; from a share of 1 it goes on with the next lower importance. An importance without calls is
+// passed at once, since a step there admits nothing.
 func (l *level) relax() {
+	for l.importance > 0 && l.seen[l.importance] < leastSeen {
+		l.importance--
+		l.share = 0
+	}
 	if l.share >= 1 && l.importance > 0 {
 		l.importance--
 		l.share = 0
