--- /dev/null
+++ b/deduper/deduper_test.go
@@ -0,0 +1,42 @@
+package deduper
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+)
+
+// TestKeyRunsOnce guards against a resend that starts a second run.
+func TestKeyRunsOnce(t *testing.T) {
+	is := is.New(t)
+	d := Deduper{}
+	a := Arrival{Key: "k", Fingerprint: 1, ReceivedAt: 5000, FirstSend: true, Serve: true}
+	is.Equal(d.Arrive(0, 5000, a).Action, ActionRun)
+	is.Equal(d.Arrive(0, 5000, a).Action, ActionJoin)
+	d.Finish(time.Second, 6000, "k", hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Body: []byte("paid")}, true)
+	got := d.Arrive(time.Second, 6000, a)
+	is.Equal(got.Action, ActionAnswer)
+	is.Equal(string(got.Answer.Body), "paid")
+	a.Fingerprint = 2
+	is.Equal(d.Arrive(time.Second, 6000, a).Answer.Code, hornbeamcroft.CodeKeyReused)
+}
+
+// TestDelayedSendAfterRefusal guards against a send from before a "not run" that runs after it.
+func TestDelayedSendAfterRefusal(t *testing.T) {
+	is := is.New(t)
+	d := Deduper{}
+	a := Arrival{Key: "k", ReceivedAt: 5000, Serve: true}
+	is.Equal(d.Arrive(0, 5000, a).Action, ActionRun)
+	got := d.Finish(0, 5000, "k", hornbeamcroft.Answer{Code: hornbeamcroft.CodeOverloaded}, true)
+	is.Equal(got.Code, hornbeamcroft.CodeOverloaded)
+	is.Equal(got.RetryAfter, 2*time.Second)
+	a.ReceivedAt = 4900
+	is.Equal(d.Arrive(time.Second, 6000, a).Answer.Code, hornbeamcroft.CodeOverloaded) // refused again
+	d.Tick(time.Minute)                                                                // the tombstone is folded
+	is.Equal(d.Arrive(time.Minute, 65_000, a).Answer.Code, hornbeamcroft.CodeConfirmedNotRun)
+	a.ReceivedAt = 66_001
+	is.Equal(d.Arrive(time.Minute, 66_001, a).Action, ActionRun)
+}
