--- a/cmd/hornbeam-standin/platform/faults.go
+++ b/cmd/hornbeam-standin/platform/faults.go
@@ -16,6 +16,8 @@
 	Delay int `json:"delay"`
 	// LoseAnswers is the number of writes that are applied but not answered; -1 loses all.
 	LoseAnswers int `json:"lose-answers"`
+	// StaleCopy names a saved copy from which reads are answered; empty means the current data.
+	StaleCopy string `json:"stale-copy"`
 	// HoldWatches stops the delivery of events while it is set; the events are not lost.
 	HoldWatches bool `json:"hold-watches"`
 }
--- a/cmd/hornbeam-standin/platform/ops.go
+++ b/cmd/hornbeam-standin/platform/ops.go
@@ -33,8 +33,9 @@
 	if len(r.Key) == 0 {
 		return rangeResponse{}, errNoKey
 	}
-	out := rangeResponse{Header: header(s.revision)}
-	for _, rec := range s.find(string(r.Key), string(r.RangeEnd)) {
+	view := s.view(s.staleCopy())
+	out := rangeResponse{Header: header(view.revision)}
+	for _, rec := range view.find(string(r.Key), string(r.RangeEnd)) {
 		out.Kvs = append(out.Kvs, rec.wire())
 	}
 	out.Count = int64(len(out.Kvs))
--- a/cmd/hornbeam-standin/platform/platform_test.go
+++ b/cmd/hornbeam-standin/platform/platform_test.go
@@ -147,3 +147,15 @@
 	f.True(err != nil)
 	f.Equal(f.server.Counts()["/v3/kv/range"], 1)
 }
+
+// TestStaleCopy guards against reads that ignore the stale-copy switch.
+func TestStaleCopy(t *testing.T) {
+	f, ctx := newFixture(t), t.Context()
+	f.server.state.save("empty")
+	_, err := f.client.Txn(ctx, nil, put("a", "1"))
+	f.NoErr(err)
+	f.server.SetFaults(Faults{StaleCopy: "empty"})
+	e, err := f.client.Get(ctx, "a")
+	f.NoErr(err)
+	f.Equal(e.ModRevision, int64(0))
+}
--- a/cmd/hornbeam-standin/platform/server.go
+++ b/cmd/hornbeam-standin/platform/server.go
@@ -46,6 +46,10 @@
 		s.Now = time.Now
 	}
 	s.state, s.control = newState(s.Now), newControl()
+	s.state.staleCopy = func() string {
+		f, _ := s.control.get()
+		return f.StaleCopy
+	}
 	// All middlewares are off: the stand-in fails only by its switches, and watches have no timeout.
 	conf := rest.RestConf{
 		ServiceConf: service.ServiceConf{Name: "platform", Mode: service.ProMode, Log: logx.LogConf{Mode: "console", Level: "severe"}},
--- a/cmd/hornbeam-standin/platform/state.go
+++ b/cmd/hornbeam-standin/platform/state.go
@@ -48,6 +48,8 @@
 	generation int
 	copies     map[string]snapshot
 	now        func() time.Time
+	// staleCopy returns the name of the copy that reads are answered from, or an empty string.
+	staleCopy func() string
 }
 
 // snapshot is a saved copy of the data.
@@ -60,7 +62,7 @@
 func newState(now func() time.Time) *state {
 	return &state{
 		revision: 1, records: map[string]record{}, leases: map[int64]lease{}, nextLease: 1000,
-		changed: make(chan struct{}), copies: map[string]snapshot{}, now: now,
+		changed: make(chan struct{}), copies: map[string]snapshot{}, now: now, staleCopy: func() string { return "" },
 	}
 }
 
--- a/parser/build.go
+++ b/parser/build.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"fmt"
 	"regexp"
 	"strings"
 
@@ -29,6 +30,10 @@
 }
 
 func (b *builder) section(s hornbeamcroft.Section) {
+	if len(s.Text) > MaxSection {
+		b.problem(s.Name, "", fmt.Sprintf("%d bytes", len(s.Text)), fmt.Sprintf("allowed are %d bytes", MaxSection))
+		return
+	}
 	f, err := ini.LoadSources(iniOptions, []byte(s.Text))
 	if err != nil {
 		b.problem(s.Name, "", "", "malformed text: "+err.Error())
--- a/parser/defaults.go
+++ b/parser/defaults.go
@@ -79,3 +79,6 @@
 // MaxDocument is the greatest size of an encoded document in bytes. The store's limit is 1 MB; the rest is reserved for
 // the history entry's framing and the encoding of the request.
 const MaxDocument = 900_000
+
+// MaxSection is the greatest size of a section's text in bytes, so that a message between nodes holds any section.
+const MaxSection = 32 << 10
