--- a/tracker/liveness.go
+++ b/tracker/liveness.go
@@ -147,7 +147,7 @@
 // onSuspect counts the reports about a member. Two reporters are enough; after one, the member is probed.
 func (t *Tracker) onSuspect(now time.Duration, from string, s Suspect) []Outgoing {
 	e, reporter := t.members[s.Name], t.members[from]
-	if e == nil || reporter == nil || e.Zone != t.self.Zone || reporter.Zone != e.Zone {
+	if e == nil || reporter == nil || !reporter.live() || e.Zone != t.self.Zone || reporter.Zone != e.Zone {
 		return nil
 	}
 	if !e.live() || e.Incarnation != s.Incarnation || e.Sequence > s.Sequence || e.Name == t.self.Name {
--- a/tracker/messages.go
+++ b/tracker/messages.go
@@ -166,8 +166,11 @@
 	if (d.Step == StepJoin) != (d.Self != nil) || len(d.Zone) > maxNameLength {
 		return errors.New("roster digest: the own record belongs to a join only, and the zone's name is bounded")
 	}
-	if d.Self != nil {
-		return errors.Wrap(d.Self.Check(), "roster digest")
+	if d.Self == nil {
+		return nil
+	}
+	if err := d.Self.Check(); err != nil {
+		return errors.Wrap(err, "roster digest")
 	}
 	return nil
 }
--- /dev/null
+++ b/tracker/property_test.go
@@ -0,0 +1,101 @@
+package tracker
+
+import (
+	"flag"
+	"testing"
+
+	"hornbeamcroft"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that a failure in CI can be repeated.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func drawMember(t *rapid.T) hornbeamcroft.Member {
+	return hornbeamcroft.Member{
+		Name: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "name"), Zone: "z", Address: "10.0.0.1:1",
+		Incarnation: rapid.Uint64Range(1, 3).Draw(t, "incarnation"), Sequence: rapid.Uint64Range(0, 3).Draw(t, "sequence"),
+		State: hornbeamcroft.MemberState(rapid.IntRange(0, 4).Draw(t, "state")),
+	}
+}
+
+// TestMergeOrder guards against a result that depends on the order or the number of times in which records arrive.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		records := rapid.SliceOf(rapid.Custom(drawMember)).Draw(t, "records")
+		mixed := rapid.Permutation(append(records, records...)).Draw(t, "mixed")
+		self := hornbeamcroft.Member{Name: "self", Zone: "z", Address: "10.0.0.2:1", Incarnation: 1}
+		x, _ := New(0, Config{Self: self})
+		y, _ := New(0, Config{Self: self})
+		x.Receive(0, "a", RosterChange{Members: records})
+		for _, m := range mixed {
+			y.Receive(0, "b", RosterChange{Members: []hornbeamcroft.Member{m}})
+		}
+		is := is.NewRelaxed(t)
+		is.Equal(x.Members(), y.Members())
+		is.Equal(x.hash, y.hash)
+	})
+}
+
+// FuzzReceive guards against messages from outside that pass Check and then crash or grow the core.
+func FuzzReceive(f *testing.F) {
+	self := hornbeamcroft.Member{Name: "self", Zone: "z", Address: "10.0.0.2:1", Incarnation: 1}
+	other := hornbeamcroft.Member{Name: "a", Zone: "z", Address: "10.0.0.1:1", Incarnation: 1}
+	for kind, m := range []Message{
+		Heartbeat{Incarnation: 1, Purpose: PurposeProbe},
+		Suspect{Name: "a"},
+		RosterChange{Members: []hornbeamcroft.Member{other, self}},
+		RosterDigest{Step: StepZones, Zones: []ZoneDigest{{Zone: "y", Hash: 1}}},
+		RosterDigest{Step: StepJoin, Self: &other},
+		RosterDigest{Step: StepVersions, Zone: "z", Versions: []Version{{Name: 1}}},
+		RosterDigest{Step: StepWant, Want: []uint64{1}},
+	} {
+		b, err := cbor.Marshal(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(min(kind, 3)), b)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, b []byte) {
+		tr, err := New(0, Config{Self: self})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tr.Receive(0, "a", RosterChange{Members: []hornbeamcroft.Member{other}})
+		m, err := decode(kind, b)
+		if err != nil || m.Check() != nil {
+			return
+		}
+		for _, o := range tr.Receive(1, "a", m) {
+			if err := o.Message.Check(); err != nil {
+				t.Errorf("answer is not well formed: %v", err)
+			}
+		}
+	})
+}
+
+func decode(kind uint8, b []byte) (m Message, err error) {
+	switch kind % 4 {
+	case 0:
+		m, err = decodeAs[Heartbeat](b)
+	case 1:
+		m, err = decodeAs[Suspect](b)
+	case 2:
+		m, err = decodeAs[RosterChange](b)
+	default:
+		m, err = decodeAs[RosterDigest](b)
+	}
+	return m, err
+}
+
+func decodeAs[M Message](b []byte) (m M, err error) {
+	err = cbor.Unmarshal(b, &m)
+	return m, err
+}
--- a/tracker/spread.go
+++ b/tracker/spread.go
@@ -76,7 +76,7 @@
 		return t.sendRecords(z.relays(), fresh, from)
 	}
 	out := t.sendRecords(z.live(), fresh, from)
-	own := slices.DeleteFunc(slices.Clone(fresh), func(m hornbeamcroft.Member) bool { return m.Zone != t.self.Zone })
+	own := slices.DeleteFunc(slices.Clone(fresh), func(m hornbeamcroft.Member) bool { return m.Zone != z.name })
 	return append(out, t.sendRecords(t.remoteRelays(), own, from)...)
 }
 
@@ -102,6 +102,14 @@
 	return out
 }
 
+// compare starts a comparison of rosters.
+func (t *Tracker) compare(e *entry) []Outgoing {
+	if e.Name == t.self.Name || t.cfg.Off.Digest {
+		return nil
+	}
+	return []Outgoing{t.to(e, t.digest(StepCompare))}
+}
+
 // comparesWith reports whether e is a relay that this node compares rosters with, or a member it is a relay for.
 func (t *Tracker) comparesWith(e *entry) bool {
 	if e.Zone == t.self.Zone {
@@ -133,8 +141,8 @@
 	}
 	var out []Outgoing
 	for _, e := range targets {
-		if e.Name != t.self.Name && !slices.Contains(s.relays, e.Name) && !slices.Contains(s.remote, e.Name) {
-			out = append(out, t.to(e, t.digest(StepCompare)))
+		if !slices.Contains(s.relays, e.Name) && !slices.Contains(s.remote, e.Name) {
+			out = append(out, t.compare(e)...)
 		}
 	}
 	s.relays, s.remote = relays, remote
@@ -165,9 +173,7 @@
 	}
 	var out []Outgoing
 	for _, e := range to {
-		if e.Name != t.self.Name && !t.cfg.Off.Digest {
-			out = append(out, t.to(e, t.digest(StepCompare)))
-		}
+		out = append(out, t.compare(e)...)
 	}
 	return out
 }
--- a/tracker/table.go
+++ b/tracker/table.go
@@ -17,6 +17,9 @@
 // monitorCount is the number of ring successors that receive a member's heartbeats.
 const monitorCount = 2
 
+// maxMembers bounds the table; it is more than ten times the planned fleet.
+const maxMembers = 20_000
+
 type entry struct {
 	hornbeamcroft.Member
 	rank uint64
@@ -120,6 +123,9 @@
 	if old != nil && !m.Newer(old.Member) {
 		return false
 	}
+	if old == nil && (len(t.members) >= maxMembers || (t.zones[m.Zone] == nil && len(t.zones) >= maxZones)) {
+		return false
+	}
 	if old != nil {
 		t.remove(old)
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -147,7 +147,7 @@
 	if e == nil || !t.comparesWith(e) {
 		return nil
 	}
-	return []Outgoing{t.to(e, t.digest(StepCompare))}
+	return t.compare(e)
 }
 
 // Announce changes the own state, for example to MemberDraining at the start of a planned stop. coldFor is the age of
--- a/tracker/zones.go
+++ b/tracker/zones.go
@@ -65,7 +65,7 @@
 	delete(w.lost, e.Zone)
 	t.version++
 	// Both sides may have changed much: compare with the sender before the next digest.
-	return append(t.tellZone(), t.to(e, t.digest(StepCompare)))
+	return append(t.tellZone(), t.compare(e)...)
 }
 
 // watchZones probes zones that fell silent and gives up those that do not answer. Only relays do this.
