--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -1,4 +1,4 @@
-// Command hornbeam-standin holds the stand-ins that tests, the demo and the measurements of hornbeamcroft use.
+// Command hornbeam-standin holds the stand-ins for tests, the demo and measurements. It is not part of the system.
 package main
 
 import (
@@ -9,15 +9,17 @@
 	"github.com/urfave/cli/v3"
 
 	"hornbeamcroft/cmd/hornbeam-standin/caller"
+	"hornbeamcroft/cmd/hornbeam-standin/platform"
 	"hornbeamcroft/cmd/hornbeam-standin/upstream"
 )
 
 func main() {
 	cmd := &cli.Command{
 		Name:  "hornbeam-standin",
-		Usage: "stand-ins for tests, demo and measurements",
+		Usage: "stand-ins for tests, the demo and measurements",
 		Commands: []*cli.Command{
 			caller.Command(),
+			platform.Command(),
 			upstream.Command(),
 		},
 	}
