--- /dev/null
+++ b/cmd/hornbeam-standin/fleet/fleet_test.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"os"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/cmd/hornbeam-standin/upstream"
+	"hornbeamcroft/loader"
+	"hornbeamcroft/parser"
+)
+
+// Guards against generated settings that the programs refuse.
+func TestGeneratedSettings(t *testing.T) {
+	for _, d := range []Deployment{Demo(), Regie(), Omuramba()} {
+		t.Run(d.Name, func(t *testing.T) {
+			is := is.New(t)
+			d.Policy = PolicyLimit
+			f := Fleet{Deployment: d, Dir: t.TempDir()}
+			is.NoErr(f.Plan())
+			text, err := os.ReadFile(f.documentFile())
+			is.NoErr(err)
+			sections, err := parser.Split(text)
+			is.NoErr(err)
+			doc, err := parser.Parse(hornbeamcroft.StoredDocument{Revision: 1, Sections: sections})
+			is.NoErr(err)
+			for target, idempotent := range d.Idempotent() {
+				is.Equal(doc.Requests[target].Idempotent, idempotent)
+			}
+			zones := make(map[string]bool)
+			for _, m := range f.Members {
+				zones[m.Zone] = true
+				text, err := os.ReadFile(m.nodeFile)
+				is.NoErr(err)
+				settings, err := loader.Load(text)
+				is.NoErr(err)
+				is.Equal(settings.Node.Upstream, m.Upstream)
+				is.Equal(settings.Policy.Admission, "fixed")
+				_, err = upstream.Load(m.upstreamFile)
+				is.NoErr(err)
+			}
+			is.Equal(len(zones), len(d.Zones))
+		})
+	}
+}
