arbiter, server: run non-idempotent calls at the home of their key

The node drives the cores owner and deduper: epochs and permits through the store or a relay, handover of records, outcome queries after a lost link. A node that is not the home names the one that is, so only the members of a service need its epoch.

--- /dev/null
+++ b/arbiter/handover.go
@@ -0,0 +1,82 @@
+package arbiter
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"hornbeamcroft/deduper"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/owner"
+)
+
+// receivers returns the members that gain keys of self by the epoch: all members if self left the roster, and those that
+// joined otherwise, since keys do not move between members that stay.
+func receivers(e owner.Epoch, self string) []string {
+	if !slices.Contains(e.Previous, self) {
+		return nil
+	}
+	if !slices.Contains(e.Roster, self) {
+		return e.Roster
+	}
+	var list []string
+	for _, name := range e.Roster {
+		if !slices.Contains(e.Previous, name) {
+			list = append(list, name)
+		}
+	}
+	return list
+}
+
+// handOver sends the records of the keys that moved away to their new homes, several times because links can be lost.
+func (a *Arbiter) handOver(ctx context.Context, e owner.Epoch) {
+	homes := receivers(e, a.Owner.Self)
+	for _, d := range exportDelays {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(d):
+		}
+		a.mu.Lock()
+		if a.Owner.Epoch().Number != e.Number {
+			a.mu.Unlock()
+			return
+		}
+		messages := a.Deduper.Export(a.marker(), homes, func(key string) string { return owner.HomeOf(e.Roster, key) })
+		a.mu.Unlock()
+		for to, list := range messages {
+			for _, m := range list {
+				a.Send(to, framer.TypeHandover, m)
+			}
+		}
+		a.mu.Lock()
+		a.exported = max(a.exported, e.Number)
+		a.mu.Unlock()
+	}
+}
+
+// marker returns what the node's handovers say besides the records. The lock is held.
+func (a *Arbiter) marker() deduper.Marker {
+	horizon, untimed := a.Owner.Horizon(a.Clock.Now(), wall())
+	return deduper.Marker{
+		Epoch: a.Owner.Epoch().Number, Incarnation: a.Incarnation, Horizon: horizon, UntimedOld: untimed,
+	}
+}
+
+// importRecords takes in records of a previous home.
+func (a *Arbiter) importRecords(from string, m deduper.Handover) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.Deduper.Import(a.Clock.Now(), from, m) {
+		a.Owner.HandoverDone(from, m.Epoch, m.Horizon, m.UntimedOld)
+		a.notify()
+	}
+}
+
+// sendLate sends the outcome of a call that finished after its key had moved. The lock is held.
+func (a *Arbiter) sendLate(key string) {
+	if m, ok := a.Deduper.ExportLate(key, a.marker()); ok {
+		home, _ := a.Owner.Home(key)
+		go a.Send(home, framer.TypeHandover, m)
+	}
+}
--- /dev/null
+++ b/arbiter/run.go
@@ -0,0 +1,187 @@
+package arbiter
+
+import (
+	"context"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"hornbeamcroft"
+	"hornbeamcroft/deduper"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/owner"
+)
+
+// RunFunc runs a call. It asks mayStart right before the dispatch; a code other than zero forbids it, and startBefore is
+// the end of the permit on the host's monotonic clock in nanoseconds.
+type RunFunc func(mayStart func() (startBefore int64, code hornbeamcroft.Code)) hornbeamcroft.Answer
+
+// Execute runs a non-idempotent call at most once, joins it to the running call of its key, or answers from the record.
+func (a *Arbiter) Execute(ctx context.Context, call hornbeamcroft.Call, run RunFunc) hornbeamcroft.Answer {
+	a.mu.Lock()
+	v := a.decide(ctx, call.Key)
+	if v.Code == hornbeamcroft.CodeHomeMoved {
+		if _, known := a.Deduper.Lookup(call.Key); !known {
+			a.mu.Unlock()
+			return hornbeamcroft.Answer{Code: v.Code, Home: v.Home, Unspent: call.RetryBudget}
+		}
+	}
+	d := a.Deduper.Arrive(a.Clock.Now(), wall(), deduper.Arrival{
+		Key: call.Key, Fingerprint: call.Fingerprint, ReceivedAt: call.ReceivedAt, FirstSend: call.FirstSend,
+		Serve: v.Serve, Code: v.Code, Old: v.Old,
+	})
+	switch d.Action {
+	case deduper.ActionAnswer:
+		a.mu.Unlock()
+		d.Answer.Unspent = call.RetryBudget
+		return d.Answer
+	case deduper.ActionJoin:
+		ch := make(chan hornbeamcroft.Answer, 1)
+		if a.joined == nil {
+			a.joined = make(map[string][]chan hornbeamcroft.Answer)
+		}
+		a.joined[call.Key] = append(a.joined[call.Key], ch)
+		a.mu.Unlock()
+		return wait(ctx, ch, call)
+	}
+	a.mu.Unlock()
+	answer := run(func() (int64, hornbeamcroft.Code) { return a.mayStart(call.Key) })
+	return a.finish(call.Key, answer)
+}
+
+// decide asks the owner, and waits a while for a home that is about to serve. The lock is held on entry and return.
+func (a *Arbiter) decide(ctx context.Context, key string) owner.Verdict {
+	issued := deduper.IssueTime(key)
+	deadline := a.Clock.Now() + holdTime
+	for {
+		v := a.Owner.Decide(a.Clock.Now(), wall(), key, issued)
+		left := deadline - a.Clock.Now()
+		if v.Code != hornbeamcroft.CodeNoPermit || left <= 0 {
+			return v
+		}
+		if _, known := a.Deduper.Lookup(key); known {
+			return v
+		}
+		changed := a.change()
+		a.mu.Unlock()
+		t := time.NewTimer(min(left, owner.TickInterval))
+		select {
+		case <-changed:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+		a.mu.Lock()
+		if ctx.Err() != nil {
+			return v
+		}
+	}
+}
+
+// wait waits for the answer of the running call of the same key.
+func wait(ctx context.Context, ch chan hornbeamcroft.Answer, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	select {
+	case answer := <-ch:
+		answer.Unspent = call.RetryBudget
+		return answer
+	case <-ctx.Done():
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeStillRunning, Unspent: call.RetryBudget}
+	}
+}
+
+// mayStart repeats the decision right before the dispatch, since admission may have taken longer than the permit.
+func (a *Arbiter) mayStart(key string) (int64, hornbeamcroft.Code) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	end, ok := a.Owner.Check(now, key)
+	if !ok {
+		return 0, hornbeamcroft.CodeNoPermit
+	}
+	return hostNow() + int64(end-now), 0
+}
+
+// hostNow returns the host's monotonic clock in nanoseconds, which all processes of the host share.
+func hostNow() int64 {
+	var ts unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &ts); err != nil {
+		return 0
+	}
+	return ts.Nano()
+}
+
+func (a *Arbiter) finish(key string, answer hornbeamcroft.Answer) hornbeamcroft.Answer {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	now := a.Clock.Now()
+	_, serve := a.Owner.Check(now, key)
+	final := a.Deduper.Finish(now, wall(), key, answer, serve)
+	for _, ch := range a.joined[key] {
+		ch <- final
+	}
+	delete(a.joined, key)
+	a.sendLate(key)
+	return final
+}
+
+// Begin records the arrival of a call frame. If the result is false, the frame is a repeat or is fenced, and the answer
+// is final.
+func (a *Arbiter) Begin(ctx context.Context, id deduper.CallID, remaining time.Duration) (hornbeamcroft.Answer, bool) {
+	a.mu.Lock()
+	now := a.Clock.Now()
+	status, answer := a.Calls.Begin(now, id, now+remaining)
+	a.mu.Unlock()
+	switch status {
+	case deduper.CallNew:
+		return hornbeamcroft.Answer{}, true
+	case deduper.CallRunning:
+		return a.await(ctx, id), false
+	case deduper.CallAnswered:
+		return answer, false
+	}
+	return hornbeamcroft.Answer{Code: status.Code()}, false
+}
+
+// End records the outcome of a call that Begin reported as new.
+func (a *Arbiter) End(id deduper.CallID, answer hornbeamcroft.Answer) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Calls.Finish(a.Clock.Now(), id, answer)
+	for _, ch := range a.queries[id] {
+		close(ch)
+	}
+	delete(a.queries, id)
+}
+
+// Outcome answers an outcome query; it waits while the call runs.
+func (a *Arbiter) Outcome(ctx context.Context, q framer.OutcomeQuery) hornbeamcroft.Answer {
+	return a.await(ctx, deduper.CallID{Sender: q.Sender, Incarnation: q.Incarnation, ID: q.ID})
+}
+
+func (a *Arbiter) await(ctx context.Context, id deduper.CallID) hornbeamcroft.Answer {
+	for {
+		a.mu.Lock()
+		status, answer := a.Calls.Query(a.Clock.Now(), id, a.Incarnation)
+		if status != deduper.CallRunning {
+			a.mu.Unlock()
+			if status == deduper.CallAnswered {
+				return answer
+			}
+			if status == deduper.CallFenced {
+				return hornbeamcroft.Answer{Code: hornbeamcroft.CodeConfirmedNotRun}
+			}
+			return hornbeamcroft.Answer{Code: status.Code()}
+		}
+		ch := make(chan struct{})
+		if a.queries == nil {
+			a.queries = make(map[deduper.CallID][]chan struct{})
+		}
+		a.queries[id] = append(a.queries[id], ch)
+		a.mu.Unlock()
+		select {
+		case <-ch:
+		case <-ctx.Done():
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeStillRunning}
+		}
+	}
+}
--- a/call.go
+++ b/call.go
@@ -104,6 +104,8 @@
 	Body       []byte `cbor:"9,keyasint,omitempty"`
 	// ServiceTime is the time the upstream took, for the sender's estimate of what suffices.
 	ServiceTime time.Duration `cbor:"10,keyasint,omitempty"`
+	// Home names the home of the key if the call was sent to another node.
+	Home string `cbor:"11,keyasint,omitempty"`
 }
 
 // Check reports whether the answer is well formed.
@@ -111,6 +113,9 @@
 	if a.Code < 100 || a.Code >= 500 {
 		return errors.Errorf("answer: code %d: allowed are 100 to 499", a.Code)
 	}
+	if len(a.Home) > maxNameLength {
+		return errors.New("answer: home is bounded to 128 bytes")
+	}
 	if a.Unspent < 0 || a.RetryAfter < 0 || len(a.Pressure) > 8 {
 		return errors.New("answer: negative unspent or retry-after, or more than 8 pressure entries")
 	}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -37,10 +37,11 @@
 type Options struct {
 	// Alone asks for an isolated run.
 	Alone bool
-	// StartBefore is the end of the permit on the host's monotonic clock in nanoseconds; zero if there is none.
-	StartBefore int64
-	// MayStart is asked right before the dispatch; nil means yes. A refusal becomes the answer's code.
-	MayStart func() hornbeamcroft.Code
+	// MayStart is asked right before the dispatch; nil means yes. A code other than zero refuses the call. StartBefore
+	// is the end of the permit on the host's monotonic clock in nanoseconds.
+	MayStart func() (startBefore int64, code hornbeamcroft.Code)
+	// Detached lets a dispatched call run to its deadline when the caller goes away, so that its outcome is recorded.
+	Detached bool
 }
 
 // Execute runs the call and returns its answer with the unspent retry budget and the pressure.
@@ -51,11 +52,10 @@
 			Code: decision.Code, RetryAfter: decision.RetryAfter, Unspent: call.RetryBudget,
 		})
 	}
-	if opts.MayStart != nil {
-		if code := opts.MayStart(); code != 0 {
-			e.finish(id, hornbeamcroft.Sample{Ignore: true})
-			return e.answer(hornbeamcroft.Answer{Code: code, Unspent: call.RetryBudget})
-		}
+	if opts.Detached {
+		detached, cancel := context.WithTimeout(context.WithoutCancel(ctx), untilEnd(ctx, call.Remaining))
+		defer cancel()
+		ctx = detached
 	}
 	run := e.Calls.Open(registrar.Running{
 		Token:      registrar.NewToken(),
@@ -76,7 +76,7 @@
 	e.mu.Unlock()
 
 	start := e.Clock.Now()
-	res := e.Dispatcher.Run(ctx, dispatcher.Request{Call: call, Token: run.Token, StartBefore: opts.StartBefore})
+	res := e.dispatch(ctx, call, run.Token, opts)
 	if res.Broken {
 		e.reportCrash(ctx, &res)
 	}
@@ -88,6 +88,27 @@
 	return e.answer(res.Answer)
 }
 
+// dispatch asks whether the call may start and sends it.
+func (e *Executor) dispatch(ctx context.Context, call hornbeamcroft.Call, token string, opts Options) dispatcher.Result {
+	q := dispatcher.Request{Call: call, Token: token}
+	if opts.MayStart != nil {
+		startBefore, code := opts.MayStart()
+		if code != 0 {
+			return dispatcher.Result{Answer: hornbeamcroft.Answer{Code: code}}
+		}
+		q.StartBefore = startBefore
+	}
+	return e.Dispatcher.Run(ctx, q)
+}
+
+// untilEnd returns the time to the context's deadline.
+func untilEnd(ctx context.Context, preset time.Duration) time.Duration {
+	if deadline, ok := ctx.Deadline(); ok {
+		return time.Until(deadline)
+	}
+	return preset
+}
+
 // reportCrash tells a broken connection from a crash: after a crash nothing listens.
 func (e *Executor) reportCrash(ctx context.Context, res *dispatcher.Result) {
 	if e.Dispatcher.Probe(context.WithoutCancel(ctx)) {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -51,6 +51,8 @@
 	Local func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
 	// Home returns the home of a non-idempotent call's key.
 	Home func(call hornbeamcroft.Call) Target
+	// Lookup returns the target with the given name, to which another node has pointed.
+	Lookup func(name string) Target
 	// NewBalancer returns the balancer of a service.
 	NewBalancer func(service string) hornbeamcroft.Balancer
 	// ShedEarly is true if requests that a service below would shed are refused here.
@@ -112,16 +114,20 @@
 	}
 	child := retrier.Child{Service: call.Service, Type: call.Type, Content: call.Fingerprint}
 	var excluded []string
+	repeated := false
 	for {
 		attempt, code := f.Calls.Begin(parents, child)
 		if code != hornbeamcroft.CodeAnswered {
 			return f.refuse(call, code)
 		}
-		call.FirstSend = call.FirstSend && !attempt.Repeat
+		call.FirstSend = call.FirstSend && (!attempt.Repeat || repeated)
 		answer, again := f.attempt(ctx, call, child, attempt, &excluded)
 		if !again {
 			return answer
 		}
+		// After "not run", the next send is as good as the first one.
+		repeated = true
+		call.FirstSend = call.FirstSend && answer.Code.Claim() == hornbeamcroft.ClaimNotRun
 	}
 }
 
@@ -140,8 +146,9 @@
 	excluded *[]string,
 ) (hornbeamcroft.Answer, bool) {
 	call.RetryBudget = attempt.Share
+	home := ""
 	for reroutes := 0; ; {
-		answer, target, sent := f.send(ctx, call, *excluded)
+		answer, target, sent := f.send(ctx, call, home, *excluded)
 		if target != "" && answer.Code != hornbeamcroft.CodeAnswered {
 			*excluded = append(*excluded, target)
 		}
@@ -151,7 +158,7 @@
 				if !sleep(ctx, outcomePause) {
 					break
 				}
-				*excluded = nil
+				*excluded, home = nil, ""
 			}
 			continue
 		}
@@ -159,6 +166,7 @@
 			Code: answer.Code, Claim: answer.Code.Claim(), Idempotent: call.Idempotent, RetryAfter: answer.RetryAfter,
 		})
 		if v.Retry && v.Free {
+			home = answer.Home
 			continue
 		}
 		f.Calls.End(attempt, answer.Unspent, sent && lost(answer.Code))
@@ -174,9 +182,9 @@
 	return f.refuse(call, hornbeamcroft.CodeHomeUnreachable), false
 }
 
-// settle adjusts the claim of a refusal that this node made itself.
+// settle adjusts the claim of a refusal that the key's home did not make.
 func (f *Forwarder) settle(call hornbeamcroft.Call, a hornbeamcroft.Answer, sent bool) hornbeamcroft.Answer {
-	if sent {
+	if sent && !aboutCall(a.Code) {
 		return a
 	}
 	r := f.refuse(call, a.Code)
@@ -184,6 +192,15 @@
 	return r
 }
 
+// aboutCall reports whether a refusal speaks about one send of a call and not about its key.
+func aboutCall(c hornbeamcroft.Code) bool {
+	switch c {
+	case hornbeamcroft.CodeHomeMoved, hornbeamcroft.CodeConfirmedNotRun, hornbeamcroft.CodeFencedAfterLinkLoss:
+		return true
+	}
+	return false
+}
+
 func lost(c hornbeamcroft.Code) bool {
 	switch c {
 	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeDeadlinePassed, hornbeamcroft.CodeCallerGone:
@@ -214,7 +231,7 @@
 func (randSource) Float64() float64 { return rand.Float64() }
 
 // send sends the call to one target. It returns the target's name, and whether any byte of the call was sent.
-func (f *Forwarder) send(ctx context.Context, call hornbeamcroft.Call, excluded []string,
+func (f *Forwarder) send(ctx context.Context, call hornbeamcroft.Call, home string, excluded []string,
 ) (answer hornbeamcroft.Answer, target string, sent bool) {
 	deadline, ok := ctx.Deadline()
 	if ok {
@@ -223,7 +240,7 @@
 	if call.Remaining <= 0 {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}, "", false
 	}
-	t := f.target(call, excluded)
+	t := f.target(call, home, excluded)
 	if t.Code != 0 {
 		return hornbeamcroft.Answer{Code: t.Code, RetryAfter: time.Second, Unspent: call.RetryBudget}, "", false
 	}
@@ -235,8 +252,11 @@
 	return answer, t.Name, sent
 }
 
-func (f *Forwarder) target(call hornbeamcroft.Call, excluded []string) Target {
+func (f *Forwarder) target(call hornbeamcroft.Call, home string, excluded []string) Target {
 	if !call.Idempotent {
+		if home != "" {
+			return f.Lookup(home)
+		}
 		return f.Home(call)
 	}
 	now := f.Clock.Now()
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -37,7 +37,8 @@
 	TypePermitQuery
 	TypePermitReply
 	TypeHandover
-	TypeHandoverAck
+	TypeEpochQuery
+	TypeEpochReply
 	TypeSuspect
 
 	typeEnd
--- a/server/home.go
+++ b/server/home.go
@@ -1,40 +1,94 @@
 package server
 
 import (
-	"github.com/cespare/xxhash/v2"
+	"context"
+	"slices"
+	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/arbiter"
+	"hornbeamcroft/deduper"
+	"hornbeamcroft/executor"
 	"hornbeamcroft/forwarder"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/owner"
 )
 
-// home returns the home of the call's key: the member with the highest hash of key and name.
+// drainHomeTime is how long a draining node still takes new keys while it is their home, so that a planned stop refuses
+// fewer of them. It is below the 2 s after which a leaving upstream gets no new work.
+const drainHomeTime = 1500 * time.Millisecond
+
+func (s *Server) buildArbiter() {
+	n := s.Settings.Node
+	s.arbiter = &arbiter.Arbiter{
+		Clock:       s.clock,
+		Owner:       &owner.Owner{Self: n.Name, Service: n.Service, Incarnation: s.incarnation},
+		Deduper:     &deduper.Deduper{},
+		Calls:       &deduper.Calls{Incarnation: s.incarnation},
+		Incarnation: s.incarnation,
+		Send:        s.members.sendTo,
+		Read:        s.epochs.Read,
+		Store:       s.Store,
+		OnAdopted: func(e owner.Epoch) {
+			s.Log.Info().Uint64("epoch", e.Number).Strs("roster", e.Roster).Msg("owner: epoch adopted")
+		},
+	}
+}
+
+// home guesses the home of the call's key from the live members. The members' epoch decides; a node that is not the
+// home names the one that is.
 func (s *Server) home(call hornbeamcroft.Call) forwarder.Target {
-	best := forwarder.Target{Code: hornbeamcroft.CodeNoUpstream}
-	var top uint64
+	var names []string
 	for _, m := range s.members.service(call.Service) {
-		if h := xxhash.Sum64String(call.Key + "/" + m.Name); best.Code != 0 || h > top {
-			best, top = forwarder.Target{Name: m.Name, Address: m.Address}, h
-		}
+		names = append(names, m.Name)
+	}
+	if len(names) == 0 {
+		return forwarder.Target{Code: hornbeamcroft.CodeNoUpstream}
 	}
-	return best
+	slices.Sort(names)
+	return s.target(owner.HomeOf(names, call.Key))
 }
 
-// deriveKey returns the key of a child call.
-func deriveKey(parentKey, service, requestType string, body []byte) string {
-	d := xxhash.New()
-	for _, s := range []string{parentKey, service, requestType, string(body)} {
-		_, _ = d.WriteString(s)
-		_, _ = d.WriteString("/")
+// target returns the address of a member.
+func (s *Server) target(name string) forwarder.Target {
+	v, ok := s.members.lookup(name)
+	if !ok {
+		return forwarder.Target{Name: name, Code: hornbeamcroft.CodeHomeUnreachable}
 	}
-	return parentKey[:min(len(parentKey), 64)] + "-" + hex(d.Sum64())
+	return forwarder.Target{Name: name, Address: v.Address}
 }
 
-func hex(n uint64) string {
-	const digits = "0123456789abcdef"
-	var b [16]byte
-	for i := range b {
-		b[15-i] = digits[n&15]
-		n >>= 4
+// executeOnce runs a non-idempotent call at the own upstream if this node is the home of its key.
+func (s *Server) executeOnce(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	return s.arbiter.Execute(ctx, call, func(mayStart func() (int64, hornbeamcroft.Code)) hornbeamcroft.Answer {
+		if s.draining.Load() && s.clock.Now()-time.Duration(s.drainedAt.Load()) > drainHomeTime {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
+		}
+		return s.executor.Execute(ctx, call, executor.Options{MayStart: mayStart, Detached: true})
+	})
+}
+
+// onRemoteOnce runs a non-idempotent call of another node and keeps its outcome for queries after a lost link.
+func (s *Server) onRemoteOnce(ctx context.Context, peer framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	id := deduper.CallID{Sender: peer.Name, Incarnation: peer.Incarnation, ID: call.ID}
+	if a, isNew := s.arbiter.Begin(ctx, id, call.Remaining); !isNew {
+		return a
+	}
+	a := s.execute(ctx, call)
+	s.arbiter.End(id, a)
+	return a
+}
+
+// updateTarget passes the live members of the own service to the arbiter. The first by name drives changes.
+func (s *Server) updateTarget(members []hornbeamcroft.Member) {
+	if s.arbiter == nil {
+		return
+	}
+	var names []string
+	for _, m := range members {
+		names = append(names, m.Name)
 	}
-	return string(b[:])
+	slices.Sort(names)
+	drive := len(names) > 0 && names[0] == s.Settings.Node.Name
+	s.arbiter.SetTarget(names, nil, drive)
 }
--- a/server/members.go
+++ b/server/members.go
@@ -96,6 +96,7 @@
 	m.byServe = byService
 	m.mu.Unlock()
 	m.s.forwarder.Update(live)
+	m.s.updateTarget(byService[m.s.Settings.Node.Service])
 }
 
 // service returns the members of a service that may get work.
@@ -147,25 +148,29 @@
 	return framer.TypeRosterDigest
 }
 
-// send sends a message over an existing link, or dials one. What cannot be sent is dropped; the tracker repairs it.
+// send sends a tracker message.
 func (m *membership) send(o tracker.Outgoing) {
-	l := m.s.links.Peer(o.To)
-	if l == nil && o.Address != "" {
-		l = m.s.links.Existing(o.Address)
+	m.deliver(o.To, o.Address, frameType(o.Message), o.Message)
+}
+
+// deliver sends a message over an existing link, or dials one. What cannot be sent is dropped; the cores repair it.
+func (m *membership) deliver(name, address string, t framer.Type, message any) {
+	l := m.s.links.Peer(name)
+	if l == nil && address != "" {
+		l = m.s.links.Existing(address)
 	}
-	t := frameType(o.Message)
 	if l != nil {
-		go func() { _ = l.Send(t, o.Message) }()
+		go func() { _ = l.Send(t, message) }()
 		return
 	}
-	if o.Address == "" {
+	if address == "" {
 		return
 	}
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		if l, err := m.s.links.Link(ctx, o.Address); err == nil {
-			_ = l.Send(t, o.Message)
+		if l, err := m.s.links.Link(ctx, address); err == nil {
+			_ = l.Send(t, message)
 		}
 	}()
 }
@@ -206,6 +211,29 @@
 	return v, nil
 }
 
+// sendTo sends a control message to a member.
+func (m *membership) sendTo(name string, t framer.Type, message any) {
+	v, ok := m.lookup(name)
+	if !ok {
+		return
+	}
+	m.deliver(name, v.Address, t, message)
+}
+
+// lookup returns the view of a member.
+func (m *membership) lookup(name string) (tracker.View, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.Lookup(name)
+}
+
+// relays reports whether this node is a relay, and the relays of its zone.
+func (m *membership) relays() (bool, []tracker.Peer) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.IsRelay(), m.tracker.Relays()
+}
+
 // announce changes the own state in the roster.
 func (m *membership) announce(state hornbeamcroft.MemberState) {
 	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Announce(now, state, 0) })
--- a/server/server.go
+++ b/server/server.go
@@ -12,8 +12,10 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/admitter"
+	"hornbeamcroft/arbiter"
 	"hornbeamcroft/balancer"
 	"hornbeamcroft/connector"
+	"hornbeamcroft/deduper"
 	"hornbeamcroft/dispatcher"
 	"hornbeamcroft/executor"
 	"hornbeamcroft/filer"
@@ -46,6 +48,7 @@
 	incarnation uint64
 	document    atomic.Pointer[hornbeamcroft.Document]
 	draining    atomic.Bool
+	drainedAt   atomic.Int64
 	drainOnce   sync.Once
 	drainStart  chan struct{}
 	outside     atomic.Int64
@@ -58,6 +61,8 @@
 	forwarder  *forwarder.Forwarder
 	receiver   *receiver.Receiver
 	members    *membership
+	epochs     *epochReader
+	arbiter    *arbiter.Arbiter
 	metrics    *metricSet
 }
 
@@ -83,6 +88,7 @@
 	go s.watchDocument(work)
 	if s.Settings.Node.Upstream != "" {
 		go s.watchUpstream(work)
+		go s.arbiter.Run(work)
 	}
 	s.Log.Info().Str("name", s.Settings.Node.Name).Str("listen", s.Settings.Node.Listen).Msg("server: started")
 	select {
@@ -121,6 +127,7 @@
 		OnUp:      func(l *connector.Link) { s.members.linkUp(l) },
 		Log:       s.Log.Logger,
 	}
+	s.epochs = &epochReader{s: s}
 	members, err := newMembership(s)
 	if err != nil {
 		return errors.Wrap(err, "server")
@@ -128,6 +135,7 @@
 	s.members = members
 	if cfg.Node.Upstream != "" {
 		s.buildExecutor()
+		s.buildArbiter()
 	}
 	s.forwarder = &forwarder.Forwarder{
 		Clock:       s.clock,
@@ -138,6 +146,7 @@
 		Document:    s.document.Load,
 		Local:       s.execute,
 		Home:        s.home,
+		Lookup:      s.target,
 		NewBalancer: s.newBalancer,
 		ShedEarly:   cfg.Policy.Admission == "adaptive",
 	}
@@ -207,37 +216,61 @@
 }
 
 // onCall runs a call that another node sent.
-func (s *Server) onCall(ctx context.Context, _ framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
-	if call.Service != s.Settings.Node.Service || s.executor == nil {
+func (s *Server) onCall(ctx context.Context, peer framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	switch {
+	case call.Service != s.Settings.Node.Service || s.executor == nil:
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUnknownService, Unspent: call.RetryBudget}
+	case call.Idempotent:
+		return s.execute(ctx, call)
 	}
-	return s.execute(ctx, call)
+	return s.onRemoteOnce(ctx, peer, call)
 }
 
 // execute runs a call at the own upstream.
 func (s *Server) execute(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
-	if s.draining.Load() {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
-	}
 	s.serving.Add(1)
 	defer s.serving.Add(-1)
-	a := s.executor.Execute(ctx, call, executor.Options{})
-	own := hornbeamcroft.Pressure{Service: call.Service, Threshold: hornbeamcroft.ThresholdAll}
-	if len(a.Pressure) > 0 {
-		own = a.Pressure[0]
+	var a hornbeamcroft.Answer
+	switch {
+	case !call.Idempotent:
+		a = s.executeOnce(ctx, call)
+	case s.draining.Load():
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
+	default:
+		a = s.executor.Execute(ctx, call, executor.Options{})
 	}
-	a.Pressure = s.forwarder.Pressure(own)
+	a.Pressure = s.forwarder.Pressure(s.executor.Pressure())
 	return a
 }
 
-func (s *Server) onOutcome(context.Context, framer.OutcomeQuery) hornbeamcroft.Answer {
-	return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
+// onOutcome answers a query about a non-idempotent call whose link was lost.
+func (s *Server) onOutcome(ctx context.Context, q framer.OutcomeQuery) hornbeamcroft.Answer {
+	if s.arbiter == nil {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
+	}
+	return s.arbiter.Outcome(ctx, q)
 }
 
+// onMessage passes a control frame to the part that handles it.
 func (s *Server) onMessage(l *connector.Link, t framer.Type, payload []byte) error {
+	switch t {
+	case framer.TypeEpochQuery, framer.TypeEpochReply:
+		return s.epochs.receive(l, t, payload)
+	case framer.TypeEpochOffer, framer.TypeEpochAck, framer.TypePermitQuery, framer.TypePermitReply,
+		framer.TypeHandover:
+		if s.arbiter == nil {
+			return nil
+		}
+		return s.arbiter.Receive(l.Peer.Name, t, payload)
+	}
 	return s.members.receive(l, t, payload)
 }
 
+// deriveKey returns the key of a child call that brings none.
+func deriveKey(parent, service, requestType string, body []byte) string {
+	return deduper.DeriveKey(parent, service, requestType, body)
+}
+
 func (s *Server) onCrash(running []hornbeamcroft.Call) {
 	s.Log.Warn().Int("running", len(running)).Msg("server: upstream crashed")
 	s.members.announce(hornbeamcroft.MemberStarting)
--- a/tracker/view.go
+++ b/tracker/view.go
@@ -61,6 +61,15 @@
 	return View{Member: e.Member, Lost: t.zoneLost(e.Zone), Learned: e.learned}
 }
 
+// Relays returns the relays of the node's zone by rank.
+func (t *Tracker) Relays() []Peer {
+	var out []Peer
+	for _, e := range t.zone(t.self.Zone).relays() {
+		out = append(out, Peer{Name: e.Name, Address: e.Address})
+	}
+	return out
+}
+
 // IsRelay reports whether this node is a relay of its zone.
 func (t *Tracker) IsRelay() bool { return t.isRelay(t.self.Name) }
 
