--- a/admitter/level.go
+++ b/admitter/level.go
@@ -11,7 +11,7 @@
 	// levelWindow is the time between two changes of the admission level.
 	levelWindow = 100 * time.Millisecond
 	// relaxFactor and relaxStep raise the admitted share in a window without overload.
-	relaxFactor = 1.1
+	relaxFactor = 1.4
 	relaxStep   = 0.01
 	// headroom is the share of the started calls by which the level undershoots them, so that the queue drains.
 	headroom = 0.05
