limiter: follow a slowness that a lower limit does not cure

Cause: an upstream that is ten times slower at any concurrency drove the limit to the least value, where its cores are idle. Change: if a decrease does not shorten the service time by 10 %, the long-term minimum moves half way to the present service time.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,6 +22,9 @@
 	overloadShare = 0.1
 	// overloadFactor is the decrease by one window of overload errors.
 	overloadFactor = 0.7
+	// helpedFactor is the decrease of the service time that a lowered limit must bring. If it brings less, the calls are
+	// not slowed by one another, and the long-term minimum moves to the present service time at once by half.
+	helpedFactor = 0.9
 	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
 	riseTime = 60 * time.Second
 	// medianStep is the relative step of the median estimate for each sample.
@@ -39,9 +42,11 @@
 	limit float64
 	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
 	base, short float64
-	median      float64
-	lastSample  time.Duration
-	w           window
+	// lowered is the smoothed mean at the last decrease by gradient, zero if the last window had none.
+	lowered    float64
+	median     float64
+	lastSample time.Duration
+	w          window
 }
 
 type window struct {
@@ -146,10 +151,7 @@
 		l.limit = math.Max(1, l.limit*overloadFactor)
 		return
 	}
-	gradient := 1.0
-	if l.short > 0 {
-		gradient = math.Min(1, math.Max(leastGradient, tolerance*l.base/l.short))
-	}
+	gradient := l.gradient()
 	if gradient == 1 && float64(l.w.peak) < l.limit/2 {
 		// A limit that is not used says nothing about a higher one.
 		return
@@ -157,3 +159,16 @@
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
 	l.limit = math.Min(ceiling, math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
 }
+
+// gradient returns the factor of the limit that follows from the service time, leastGradient to 1.
+func (l *Limiter) gradient() float64 {
+	if l.lowered > 0 && l.short > helpedFactor*l.lowered {
+		l.base = math.Max(l.base, (l.base+l.short)/2)
+	}
+	l.lowered = 0
+	if l.short <= tolerance*l.base {
+		return 1
+	}
+	l.lowered = l.short
+	return math.Max(leastGradient, tolerance*l.base/l.short)
+}
