limiter: judge a decrease after the calls before it have ended

Cause: the window after a decrease held calls that began before it, so the decrease seemed to have no effect and the long-term minimum rose too early. Change: samples are ignored for one smoothed service time after a decrease.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -43,7 +43,9 @@
 	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
 	base, short float64
 	// lowered is the smoothed mean at the last decrease by gradient, zero if the last window had none.
-	lowered    float64
+	lowered float64
+	// settled is when the calls that began before that decrease have ended; samples before it do not show its effect.
+	settled    time.Duration
 	median     float64
 	lastSample time.Duration
 	w          window
@@ -75,6 +77,9 @@
 	l.init()
 	s := max(serviceTime.Seconds(), 1e-6)
 	l.addMedian(now, s)
+	if now < l.settled {
+		return
+	}
 	l.open(now)
 	l.w.sum += s
 	l.w.n++
@@ -128,6 +133,9 @@
 		l.learn(l.w.sum/float64(l.w.n), age)
 	}
 	l.adapt()
+	if l.lowered > 0 {
+		l.settled = now + time.Duration(l.short*float64(time.Second))
+	}
 	l.w = window{start: now}
 }
 
