--- /dev/null
+++ b/applier/fetch.go
@@ -0,0 +1,78 @@
+package applier
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+	"hornbeamcroft/editor"
+	"hornbeamcroft/parser"
+)
+
+// Fetch reads the document with its ModRevision. A store without a document gives an empty one at revision 0.
+func Fetch(ctx context.Context, store hornbeamcroft.Store) (hornbeamcroft.StoredDocument, int64, error) {
+	e, err := store.Get(ctx, hornbeamcroft.KeyDocument)
+	if err != nil || e.ModRevision == 0 {
+		return hornbeamcroft.StoredDocument{}, 0, err
+	}
+	stored, err := parser.Decode(e.Value)
+	return stored, e.ModRevision, err
+}
+
+// FetchChange reads one history entry; nil if there is none.
+func FetchChange(ctx context.Context, store hornbeamcroft.Store, revision uint64) (*editor.Change, error) {
+	e, err := store.Get(ctx, editor.HistoryKey(revision))
+	if err != nil || e.ModRevision == 0 {
+		return nil, err
+	}
+	c, err := decodeChange(e.Value)
+	return &c, err
+}
+
+// FetchHistory reads all history entries in ascending order of revisions.
+func FetchHistory(ctx context.Context, store hornbeamcroft.Store) ([]editor.Change, error) {
+	entries, _, err := store.List(ctx, hornbeamcroft.KeyHistoryPrefix)
+	if err != nil {
+		return nil, err
+	}
+	changes := make([]editor.Change, len(entries))
+	for i, e := range entries {
+		if changes[i], err = decodeChange(e.Value); err != nil {
+			return nil, err
+		}
+	}
+	return changes, nil
+}
+
+func decodeChange(data []byte) (editor.Change, error) {
+	var c editor.Change
+	if err := cbor.Unmarshal(data, &c); err != nil {
+		return c, errors.Wrap(err, "history entry")
+	}
+	return c, c.Check()
+}
+
+// repeated looks for an earlier accepted edit with the same writer id. It reports false if there is none, and the edit
+// is to be made.
+func (a *Applier) repeated(ctx context.Context, edit editor.Edit) (editor.Result, bool) {
+	changes, err := FetchHistory(ctx, a.Store)
+	if err != nil {
+		// The earlier edit with this writer id may be in the store.
+		return editor.Result{Code: hornbeamcroft.CodeWriteUnknown, Writer: edit.Writer, Err: err}, true
+	}
+	for _, c := range changes {
+		if c.Writer != edit.Writer {
+			continue
+		}
+		if !c.Matches(edit) {
+			return editor.Result{
+				Code: hornbeamcroft.CodeInvalid, Writer: edit.Writer,
+				Err: errors.Errorf("writer id %s belongs to a different edit at revision %d", edit.Writer, c.Revision),
+			}, true
+		}
+		return editor.Result{Code: hornbeamcroft.CodeAccepted, Revision: c.Revision, Writer: edit.Writer}, true
+	}
+	return editor.Result{}, false
+}
--- /dev/null
+++ b/applier/world_test.go
@@ -0,0 +1,184 @@
+package applier_test
+
+import (
+	"context"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/applier"
+	"hornbeamcroft/distributor"
+	"hornbeamcroft/editor"
+	"hornbeamcroft/faker"
+	"hornbeamcroft/parser"
+)
+
+// world is a store, nodes and operators on a virtual clock.
+type world struct {
+	*faker.Store
+	clock  *faker.Clock
+	nodes  map[string]*node
+	order  []string
+	events []hornbeamcroft.StoredDocument
+	off    mechanisms
+	// beforeWrite and afterWrite run once, around the next transaction.
+	beforeWrite, afterWrite []func()
+}
+
+// node is a distributor with its links.
+type node struct {
+	*distributor.Distributor
+	cut     bool
+	watched int
+}
+
+// mechanisms are the protections that a run leaves out.
+type mechanisms struct {
+	editor        editor.Mechanism
+	distributor   distributor.Mechanism
+	unconditional bool
+}
+
+var mechanismNames = map[string]mechanisms{
+	"":                   {},
+	"compare-writer":     {editor: editor.CompareWriter},
+	"compare-generation": {editor: editor.CompareGeneration},
+	"detect-conflict":    {editor: editor.DetectConflict},
+	"compare-highest":    {editor: editor.CompareHighest},
+	"compare-and-swap":   {unconditional: true},
+	"higher-only":        {distributor: distributor.HigherOnly},
+	"compare-hash":       {distributor: distributor.CompareHash},
+	"repair":             {distributor: distributor.Repair},
+	"compare-digest":     {distributor: distributor.CompareDigest},
+}
+
+func newWorld(off mechanisms) *world {
+	clock := &faker.Clock{}
+	return &world{Store: faker.NewStore(clock), clock: clock, nodes: map[string]*node{}, off: off}
+}
+
+// Txn runs the scripted commands around the transaction and notes the document for the watches.
+func (w *world) Txn(ctx context.Context, conditions []hornbeamcroft.Compare, puts []hornbeamcroft.Put) (hornbeamcroft.TxnResult, error) {
+	before, after := w.beforeWrite, w.afterWrite
+	w.beforeWrite, w.afterWrite = nil, nil
+	for _, fn := range before {
+		fn()
+	}
+	result, err := w.Store.Txn(ctx, conditions, puts)
+	w.note(puts)
+	for _, fn := range after {
+		fn()
+	}
+	return result, err
+}
+
+// note records the document if one of the writes took effect.
+func (w *world) note(puts []hornbeamcroft.Put) {
+	current := w.current()
+	if written, err := parser.Decode(puts[0].Value); err == nil && distributor.HashOf(written) == distributor.HashOf(current) {
+		w.events = append(w.events, current)
+	}
+}
+
+// current returns the document in the store, whatever the fault switches.
+func (w *world) current() hornbeamcroft.StoredDocument {
+	faults := w.Faults()
+	w.SetFaults(faker.Faults{})
+	stored, _, err := applier.Fetch(context.Background(), w.Store)
+	w.SetFaults(faults)
+	if err != nil {
+		panic(err)
+	}
+	return stored
+}
+
+// apply makes an edit as hornbeamctl does: it asks the nodes that can be heard for the highest revision first.
+func (w *world) apply(edit editor.Edit, repeat bool) editor.Result {
+	e := &editor.Editor{Edit: edit, Check: applier.Check, Without: w.off.editor}
+	for _, n := range w.nodes {
+		if !n.cut {
+			e.Highest = max(e.Highest, n.Newest().Revision)
+		}
+	}
+	a := &applier.Applier{
+		Store: w, Attempts: 5, Unconditional: w.off.unconditional,
+		Now:  func() time.Time { return time.UnixMilli(0) },
+		Wait: func(_ context.Context, d time.Duration) error { w.clock.Advance(d); return nil },
+	}
+	return a.Apply(context.Background(), e, repeat)
+}
+
+// start makes or restarts a node.
+func (w *world) start(name string) {
+	if w.nodes[name] == nil {
+		w.order = append(w.order, name)
+	}
+	w.nodes[name] = &node{
+		Distributor: &distributor.Distributor{Check: applier.Check, Without: w.off.distributor},
+		watched:     len(w.events),
+	}
+}
+
+// read lets a relay read the store and repair it if it is behind.
+func (w *world) read(name string) {
+	stored, modRevision, err := applier.Fetch(context.Background(), w.Store)
+	if err != nil {
+		return
+	}
+	actions := w.nodes[name].OnRead(stored, modRevision)
+	w.push(name, actions.Push)
+	if actions.Write == nil {
+		return
+	}
+	puts, err := applier.Puts(actions.Write.Document, editor.Change{Revision: actions.Write.Document.Revision, Writer: "repair"})
+	if err != nil {
+		panic(err)
+	}
+	conditions := []hornbeamcroft.Compare{{Key: hornbeamcroft.KeyDocument, ModRevision: actions.Write.ModRevision}}
+	if w.off.unconditional {
+		conditions = nil
+	}
+	_, _ = w.Txn(context.Background(), conditions, puts)
+}
+
+// watch delivers the next n events of the store to a node.
+func (w *world) watch(name string, n int) {
+	for ; n > 0 && w.nodes[name].watched < len(w.events); n-- {
+		event := w.events[w.nodes[name].watched]
+		w.nodes[name].watched++
+		w.push(name, w.nodes[name].OnWatch(event).Push)
+	}
+}
+
+// push sends messages to all nodes with a link to the sender.
+func (w *world) push(from string, messages []distributor.Message) {
+	for _, to := range w.order {
+		if to != from && !w.nodes[to].cut && !w.nodes[from].cut {
+			w.send(from, to, messages)
+		}
+	}
+}
+
+// send delivers messages and the replies to them until there are none.
+func (w *world) send(from, to string, messages []distributor.Message) {
+	for _, m := range messages {
+		var actions distributor.Actions
+		switch {
+		case m.Offer != nil:
+			actions = w.nodes[to].OnOffer(w.clock.Now(), *m.Offer)
+		case m.Delta != nil:
+			actions = w.nodes[to].OnDelta(w.clock.Now(), *m.Delta)
+		case m.Whole != nil:
+			actions = w.nodes[to].OnWhole(w.clock.Now(), *m.Whole)
+		}
+		w.send(to, from, actions.Reply)
+	}
+}
+
+// digests lets every pair of linked nodes compare digests, as they do every 2 s.
+func (w *world) digests() {
+	w.clock.Advance(2 * time.Second)
+	for _, a := range w.order {
+		o := w.nodes[a].Offer()
+		w.push(a, []distributor.Message{{Offer: &o}})
+	}
+}
--- a/faker/store.go
+++ b/faker/store.go
@@ -84,6 +84,13 @@
 	s.watches.wake()
 }
 
+// Faults returns the fault switches; the counts of losses are those that remain.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
 // Counts returns the number of calls by method; "all" is their sum. A waiting watch counts as one call.
 func (s *Store) Counts() map[string]int {
 	s.mu.Lock()
--- /dev/null
+++ b/leaser/runner.go
@@ -0,0 +1,96 @@
+package leaser
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamcroft"
+)
+
+// Runner drives a Leaser with a store. It is safe for concurrent use. Exported fields are set before Run.
+type Runner struct {
+	Leaser *Leaser
+	Store  hornbeamcroft.Store
+	Clock  hornbeamcroft.Clock
+	// Wait pauses between calls to the store; a timer if nil.
+	Wait func(ctx context.Context, d time.Duration) error
+
+	mu sync.Mutex
+}
+
+// Held returns the fence if the lease is held now. It is called right before every act.
+func (r *Runner) Held() (Fence, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Leaser.Held(r.Clock.Now())
+}
+
+// Run acquires and renews the lease until ctx ends, and then revokes it.
+func (r *Runner) Run(ctx context.Context) error {
+	wait := r.Wait
+	if wait == nil {
+		wait = sleep
+	}
+	for ctx.Err() == nil {
+		if d := r.Step(ctx); d > 0 {
+			_ = wait(ctx, d) // an ended ctx ends the loop
+		}
+	}
+	r.revoke(context.WithoutCancel(ctx))
+	return ctx.Err()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Step makes the call that is due, if there is one, and returns the time until the next.
+func (r *Runner) Step(ctx context.Context) time.Duration {
+	r.mu.Lock()
+	l, sent := r.Leaser, r.Clock.Now()
+	step, d := l.Next(sent)
+	id := l.ID()
+	conditions, puts := l.Claim()
+	r.mu.Unlock()
+	var apply func(now time.Duration)
+	switch step {
+	case StepRead:
+		e, err := r.Store.Get(ctx, l.Key)
+		apply = func(now time.Duration) { l.OnRead(now, e, err) }
+	case StepGrant:
+		granted, err := r.Store.Grant(ctx, l.TTL)
+		apply = func(now time.Duration) { l.OnGrant(sent, now, granted, err) }
+	case StepClaim:
+		result, err := r.Store.Txn(ctx, conditions, puts)
+		apply = func(now time.Duration) { l.OnClaim(now, result, err) }
+	case StepRenew:
+		err := r.Store.KeepAlive(ctx, id)
+		apply = func(now time.Duration) { l.OnRenew(sent, now, err) }
+	default:
+		return d
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	apply(r.Clock.Now())
+	_, d = l.Next(r.Clock.Now())
+	return d
+}
+
+// revoke ends the lease at once, so that another can take it without waiting for its expiry. A failure costs the TTL.
+func (r *Runner) revoke(ctx context.Context) {
+	r.mu.Lock()
+	id := r.Leaser.ID()
+	r.Leaser.id, r.Leaser.epoch = 0, 0
+	r.mu.Unlock()
+	if id != 0 {
+		_ = r.Store.Revoke(ctx, id)
+	}
+}
