quarantiner: add isolated runs of suspected poison requests

Requests that ran in a crashed upstream are matched by key and fingerprint and run alone, one at a time per service; the turn is given by the first node of the service.

--- /dev/null
+++ b/quarantiner/example_test.go
@@ -0,0 +1,22 @@
+package quarantiner_test
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamcroft/quarantiner"
+)
+
+// A request that crashed its upstream runs alone the next time.
+func Example() {
+	q, _ := quarantiner.New(0, quarantiner.Config{Node: "stock-1", Crashes: 2, RefuseTime: 10 * time.Minute})
+	r := quarantiner.Request{ID: 1, Key: "k1", Fingerprint: 77}
+	q.Crash(0, []quarantiner.Request{r})
+	again := q.Arrive(time.Second, r)
+	fmt.Println(again.Verdict == quarantiner.VerdictWait, again.Alone)
+	q.Crash(2*time.Second, []quarantiner.Request{r})
+	fmt.Println(q.Arrive(3*time.Second, r).Verdict == quarantiner.VerdictRefuse)
+	// Output:
+	// true [1]
+	// true
+}
