--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -7,18 +7,22 @@
 	"os"
 
 	"github.com/urfave/cli/v3"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"hornbeamcroft/cmd/hornbeam-standin/caller"
+	"hornbeamcroft/cmd/hornbeam-standin/demo"
 	"hornbeamcroft/cmd/hornbeam-standin/platform"
 	"hornbeamcroft/cmd/hornbeam-standin/upstream"
 )
 
 func main() {
+	logx.Disable() // the framework's own statistics would mix with the output
 	cmd := &cli.Command{
 		Name:  "hornbeam-standin",
 		Usage: "stand-ins for tests, the demo and measurements",
 		Commands: []*cli.Command{
 			caller.Command(),
+			demo.Command(),
 			platform.Command(),
 			upstream.Command(),
 		},
