--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -194,6 +194,14 @@
 	a.Owner.SetTarget(names, dead, drive)
 }
 
+// Configure takes over times from the document.
+func (a *Arbiter) Configure(p hornbeamcroft.Platform) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.Owner.PermitTime, a.Owner.ClockSkew, a.Owner.KeyWindow = p.PermitTime, p.ClockSkew, p.KeyWindow
+	a.Deduper.ClockSkew, a.Deduper.KeyWindow = p.ClockSkew, p.KeyWindow
+}
+
 // Status returns the state of the owner and the size of the table.
 func (a *Arbiter) Status() (owner.Status, deduper.Stats) {
 	a.mu.Lock()
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -31,6 +31,9 @@
 	waiting map[uint64]chan hornbeamcroft.Decision
 	running map[uint64]hornbeamcroft.Call
 	ticking bool
+	// crashed is true from the first report of a crash until the upstream is reachable again.
+	crashed bool
+	crashMu sync.Mutex
 }
 
 // Options change how one call is run.
@@ -109,7 +112,8 @@
 	return preset
 }
 
-// reportCrash tells a broken connection from a crash: after a crash nothing listens.
+// reportCrash tells a broken connection from a crash: after a crash nothing listens. The report of a crash is complete
+// before the answer of any call that ran in the upstream, so that a resend does not overtake it.
 func (e *Executor) reportCrash(ctx context.Context, res *dispatcher.Result) {
 	if e.Dispatcher.Probe(context.WithoutCancel(ctx)) {
 		return
@@ -117,16 +121,26 @@
 	if res.Answer.Code == hornbeamcroft.CodeOutcomeUnknown {
 		res.Answer.Code = hornbeamcroft.CodeUpstreamCrashed
 	}
-	if e.OnCrash == nil {
-		return
-	}
+	e.crashMu.Lock()
+	defer e.crashMu.Unlock()
 	e.mu.Lock()
+	known := e.crashed
+	e.crashed = true
 	calls := make([]hornbeamcroft.Call, 0, len(e.running))
 	for _, c := range e.running {
 		calls = append(calls, c)
 	}
 	e.mu.Unlock()
-	e.OnCrash(calls)
+	if !known && e.OnCrash != nil {
+		e.OnCrash(calls)
+	}
+}
+
+// Recovered tells that the upstream accepts connections again.
+func (e *Executor) Recovered() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.crashed = false
 }
 
 func sample(res dispatcher.Result, took time.Duration) hornbeamcroft.Sample {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -84,6 +84,15 @@
 	}
 }
 
+// Reconfigure rebuilds the balancers of services whose routing settings changed.
+func (f *Forwarder) Reconfigure(services []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, name := range services {
+		delete(f.balancers, name)
+	}
+}
+
 // Member returns the record of a member.
 func (f *Forwarder) Member(name string) (hornbeamcroft.Member, bool) {
 	f.mu.Lock()
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -31,7 +31,6 @@
 	TypeDocumentDigest
 	TypeDocumentDelta
 	TypeDocumentWhole
-	TypeDocumentQuery
 	TypeEpochOffer
 	TypeEpochAck
 	TypePermitQuery
@@ -40,6 +39,8 @@
 	TypeEpochQuery
 	TypeEpochReply
 	TypeSuspect
+	TypeCleared
+	TypeTurn
 
 	typeEnd
 )
--- a/server/home.go
+++ b/server/home.go
@@ -64,7 +64,9 @@
 		if s.draining.Load() && s.clock.Now()-time.Duration(s.drainedAt.Load()) > drainHomeTime {
 			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
 		}
-		return s.executor.Execute(ctx, call, executor.Options{MayStart: mayStart, Detached: true})
+		return s.quarantine.execute(ctx, call, func(alone bool) hornbeamcroft.Answer {
+			return s.executor.Execute(ctx, call, executor.Options{MayStart: mayStart, Detached: true, Alone: alone})
+		})
 	})
 }
 
@@ -91,4 +93,5 @@
 	slices.Sort(names)
 	drive := len(names) > 0 && names[0] == s.Settings.Node.Name
 	s.arbiter.SetTarget(names, nil, drive)
+	s.quarantine.setMembers(names)
 }
--- a/server/members.go
+++ b/server/members.go
@@ -14,6 +14,9 @@
 	"hornbeamcroft/tracker"
 )
 
+// catchUpInterval bounds how often a newer document is asked for.
+const catchUpInterval = 200 * time.Millisecond
+
 // membership drives the tracker: it passes in time and messages, and sends what comes back.
 type membership struct {
 	s *Server
@@ -25,6 +28,7 @@
 	views   []tracker.View
 	byServe map[string][]hornbeamcroft.Member
 	dialing map[string]bool
+	askedAt time.Duration
 }
 
 func newMembership(s *Server) (*membership, error) {
@@ -60,6 +64,7 @@
 		}
 		m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Tick(now, m.random) })
 		m.keepLinks(ctx)
+		m.catchUp()
 	}
 }
 
@@ -118,6 +123,26 @@
 	}
 }
 
+// catchUp asks a member that has a newer document. The tracker names one; asking is limited by the distributor.
+func (m *membership) catchUp() {
+	m.mu.Lock()
+	p, behind := m.tracker.Behind()
+	now := m.s.clock.Now()
+	due := behind && now-m.askedAt >= catchUpInterval
+	if due {
+		m.askedAt = now
+	}
+	m.mu.Unlock()
+	if !due {
+		return
+	}
+	if l := m.s.links.Peer(p.Name); l != nil {
+		m.s.documents.offer(l)
+		return
+	}
+	m.dial(context.Background(), p.Address)
+}
+
 // dial opens a link in the background, at most once at a time for an address.
 func (m *membership) dial(ctx context.Context, address string) {
 	m.mu.Lock()
@@ -176,6 +201,7 @@
 }
 
 func (m *membership) linkUp(l *connector.Link) {
+	m.s.documents.offer(l)
 	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.LinkUp(now, l.Peer.Name) })
 }
 
@@ -203,7 +229,8 @@
 	return nil, errors.Errorf("frame type %d is not expected", t)
 }
 
-func decodeAs[T tracker.Message](payload []byte) (tracker.Message, error) {
+// decodeAs decodes a message whose Check has a value receiver.
+func decodeAs[T framer.Checker](payload []byte) (framer.Checker, error) {
 	var v T
 	if err := framer.Decode(payload, any(&v).(framer.Checker)); err != nil {
 		return nil, err
@@ -227,6 +254,54 @@
 	return m.tracker.Lookup(name)
 }
 
+// setVersions passes the document revision to the heartbeats.
+func (m *membership) setVersions(document uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.SetVersions(document, 0)
+}
+
+// pushTargets returns the live members of the zone and the peers that the tracker links to, if this node is a relay.
+func (m *membership) pushTargets() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.tracker.IsRelay() {
+		return nil
+	}
+	self := m.tracker.Self()
+	seen := map[string]bool{self.Name: true}
+	var names []string
+	add := func(name string) {
+		if !seen[name] {
+			seen[name] = true
+			names = append(names, name)
+		}
+	}
+	for _, p := range m.tracker.Links() {
+		add(p.Name)
+	}
+	for _, v := range m.views {
+		if v.Zone == self.Zone && v.State < hornbeamcroft.MemberLeft {
+			add(v.Name)
+		}
+	}
+	return names
+}
+
+func (m *membership) wantsLease() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.tracker.WantsLease()
+}
+
+// storeWork passes the lease and returns the store request that is due.
+func (m *membership) storeWork(lease int64) tracker.StoreRequest {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tracker.SetLease(lease)
+	return m.tracker.StoreWork(m.s.clock.Now())
+}
+
 // relays reports whether this node is a relay, and the relays of its zone.
 func (m *membership) relays() (bool, []tracker.Peer) {
 	m.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -47,6 +47,7 @@
 	clock       clock
 	incarnation uint64
 	document    atomic.Pointer[hornbeamcroft.Document]
+	acceptMu    sync.Mutex
 	draining    atomic.Bool
 	drainedAt   atomic.Int64
 	drainOnce   sync.Once
@@ -63,6 +64,8 @@
 	members    *membership
 	epochs     *epochReader
 	arbiter    *arbiter.Arbiter
+	documents  *documents
+	quarantine *quarantine
 	metrics    *metricSet
 }
 
@@ -85,10 +88,12 @@
 	}
 	go s.links.Run(work)
 	go s.members.run(work)
-	go s.watchDocument(work)
+	go s.documents.run(work)
+	go s.writeRoster(work)
 	if s.Settings.Node.Upstream != "" {
 		go s.watchUpstream(work)
 		go s.arbiter.Run(work)
+		go s.quarantine.run(work)
 	}
 	s.Log.Info().Str("name", s.Settings.Node.Name).Str("listen", s.Settings.Node.Listen).Msg("server: started")
 	select {
@@ -128,6 +133,7 @@
 		Log:       s.Log.Logger,
 	}
 	s.epochs = &epochReader{s: s}
+	s.documents = newDocuments(s)
 	members, err := newMembership(s)
 	if err != nil {
 		return errors.Wrap(err, "server")
@@ -136,6 +142,9 @@
 	if cfg.Node.Upstream != "" {
 		s.buildExecutor()
 		s.buildArbiter()
+		if s.quarantine, err = newQuarantine(s); err != nil {
+			return errors.Wrap(err, "server")
+		}
 	}
 	s.forwarder = &forwarder.Forwarder{
 		Clock:       s.clock,
@@ -237,7 +246,9 @@
 	case s.draining.Load():
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
 	default:
-		a = s.executor.Execute(ctx, call, executor.Options{})
+		a = s.quarantine.execute(ctx, call, func(alone bool) hornbeamcroft.Answer {
+			return s.executor.Execute(ctx, call, executor.Options{Alone: alone})
+		})
 	}
 	a.Pressure = s.forwarder.Pressure(s.executor.Pressure())
 	return a
@@ -262,6 +273,13 @@
 			return nil
 		}
 		return s.arbiter.Receive(l.Peer.Name, t, payload)
+	case framer.TypeDocumentDigest, framer.TypeDocumentDelta, framer.TypeDocumentWhole:
+		return s.documents.receive(l, t, payload)
+	case framer.TypeSuspect, framer.TypeCleared, framer.TypeTurn:
+		if s.quarantine == nil {
+			return nil
+		}
+		return s.quarantine.receive(l, t, payload)
 	}
 	return s.members.receive(l, t, payload)
 }
@@ -273,5 +291,6 @@
 
 func (s *Server) onCrash(running []hornbeamcroft.Call) {
 	s.Log.Warn().Int("running", len(running)).Msg("server: upstream crashed")
+	s.quarantine.crash(running)
 	s.members.announce(hornbeamcroft.MemberStarting)
 }
--- /dev/null
+++ b/server/upstream.go
@@ -0,0 +1,45 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"hornbeamcroft"
+)
+
+const (
+	// upstreamInterval is how often a reachable upstream is probed; on the same host a probe is one connection.
+	upstreamInterval = time.Second
+	// upstreamDownInterval applies while the upstream cannot be reached, so that it gets work soon after its start.
+	upstreamDownInterval = 100 * time.Millisecond
+)
+
+// watchUpstream announces the node as serving while its upstream accepts connections.
+func (s *Server) watchUpstream(ctx context.Context) {
+	up := false
+	for ctx.Err() == nil {
+		ok := s.dispatcher.Probe(ctx)
+		if ok != up || (ok && s.members.self().State == hornbeamcroft.MemberStarting) {
+			up = ok
+			s.announceUpstream(ok)
+		}
+		if ok {
+			pause(ctx, upstreamInterval)
+		} else {
+			pause(ctx, upstreamDownInterval)
+		}
+	}
+}
+
+func (s *Server) announceUpstream(up bool) {
+	if s.draining.Load() {
+		return
+	}
+	state := hornbeamcroft.MemberStarting
+	if up {
+		state = hornbeamcroft.MemberServing
+		s.executor.Recovered()
+	}
+	s.Log.Info().Bool("reachable", up).Msg("server: upstream changed")
+	s.members.announce(state)
+}
