root, limiter, admitter: leave the time of child calls out of the limit

Change: Sample.ChildTime, optional; the limit follows the rest. The median for deadlines still uses the whole service time.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -96,7 +96,7 @@
 	case s.Overloaded:
 		a.limiter.Overload(now, inFlight)
 	default:
-		a.limiter.Add(now, s.ServiceTime, inFlight)
+		a.limiter.Add(now, s.ServiceTime, s.ServiceTime-s.ChildTime, inFlight)
 	}
 	return a.dispatch(now, nil)
 }
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -25,6 +25,8 @@
 	// helpedFactor is the decrease of the service time that a lowered limit must bring. If it brings less, the calls are
 	// not slowed by one another, and the long-term minimum moves to the present service time at once by half.
 	helpedFactor = 0.9
+	// leastTime is the least service time in seconds, so that ratios are defined.
+	leastTime = 1e-6
 	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
 	riseTime = 60 * time.Second
 	// medianStep is the relative step of the median estimate for each sample.
@@ -72,11 +74,12 @@
 	}
 }
 
-// Add records a finished call and the number of calls that were in flight with it.
-func (l *Limiter) Add(now, serviceTime time.Duration, inFlight int) {
+// Add records a finished call: its whole service time, the part of it without calls to further services, and the number
+// of calls that were in flight with it.
+func (l *Limiter) Add(now, whole, own time.Duration, inFlight int) {
 	l.init()
-	s := max(serviceTime.Seconds(), 1e-6)
-	l.addMedian(now, s)
+	l.addMedian(now, max(whole.Seconds(), leastTime))
+	s := max(own.Seconds(), leastTime)
 	if now < l.settled {
 		return
 	}
--- a/policy.go
+++ b/policy.go
@@ -59,6 +59,9 @@
 type Sample struct {
 	// ServiceTime is the time from dispatch to the end of the answer.
 	ServiceTime time.Duration
+	// ChildTime is the part of ServiceTime in which at least one call to a further service was running; zero if the
+	// node does not know. The concurrency limit follows the rest, so that a slow service below does not lower it.
+	ChildTime time.Duration
 	// Overloaded is true if the upstream refused or timed out.
 	Overloaded bool
 	// Ignore is true if the sample tells nothing about the upstream, for example a cancelled call.
--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -226,20 +226,23 @@
 }
 
 func (c *chain) runCall(n *node, id uint64, r *request, share int, reply func(answer)) {
-	start := c.now
+	start, own := c.now, time.Duration(0)
 	n.retrier.Open(id, share, r.deadline)
 	end := func(a answer) {
 		a.unspent = n.retrier.Close(id)
 		a.pressure = c.export(n)
-		ds := n.admitter.Finish(c.now, id, hornbeamcroft.Sample{ServiceTime: c.now - start, Overloaded: c.now >= r.deadline})
+		total := c.now - start
+		ds := n.admitter.Finish(c.now, id, hornbeamcroft.Sample{
+			ServiceTime: total, ChildTime: total - own, Overloaded: c.now >= r.deadline,
+		})
 		reply(a)
 		c.decide(n, ds)
 	}
 	n.running++
 	// The upstream honours the deadline: it stops work that is late.
-	took := min(c.workTime(n), r.deadline-c.now)
-	r.work += took
-	c.after(took, func() {
+	own = min(c.workTime(n), r.deadline-c.now)
+	r.work += own
+	c.after(own, func() {
 		n.running--
 		switch {
 		case c.now >= r.deadline:
