limiter: judge only clear decreases of the limit

Cause: a gradient just below 1 with the additive increase left the limit where it was; the unchanged service time then counted as proof that a lower limit does not help, and the limit ran up to the slots. Change: the effect is judged only after a decrease by 20 % or more.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,6 +22,8 @@
 	overloadShare = 0.1
 	// overloadFactor is the decrease by one window of overload errors.
 	overloadFactor = 0.7
+	// clearDecrease is the least decrease of the limit by which its effect on the service time is judged.
+	clearDecrease = 0.8
 	// helpedFactor is the decrease of the service time that a lowered limit must bring. If it brings less, the calls are
 	// not slowed by one another, and the long-term minimum moves to the present service time at once by half.
 	helpedFactor = 0.9
@@ -44,7 +46,7 @@
 	limit float64
 	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
 	base, short float64
-	// lowered is the smoothed mean at the last decrease by gradient, zero if the last window had none.
+	// lowered is the smoothed mean at a clear decrease in the last window, zero if there was none.
 	lowered float64
 	// settled is when the calls that began before that decrease have ended; samples before it do not show its effect.
 	settled    time.Duration
@@ -157,29 +159,30 @@
 }
 
 func (l *Limiter) adapt() {
-	ceiling := float64(max(l.Ceiling, 1))
 	if float64(l.w.overloaded) > overloadShare*float64(l.w.n+l.w.overloaded) {
 		l.limit = math.Max(1, l.limit*overloadFactor)
 		return
 	}
-	gradient := l.gradient()
-	if gradient == 1 && float64(l.w.peak) < l.limit/2 {
+	l.judge()
+	gradient := 1.0
+	if l.short > tolerance*l.base {
+		gradient = math.Max(leastGradient, tolerance*l.base/l.short)
+	} else if float64(l.w.peak) < l.limit/2 {
 		// A limit that is not used says nothing about a higher one.
 		return
 	}
+	old := l.limit
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
-	l.limit = math.Min(ceiling, math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
+	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, old*gradient+math.Sqrt(old)))
+	if l.limit <= clearDecrease*old {
+		l.lowered = l.short
+	}
 }
 
-// gradient returns the factor of the limit that follows from the service time, leastGradient to 1.
-func (l *Limiter) gradient() float64 {
+// judge raises the long-term minimum if the last clear decrease of the limit did not shorten the service time.
+func (l *Limiter) judge() {
 	if l.lowered > 0 && l.short > helpedFactor*l.lowered {
 		l.base = math.Max(l.base, (l.base+l.short)/2)
 	}
 	l.lowered = 0
-	if l.short <= tolerance*l.base {
-		return 1
-	}
-	l.lowered = l.short
-	return math.Max(leastGradient, tolerance*l.base/l.short)
 }
