limiter: start at the square root of the slots

Cause: an upstream that starts under overload learned the service time of a full upstream as its long-term minimum and kept the limit at the slots. Change: the limit starts at the square root of the slots and grows from there.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -72,7 +72,8 @@
 
 func (l *Limiter) init() {
 	if l.limit == 0 {
-		l.limit = float64(max(l.Ceiling, 1))
+		// A start at the slots would take the service time under contention for the long-term minimum.
+		l.limit = math.Ceil(math.Sqrt(float64(max(l.Ceiling, 1))))
 	}
 }
 
