--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -22,9 +22,13 @@
 	overloadShare = 0.1
 	// overloadFactor is the decrease by one window of overload errors.
 	overloadFactor = 0.7
+	// clearDecrease is the least decrease of the limit by which its effect on the service time is judged.
+	clearDecrease = 0.8
 	// helpedFactor is the decrease of the service time that a lowered limit must bring. If it brings less, the calls are
 	// not slowed by one another, and the long-term minimum moves to the present service time at once by half.
 	helpedFactor = 0.9
+	// leastTime is the least service time in seconds, so that ratios are defined.
+	leastTime = 1e-6
 	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
 	riseTime = 60 * time.Second
 	// medianStep is the relative step of the median estimate for each sample.
@@ -42,7 +46,7 @@
 	limit float64
 	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
 	base, short float64
-	// lowered is the smoothed mean at the last decrease by gradient, zero if the last window had none.
+	// lowered is the smoothed mean at a clear decrease in the last window, zero if there was none.
 	lowered float64
 	// settled is when the calls that began before that decrease have ended; samples before it do not show its effect.
 	settled    time.Duration
@@ -68,15 +72,17 @@
 
 func (l *Limiter) init() {
 	if l.limit == 0 {
-		l.limit = float64(max(l.Ceiling, 1))
+		// A start at the slots would take the service time under contention for the long-term minimum.
+		l.limit = math.Ceil(math.Sqrt(float64(max(l.Ceiling, 1))))
 	}
 }
 
-// Add records a finished call and the number of calls that were in flight with it.
-func (l *Limiter) Add(now, serviceTime time.Duration, inFlight int) {
+// Add records a finished call: its whole service time, the part of it without calls to further services, and the number
+// of calls that were in flight with it.
+func (l *Limiter) Add(now, whole, own time.Duration, inFlight int) {
 	l.init()
-	s := max(serviceTime.Seconds(), 1e-6)
-	l.addMedian(now, s)
+	l.addMedian(now, max(whole.Seconds(), leastTime))
+	s := max(own.Seconds(), leastTime)
 	if now < l.settled {
 		return
 	}
@@ -154,29 +160,30 @@
 }
 
 func (l *Limiter) adapt() {
-	ceiling := float64(max(l.Ceiling, 1))
 	if float64(l.w.overloaded) > overloadShare*float64(l.w.n+l.w.overloaded) {
 		l.limit = math.Max(1, l.limit*overloadFactor)
 		return
 	}
-	gradient := l.gradient()
-	if gradient == 1 && float64(l.w.peak) < l.limit/2 {
+	l.judge()
+	gradient := 1.0
+	if l.short > tolerance*l.base {
+		gradient = math.Max(leastGradient, tolerance*l.base/l.short)
+	} else if float64(l.w.peak) < l.limit/2 {
 		// A limit that is not used says nothing about a higher one.
 		return
 	}
+	old := l.limit
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
-	l.limit = math.Min(ceiling, math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
+	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, old*gradient+math.Sqrt(old)))
+	if l.limit <= clearDecrease*old {
+		l.lowered = l.short
+	}
 }
 
-// gradient returns the factor of the limit that follows from the service time, leastGradient to 1.
-func (l *Limiter) gradient() float64 {
+// judge raises the long-term minimum if the last clear decrease of the limit did not shorten the service time.
+func (l *Limiter) judge() {
 	if l.lowered > 0 && l.short > helpedFactor*l.lowered {
 		l.base = math.Max(l.base, (l.base+l.short)/2)
 	}
 	l.lowered = 0
-	if l.short <= tolerance*l.base {
-		return 1
-	}
-	l.lowered = l.short
-	return math.Max(leastGradient, tolerance*l.base/l.short)
 }
--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -46,7 +46,8 @@
 	importance hornbeamcroft.Importance
 	deadline   time.Duration
 	finish     func(ok bool, retryAfter time.Duration)
-	entry      int // the service at which the request enters
+	entry      int  // the service at which the request enters
+	leaf       bool // true if it calls no further service
 	work       time.Duration
 }
 
@@ -225,27 +226,30 @@
 }
 
 func (c *chain) runCall(n *node, id uint64, r *request, share int, reply func(answer)) {
-	start := c.now
+	start, own := c.now, time.Duration(0)
 	n.retrier.Open(id, share, r.deadline)
 	end := func(a answer) {
 		a.unspent = n.retrier.Close(id)
 		a.pressure = c.export(n)
-		ds := n.admitter.Finish(c.now, id, hornbeamcroft.Sample{ServiceTime: c.now - start, Overloaded: c.now >= r.deadline})
+		total := c.now - start
+		ds := n.admitter.Finish(c.now, id, hornbeamcroft.Sample{
+			ServiceTime: total, ChildTime: total - own, Overloaded: c.now >= r.deadline,
+		})
 		reply(a)
 		c.decide(n, ds)
 	}
 	n.running++
 	// The upstream honours the deadline: it stops work that is late.
-	took := min(c.workTime(n), r.deadline-c.now)
-	r.work += took
-	c.after(took, func() {
+	own = min(c.workTime(n), r.deadline-c.now)
+	r.work += own
+	c.after(own, func() {
 		n.running--
 		switch {
 		case c.now >= r.deadline:
 			end(answer{code: hornbeamcroft.CodeDeadlinePassed})
 		case c.rnd.Float64() < c.cfg.trait(n.index).fail:
 			end(answer{code: hornbeamcroft.CodeOutcomeUnknown})
-		case n.service == c.cfg.services-1:
+		case r.leaf || n.service == c.cfg.services-1:
 			end(answer{ok: true, code: hornbeamcroft.CodeAnswered})
 		default:
 			c.call(n, id, r, c.cfg.tries, func(a answer) {
