--- /dev/null
+++ b/drainer/example_test.go
@@ -0,0 +1,23 @@
+package drainer_test
+
+import (
+	"fmt"
+	"time"
+
+	"hornbeamcroft/drainer"
+)
+
+// A node with one running call refuses new calls, waits for the running one, and leaves after the linger time.
+func Example() {
+	d, _ := drainer.New(drainer.Config{Linger: time.Second, Deadline: time.Minute, HandOverTime: time.Second})
+	d.Begin(drainer.KindLink)
+	fmt.Println(d.Start(0), d.Begin(drainer.KindLink))
+	d.End(drainer.KindLink)
+	fmt.Println(d.Tick(500 * time.Millisecond))
+	d.HandedOver()
+	fmt.Println(d.Tick(time.Second))
+	// Output:
+	// [announce start-epoch] false
+	// [hand-over]
+	// [leave]
+}
