--- a/cmd/hornbeam-standin/caller/caller.go
+++ b/cmd/hornbeam-standin/caller/caller.go
@@ -87,7 +87,7 @@
 		nodes[i] = c.Settings.Nodes[c.rand.IntN(len(c.Settings.Nodes))]
 	}
 	return Action{
-		Target: c.draw(), Marker: fmt.Sprintf("s%d-n%d", c.Settings.Seed, n), Key: uuid.Must(uuid.NewV7()).String(), At: at,
+		Target: c.draw(), Marker: fmt.Sprintf("%ss%d-n%d", c.Settings.Label, c.Settings.Seed, n), Key: uuid.Must(uuid.NewV7()).String(), At: at,
 	}, nodes
 }
 
--- a/cmd/hornbeam-standin/caller/settings.go
+++ b/cmd/hornbeam-standin/caller/settings.go
@@ -21,6 +21,8 @@
 	// Phases change the rate, in ascending order of At.
 	Phases []Phase `json:"phases,omitempty"`
 	Seed   uint64  `json:"seed"`
+	// Label begins the markers, so that loads on the same upstreams are told apart.
+	Label string `json:"label"`
 	// Tries is the number of sends of an action, with the same key and without a pause; at least 1.
 	Tries int `json:"tries"`
 	// Timeout bounds each send.
--- a/cmd/hornbeam-standin/fleet/control.go
+++ b/cmd/hornbeam-standin/fleet/control.go
@@ -203,3 +203,36 @@
 	}
 	return nil
 }
+
+// Status is the part of GET /status of a node that the stand-ins use.
+type Status struct {
+	State            string `json:"state"`
+	DocumentRevision uint64 `json:"document-revision"`
+	Running          int    `json:"running"`
+	Members          []struct {
+		Name  string `json:"name"`
+		State string `json:"state"`
+	} `json:"members"`
+}
+
+// StatusOf returns the status of the node of m.
+func (f *Fleet) StatusOf(m *Member) (Status, error) {
+	var s Status
+	err := f.Operators(m, http.MethodGet, "/status", &s)
+	return s, err
+}
+
+// WaitServing waits until the node of m serves and its own upstream is reached through it.
+func (f *Fleet) WaitServing(ctx context.Context, m *Member) error {
+	err := WaitFor(ctx, m.Name+" serves", func() error {
+		s, err := f.StatusOf(m)
+		if err == nil && s.State != "serving" {
+			err = errors.Errorf("state %s", s.State)
+		}
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return WaitFor(ctx, m.Name+" reaches its service", func() error { return probe(ctx, m.Listen, m.Service+"/"+probeType) })
+}
--- a/cmd/hornbeam-standin/main.go
+++ b/cmd/hornbeam-standin/main.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 	"github.com/zeromicro/go-zero/core/logx"
 
+	"hornbeamcroft/cmd/hornbeam-standin/bench"
 	"hornbeamcroft/cmd/hornbeam-standin/caller"
 	"hornbeamcroft/cmd/hornbeam-standin/demo"
 	"hornbeamcroft/cmd/hornbeam-standin/platform"
@@ -21,6 +22,7 @@
 		Name:  "hornbeam-standin",
 		Usage: "stand-ins for tests, the demo and measurements",
 		Commands: []*cli.Command{
+			bench.Command(),
 			caller.Command(),
 			demo.Command(),
 			platform.Command(),
