--- /dev/null
+++ b/connector/connector_test.go
@@ -0,0 +1,223 @@
+package connector
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/gorilla/websocket"
+	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"hornbeamcroft"
+	"hornbeamcroft/framer"
+)
+
+const testKey = "0123456789abcdef"
+
+// newConnector returns a connector whose calls are answered by onCall.
+func newConnector(t *testing.T, name, key string, onCall func(context.Context, hornbeamcroft.Call) hornbeamcroft.Answer,
+) *Connector {
+	t.Helper()
+	c := &Connector{
+		Self: func() framer.Hello {
+			return framer.Hello{Name: name, Incarnation: 1, Credit: 16, Address: "127.0.0.1:1"}
+		},
+		Key:     []byte(key),
+		MaxBody: func() int { return 1 << 20 },
+		OnCall: func(ctx context.Context, _ framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
+			return onCall(ctx, call)
+		},
+		OnOutcome: func(context.Context, framer.OutcomeQuery) hornbeamcroft.Answer {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeConfirmedNotRun}
+		},
+		OnMessage: func(*Link, framer.Type, []byte) error { return nil },
+		Log:       &log.Logger{Level: log.PanicLevel},
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go c.Run(ctx)
+	return c
+}
+
+// serve accepts links of c and returns the address.
+func serve(t *testing.T, c *Connector) string {
+	t.Helper()
+	s := httptest.NewServer(nil)
+	s.Config.Handler = http.HandlerFunc(c.Accept)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func echo(_ context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: 200, Body: call.Body}
+}
+
+func testCall(id uint64, body []byte) hornbeamcroft.Call {
+	return hornbeamcroft.Call{
+		ID: id, Request: "r", Service: "s", Type: "t", Depth: 1, Remaining: 5 * time.Second, Body: body,
+	}
+}
+
+// TestBodiesArriveWhole guards against mixed-up or truncated bodies when large and small calls share a link.
+func TestBodiesArriveWhole(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, newConnector(t, "b", testKey, echo))
+	l, err := newConnector(t, "a", testKey, echo).Link(context.Background(), address)
+	is.NoErr(err)
+	var wg sync.WaitGroup
+	var wrong atomic.Int64
+	for i := range 64 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			body := bytes.Repeat([]byte{byte(i)}, 1+i*i*37) // up to 147 kB, more than four chunks
+			a, err := l.Call(context.Background(), testCall(uint64(i+1), body))
+			if err != nil || !bytes.Equal(a.Body, body) {
+				wrong.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	is.Equal(wrong.Load(), int64(0))
+}
+
+// TestWrongKeyIsRejected guards against a peer without the cluster key.
+func TestWrongKeyIsRejected(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, newConnector(t, "b", testKey, echo))
+	_, err := newConnector(t, "a", "another-key-0123", echo).Link(context.Background(), address)
+	is.True(err != nil)
+}
+
+// TestLateAnswerIsDropped guards against an answer that reaches another call after its own was given up.
+func TestLateAnswerIsDropped(t *testing.T) {
+	is := is.New(t)
+	release := make(chan struct{})
+	address := serve(t, newConnector(t, "b", testKey, func(_ context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+		if call.ID == 1 {
+			<-release
+		}
+		return echo(nil, call)
+	}))
+	a := newConnector(t, "a", testKey, echo)
+	l, err := a.Link(context.Background(), address)
+	is.NoErr(err)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for l.inFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	_, err = l.Call(ctx, testCall(1, []byte("first")))
+	is.True(err != nil)
+	close(release)
+	answer, err := l.Call(context.Background(), testCall(2, []byte("second")))
+	is.NoErr(err)
+	is.Equal(string(answer.Body), "second")
+	for a.LateAnswers.Load() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestMalformedFrameClosesLink guards against a peer that keeps a link after a frame that cannot be decoded.
+func TestMalformedFrameClosesLink(t *testing.T) {
+	is := is.New(t)
+	address := serve(t, newConnector(t, "b", testKey, echo))
+	l, err := newConnector(t, "a", testKey, echo).Link(context.Background(), address)
+	is.NoErr(err)
+	l.writeMu.Lock()
+	err = l.conn.WriteMessage(websocket.BinaryMessage, []byte{byte(framer.TypeCall), 0xff, 0x00})
+	l.writeMu.Unlock()
+	is.NoErr(err)
+	<-l.done
+}
+
+// TestSilentLinkIsReplaced guards against a connection that a device in between has forgotten: nothing arrives and
+// nothing fails. The link must end by itself, and a new one over the same address must work and tell the outcome.
+func TestSilentLinkIsReplaced(t *testing.T) {
+	is := is.New(t)
+	proxy := newSilencer(t, serve(t, newConnector(t, "b", testKey, echo)))
+	a := newConnector(t, "a", testKey, echo)
+	l, err := a.Link(context.Background(), proxy.address)
+	is.NoErr(err)
+	_, err = l.Call(context.Background(), testCall(1, []byte("x")))
+	is.NoErr(err)
+	proxy.silence()
+	_, err = l.Call(context.Background(), testCall(2, []byte("x")))
+	is.Equal(err, ErrLinkLost)
+	is.Equal(a.Silent.Load(), int64(1))
+	again, err := a.Link(context.Background(), proxy.address)
+	is.NoErr(err)
+	answer, err := again.Outcome(context.Background(), framer.OutcomeQuery{Sender: "a", Incarnation: 1, ID: 2})
+	is.NoErr(err)
+	is.Equal(answer.Code, hornbeamcroft.CodeConfirmedNotRun)
+}
+
+// silencer is a TCP proxy that can stop to pass bytes on its open connections without closing them.
+type silencer struct {
+	address string
+
+	mu     sync.Mutex
+	silent []*atomic.Bool
+}
+
+func newSilencer(t *testing.T, target string) *silencer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	s := &silencer{address: l.Addr().String()}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			out, err := net.Dial("tcp", target)
+			if err != nil {
+				_ = in.Close()
+				continue
+			}
+			silent := new(atomic.Bool)
+			s.mu.Lock()
+			s.silent = append(s.silent, silent)
+			s.mu.Unlock()
+			go pass(in, out, silent)
+			go pass(out, in, silent)
+		}
+	}()
+	return s
+}
+
+func (s *silencer) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, b := range s.silent {
+		b.Store(true)
+	}
+}
+
+func pass(from io.Reader, to io.Writer, silent *atomic.Bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if err != nil {
+			return
+		}
+		if !silent.Load() {
+			_, _ = to.Write(buf[:n])
+		}
+	}
+}
--- a/server/listen.go
+++ b/server/listen.go
@@ -14,6 +14,8 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"hornbeamcroft/loader"
 )
 
 // readHeaderTimeout bounds the time in which a connection must send the header of a request.
@@ -27,7 +29,7 @@
 
 // newRest returns a rest server on the address with all middlewares off: the shedder, the breaker and the timeout would
 // take admission decisions a second time, and the log writes a line for each request.
-func newRest(name, address string) (*rest.Server, error) {
+func newRest(name, address string, sec loader.SecuritySettings, opts ...rest.RunOption) (*rest.Server, error) {
 	host, portText, err := net.SplitHostPort(address)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
@@ -42,8 +44,8 @@
 			// go-zero ends the process by itself some time after a signal; a planned stop may take longer.
 			Shutdown: proc.ShutdownConf{WrapUpTime: time.Hour, WaitTime: 2 * time.Hour},
 		},
-		Host: host, Port: port, Middlewares: rest.MiddlewaresConf{},
-	})
+		Host: host, Port: port, CertFile: sec.TLSCert, KeyFile: sec.TLSKey, Middlewares: rest.MiddlewaresConf{},
+	}, opts...)
 }
 
 // start serves until the returned function is called. A failure to listen goes to ends.
@@ -73,12 +75,16 @@
 
 func (s *Server) listenPublic(ends chan<- error) (stopFunc, error) {
 	address := s.Settings.Node.Listen
-	server, err := newRest("hornbeam-node", address)
+	var opts []rest.RunOption
+	if s.acceptTLS != nil {
+		opts = append(opts, rest.WithTLSConfig(s.acceptTLS))
+	}
+	server, err := newRest("hornbeam-node", address, s.Settings.Security, opts...)
 	if err != nil {
 		return nil, err
 	}
 	server.AddRoute(rest.Route{Method: http.MethodPost, Path: "/call/:service/:type", Handler: s.serveCall})
-	server.AddRoute(rest.Route{Method: http.MethodGet, Path: "/link", Handler: s.links.Accept})
+	server.AddRoute(rest.Route{Method: http.MethodGet, Path: "/link", Handler: s.acceptLink})
 	return start(server, address, ends)
 }
 
@@ -91,7 +97,7 @@
 
 func (s *Server) listenOperators(ends chan<- error) (stopFunc, error) {
 	address := s.Settings.Node.OperatorsListen
-	server, err := newRest("hornbeam-node-operators", address)
+	server, err := newRest("hornbeam-node-operators", address, loader.SecuritySettings{})
 	if err != nil {
 		return nil, err
 	}
--- a/server/server.go
+++ b/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,7 @@
 
 	clock       clock
 	incarnation uint64
+	acceptTLS   *tls.Config
 	document    atomic.Pointer[hornbeamcroft.Document]
 	acceptMu    sync.Mutex
 	draining    atomic.Bool
@@ -121,10 +123,16 @@
 	if cfg.Policy.Retries == "per-hop" {
 		perHop = perHopAttempts
 	}
+	accept, dial, err := tlsConfigs(cfg.Security)
+	if err != nil {
+		return errors.Wrap(err, "server")
+	}
+	s.acceptTLS = accept
 	s.calls = registrar.New(s.clock, perHop)
 	s.links = &connector.Connector{
 		Self:      s.hello,
 		Key:       []byte(cfg.Security.ClusterKey),
+		TLS:       dial,
 		MaxBody:   s.maxBody,
 		OnCall:    s.onCall,
 		OnOutcome: s.onOutcome,
@@ -134,11 +142,9 @@
 	}
 	s.epochs = &epochReader{s: s}
 	s.documents = newDocuments(s)
-	members, err := newMembership(s)
-	if err != nil {
+	if s.members, err = newMembership(s); err != nil {
 		return errors.Wrap(err, "server")
 	}
-	s.members = members
 	if cfg.Node.Upstream != "" {
 		s.buildExecutor()
 		s.buildArbiter()
