--- a/cmd/hornbeam-standin/platform/faults.go
+++ b/cmd/hornbeam-standin/platform/faults.go
@@ -16,6 +16,8 @@
 	Delay int `json:"delay"`
 	// LoseAnswers is the number of writes that are applied but not answered; -1 loses all.
 	LoseAnswers int `json:"lose-answers"`
+	// ThenDown sets Down as soon as an answer was lost.
+	ThenDown bool `json:"then-down"`
 	// StaleCopy names a saved copy from which reads are answered; empty means the current data.
 	StaleCopy string `json:"stale-copy"`
 	// HoldWatches stops the delivery of events while it is set; the events are not lost.
@@ -61,11 +63,14 @@
 func (c *control) loseAnswer() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if c.faults.LoseAnswers == 0 {
+		return false
+	}
 	if c.faults.LoseAnswers > 0 {
 		c.faults.LoseAnswers--
-		return true
 	}
-	return c.faults.LoseAnswers < 0
+	c.faults.Down = c.faults.Down || c.faults.ThenDown
+	return true
 }
 
 // before counts a call and applies the switches that act before it.
--- /dev/null
+++ b/cmd/hornbeamctl/script_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"hornbeamcroft"
+	"hornbeamcroft/cmd/hornbeam-standin/platform"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"hornbeamctl": main})
+}
+
+// TestScripts guards the command's output and exit statuses against each failure that a script plays.
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata/scripts",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"faults": func(ts *testscript.TestScript, _ bool, args []string) { control(ts, http.MethodPut, "faults", args[0]) },
+			"save": func(ts *testscript.TestScript, _ bool, args []string) {
+				control(ts, http.MethodPost, "copies/"+args[0], "")
+			},
+			"restore": func(ts *testscript.TestScript, _ bool, args []string) {
+				control(ts, http.MethodPost, "restore/"+args[0], "")
+			},
+			"node-revision": func(ts *testscript.TestScript, _ bool, args []string) {
+				var n uint64
+				_, err := fmt.Sscan(args[0], &n)
+				ts.Check(err)
+				ts.Value("revision").(*atomic.Uint64).Store(n)
+			},
+			"exits": exits,
+		},
+	})
+}
+
+// setup starts a store and two nodes; a third address is dead.
+func setup(env *testscript.Env) error {
+	store, err := platform.New()
+	if err != nil {
+		return err
+	}
+	web := httptest.NewServer(store)
+	env.Defer(web.Close)
+	var revision atomic.Uint64
+	env.Values["revision"] = &revision
+	env.Values["store"] = web.URL
+	env.Setenv("STORE", strings.TrimPrefix(web.URL, "http://"))
+	for i, name := range []string{"cash-1", "desk-1"} {
+		node := httptest.NewServer(nodeHandler(name, &revision))
+		env.Defer(node.Close)
+		env.Setenv(fmt.Sprintf("NODE%d", i+1), strings.TrimPrefix(node.URL, "http://"))
+	}
+	env.Setenv("DEAD", "127.0.0.1:1")
+	return nil
+}
+
+func nodeHandler(name string, revision *atomic.Uint64) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintf(w, `{"name":%q,"service":"cash","zone":"brest","state":"serving","document-revision":%d,
+			"members":[{"name":"cash-1"},{"name":"lost-1","service":"cash","zone":"vannes"}]}`, name, revision.Load())
+	})
+	authorized := func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Authorization") != "Bearer secret" {
+			http.Error(w, "unauthorized", http.StatusUnauthorized)
+			return
+		}
+		_, _ = io.WriteString(w, `{"started-at":1}`)
+	}
+	mux.HandleFunc("POST /drain", authorized)
+	mux.HandleFunc("GET /slo", authorized)
+	return mux
+}
+
+// control calls a control endpoint of the store.
+func control(ts *testscript.TestScript, method, path, body string) {
+	r, err := http.NewRequest(method, ts.Value("store").(string)+"/control/"+path, strings.NewReader(body))
+	ts.Check(err)
+	resp, err := http.DefaultClient.Do(r)
+	ts.Check(err)
+	_ = resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		ts.Fatalf("control: %s", resp.Status)
+	}
+}
+
+// exits runs hornbeamctl and compares the exit status: exits STATUS ARGS.
+func exits(ts *testscript.TestScript, _ bool, args []string) {
+	err := ts.Exec("hornbeamctl", args[1:]...)
+	got := "0"
+	if err != nil {
+		got = strings.TrimPrefix(err.Error(), "exit status ")
+	}
+	if got != args[0] {
+		ts.Fatalf("exit status %s, want %s", got, args[0])
+	}
+}
+
+// TestCodesPage guards against a page that differs from the table in the code.
+func TestCodesPage(t *testing.T) {
+	page, err := os.ReadFile("../../docs/codes.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	codes(&b, true)
+	if !strings.Contains(string(page), b.String()) {
+		t.Errorf("docs/codes.md needs this table (hornbeamctl codes --markdown):\n%s", b.String())
+	}
+}
+
+func Example_codes() {
+	line(os.Stdout, "%s", hornbeamcroft.CodeConflict)
+	// Output: 502 conflict
+}
--- a/code.go
+++ b/code.go
@@ -98,6 +98,8 @@
 	CodeStoreBehind      Code = 505
 	CodeNotOwner         Code = 506
 	CodeUnchanged        Code = 507
+	CodeNodeUnreachable  Code = 508
+	CodeUsage            Code = 509
 )
 
 // CodeInfo describes a result code for the table in the docs and for hornbeamctl codes.
@@ -160,6 +162,8 @@
 	{CodeStoreBehind, "store-behind", 6, "The store holds an older document than the nodes; nothing was written."},
 	{CodeNotOwner, "not-owner", 7, "The section belongs to another owner; nothing was written."},
 	{CodeUnchanged, "unchanged", 0, "The accepted document already has this content."},
+	{CodeNodeUnreachable, "node-unreachable", 8, "A node that the command needs did not answer."},
+	{CodeUsage, "usage", 2, "The command line or the settings are wrong; nothing was done."},
 }
 
 var codeInfos = func() map[Code]CodeInfo {
--- a/parser/parser_test.go
+++ b/parser/parser_test.go
@@ -1,6 +1,8 @@
 package parser
 
 import (
+	"os"
+	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -105,3 +107,33 @@
 	_, err := ParseText([]byte("[service a]\nowner = x\nslots = 0\nconnections = many\ncalls = b\n[strange]\nowner = x\n"))
 	is.Equal(len(AsProblems(err)), 4)
 }
+
+// TestGenerations guards against a file from hornbeamctl show whose generations get lost or stay in the text.
+func TestGenerations(t *testing.T) {
+	is := is.New(t)
+	sections, err := Split([]byte(small))
+	is.NoErr(err)
+	for i := range sections {
+		sections[i].Generation = uint64(i + 1)
+	}
+	marked, err := Split(JoinWithGenerations(sections))
+	is.NoErr(err)
+	is.Equal(TakeGenerations(marked), sections)
+}
+
+// TestExamples guards against example documents that no longer pass the check.
+func TestExamples(t *testing.T) {
+	files, err := filepath.Glob("../examples/*.ini")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no examples", err)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ParseText(text); err != nil {
+			t.Errorf("%s: %v", file, err)
+		}
+	}
+}
--- a/parser/split.go
+++ b/parser/split.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"regexp"
+	"slices"
+	"strconv"
 	"strings"
 
 	"gopkg.in/ini.v1"
@@ -91,3 +94,27 @@
 	line, _, _ := strings.Cut(text, "\n")
 	return line
 }
+
+var generationLine = regexp.MustCompile(`(?m)^; generation ([0-9]{1,19})$\n?`)
+
+// JoinWithGenerations returns the sections as INI text with a comment that states the generation of each, so that a file
+// that is edited and applied later is checked against edits made meanwhile.
+func JoinWithGenerations(sections []hornbeamcroft.Section) []byte {
+	marked := slices.Clone(sections)
+	for i, s := range marked {
+		marked[i].Text = fmt.Sprintf("; generation %d\n%s", s.Generation, s.Text)
+	}
+	return Join(marked)
+}
+
+// TakeGenerations moves the generations stated by JoinWithGenerations from the texts to the sections.
+func TakeGenerations(sections []hornbeamcroft.Section) []hornbeamcroft.Section {
+	taken := slices.Clone(sections)
+	for i, s := range taken {
+		if m := generationLine.FindStringSubmatch(s.Text); m != nil {
+			taken[i].Generation, _ = strconv.ParseUint(m[1], 10, 64)
+			taken[i].Text = strings.TrimSpace(generationLine.ReplaceAllString(s.Text, ""))
+		}
+	}
+	return taken
+}
