sloreporter: add counts, burn rates and reports

What nobody counted counts as missed in the budget that is shown, so that a restart cannot make it look better; a planned stop hands its counts to another node.

--- /dev/null
+++ b/sloreporter/sloreporter_test.go
@@ -0,0 +1,231 @@
+package sloreporter
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"hornbeamcroft"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/testscript"
+	"pgregory.net/rapid"
+)
+
+// The seed is fixed, so that a failure in CI can be repeated.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+var objective = hornbeamcroft.Objective{
+	Service: "order-desk", Request: "order", Answered: 0.9, Within: time.Second, WithinShare: 0.8, Period: 24 * time.Hour,
+}
+
+// fleet is a few nodes on a virtual wall clock.
+type fleet struct {
+	wall  time.Time
+	nodes map[string]*Reporter
+	names []string
+	// steady are the same nodes if none had ever stopped.
+	steady map[string]*Reporter
+}
+
+func newFleet() *fleet {
+	return &fleet{wall: epoch, nodes: map[string]*Reporter{}, steady: map[string]*Reporter{}}
+}
+
+func (f *fleet) start(name string) {
+	r := New(f.wall, name, uint64(f.wall.UnixMilli()))
+	if err := r.Register(f.wall, objective.Service, objective.Request); err != nil {
+		panic(err)
+	}
+	if !slices.Contains(f.names, name) {
+		f.names = append(f.names, name)
+		f.steady[name] = New(f.wall, name, 0)
+		_ = f.steady[name].Register(f.wall, objective.Service, objective.Request)
+	}
+	f.nodes[name] = r
+}
+
+// run lets each node that is up record the outcomes once a second.
+func (f *fleet) run(d time.Duration, outcomes map[string]Outcome) {
+	for end := f.wall.Add(d); f.wall.Before(end); {
+		f.wall = f.wall.Add(time.Second)
+		for _, name := range f.names {
+			for _, r := range []*Reporter{f.nodes[name], f.steady[name]} {
+				if r != nil {
+					r.Tick(f.wall)
+					r.Record(f.wall, objective.Service, objective.Request, outcomes[name])
+				}
+			}
+		}
+	}
+}
+
+func (f *fleet) report(nodes map[string]*Reporter) Report {
+	in := Input{Wall: f.wall, Nodes: f.names, Objectives: []hornbeamcroft.Objective{objective}}
+	for _, n := range f.names {
+		if nodes[n] != nil {
+			in.Counts = append(in.Counts, nodes[n].Snapshot(f.wall)...)
+		}
+	}
+	return Build(in)
+}
+
+// TestScripts runs the scenarios under testdata.
+func TestScripts(t *testing.T) {
+	up := func(e *testscript.Env) error {
+		e.Values["fleet"] = newFleet()
+		return nil
+	}
+	testscript.Run(t, testscript.Params{Dir: "testdata", Setup: up, Cmds: map[string]func(*testscript.TestScript, bool, []string){
+		"start": cmdStart, "run": cmdRun, "halt": cmdHalt, "report": cmdReport, "budget-not-better": cmdNotBetter,
+	}})
+}
+
+func cmdStart(ts *testscript.TestScript, _ bool, args []string) {
+	for _, n := range args {
+		ts.Value("fleet").(*fleet).start(n)
+	}
+}
+
+// run TIME [NODE=OUTCOME]... ; the others are good.
+func cmdRun(ts *testscript.TestScript, _ bool, args []string) {
+	d, err := time.ParseDuration(args[0])
+	ts.Check(err)
+	outcomes := map[string]Outcome{}
+	for _, a := range args[1:] {
+		n, o, _ := strings.Cut(a, "=")
+		outcomes[n] = map[string]Outcome{"bad": OutcomeBad, "slow": OutcomeSlow, "refused": OutcomeRefused}[o]
+	}
+	ts.Value("fleet").(*fleet).run(d, outcomes)
+}
+
+// halt NODE [HEIR] stops a node, with a handover of its counts if an heir is named.
+func cmdHalt(ts *testscript.TestScript, _ bool, args []string) {
+	f := ts.Value("fleet").(*fleet)
+	if len(args) > 1 {
+		for range 2 { // the message may arrive twice
+			for _, c := range f.nodes[args[0]].Snapshot(f.wall) {
+				ts.Check(c.Check())
+				ts.Check(f.nodes[args[1]].Adopt(f.wall, c))
+			}
+		}
+	}
+	f.nodes[args[0]] = nil
+}
+
+// report prints the table to stdout.
+func cmdReport(ts *testscript.TestScript, _ bool, _ []string) {
+	f := ts.Value("fleet").(*fleet)
+	ts.Check(f.report(f.nodes).WriteText(ts.Stdout()))
+}
+
+// budget-not-better [at-most] compares with a fleet in which no node ever stopped.
+func cmdNotBetter(ts *testscript.TestScript, neg bool, args []string) {
+	f := ts.Value("fleet").(*fleet)
+	got, want := f.report(f.nodes).Objectives[0], f.report(f.steady).Objectives[0]
+	better := got.BudgetAtLeast > want.BudgetAtLeast+1e-9
+	if len(args) > 0 {
+		better = got.BudgetAtMost > want.BudgetAtMost+1e-9
+	}
+	if better != neg {
+		ts.Fatalf("budget %f to %f; without restarts %f", got.BudgetAtLeast, got.BudgetAtMost, want.BudgetAtLeast)
+	}
+}
+
+// TestMergeOrder guards against a report that depends on the order of the nodes, or counts an answer twice.
+func TestMergeOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		is := is.NewRelaxed(t)
+		f := newFleet()
+		for i := range 4 {
+			f.start(strconv.Itoa(i))
+			f.run(time.Duration(rapid.IntRange(1, 200).Draw(t, "seconds"))*time.Second, map[string]Outcome{"0": OutcomeBad})
+		}
+		in := Input{Wall: f.wall, Nodes: f.names, Objectives: []hornbeamcroft.Objective{objective}}
+		for _, n := range f.names {
+			in.Counts = append(in.Counts, f.nodes[n].Snapshot(f.wall)...)
+		}
+		mixed := in
+		mixed.Counts = rapid.Permutation(append(in.Counts, in.Counts...)).Draw(t, "mixed")
+		is.Equal(Build(in), Build(mixed))
+	})
+}
+
+// TestBurnRates guards against wrong rates and pages: half of the requests missed with 10 % allowed burn at 5.
+func TestBurnRates(t *testing.T) {
+	is := is.New(t)
+	f := newFleet()
+	f.start("a")
+	f.start("b")
+	f.run(7*time.Hour, map[string]Outcome{"a": OutcomeBad})
+	o := f.report(f.nodes).Objectives[0]
+	for _, b := range o.Burns {
+		is.True(math.Abs(b.Short-5) < 1e-9)
+		is.True(math.Abs(b.Long-5) < 1e-9)
+	}
+	is.Equal([]bool{o.Burns[0].Pages, o.Burns[1].Pages, o.Burns[2].Pages, o.Burns[3].Pages}, []bool{false, false, true, true})
+	is.Equal(o.Burns[0].CoverageLong, 1.0)
+	is.True(o.Burns[2].CoverageLong < 0.31) // 7 of 24 hours
+	b, err := json.Marshal(f.report(f.nodes))
+	is.NoErr(err)
+	is.True(strings.Contains(string(b), `"budget-at-least"`))
+}
+
+// FuzzCounts guards against counts from outside that pass Check and then crash a report or an adoption.
+func FuzzCounts(f *testing.F) {
+	r := New(epoch, "a", 1)
+	_ = r.Register(epoch, objective.Service, objective.Request)
+	r.Tick(epoch.Add(time.Second))
+	b, err := cbor.Marshal(r.Snapshot(epoch.Add(time.Second))[0])
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		var c Counts
+		if cbor.Unmarshal(b, &c) != nil || c.Check() != nil {
+			return
+		}
+		_ = New(epoch, "b", 2).Adopt(epoch, c)
+		Build(Input{Wall: epoch, Counts: []Counts{c}, Objectives: []hornbeamcroft.Objective{objective}})
+	})
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := New(epoch, "a", 1)
+	_ = r.Register(epoch, objective.Service, objective.Request)
+	for b.Loop() {
+		r.Record(epoch, objective.Service, objective.Request, OutcomeGood)
+	}
+}
+
+func BenchmarkBuild1400(b *testing.B) {
+	in := Input{Wall: epoch, Objectives: []hornbeamcroft.Objective{objective}}
+	r := New(epoch.Add(-30*24*time.Hour), "a", 1)
+	_ = r.Register(epoch.Add(-30*24*time.Hour), objective.Service, objective.Request)
+	for at := epoch.Add(-30 * 24 * time.Hour); at.Before(epoch); at = at.Add(5 * time.Second) {
+		r.Tick(at)
+	}
+	for i := range 1400 {
+		c := r.Snapshot(epoch)[0]
+		c.Node = fmt.Sprint(i)
+		in.Counts = append(in.Counts, c)
+		in.Nodes = append(in.Nodes, c.Node)
+	}
+	for b.Loop() {
+		Build(in)
+	}
+}
