--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -149,6 +149,10 @@
 	return true
 }
 
+// Admit takes on a piece of work that must not be refused even while draining, for example a call with a key whose home
+// is still this node.
+func (d *Drainer) Admit(k Kind) { d.status.InFlight[k]++ }
+
 // End tells that a piece of work is over, its whole answer sent.
 func (d *Drainer) End(k Kind) {
 	if d.status.InFlight[k] > 0 {
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -41,6 +41,7 @@
 	TypeSuspect
 	TypeCleared
 	TypeTurn
+	TypeSLOCounts
 
 	typeEnd
 )
--- a/server/document.go
+++ b/server/document.go
@@ -223,6 +223,7 @@
 // applyDocument passes changed limits to the parts that keep a copy.
 func (s *Server) applyDocument(old, doc *hornbeamcroft.Document) {
 	s.forwarder.Reconfigure(changedServices(old, doc))
+	s.slo.configure(doc)
 	if s.executor == nil {
 		return
 	}
--- a/server/drain.go
+++ b/server/drain.go
@@ -1,56 +1,130 @@
 package server
 
 import (
-	"context"
+	"sync"
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/drainer"
 )
 
-// leaveTime is how long the node keeps its links after it has announced that it left, so that the announcement arrives.
-const leaveTime = 200 * time.Millisecond
-
-// leaveRosterTime bounds the wait for a roster epoch without this node.
-const leaveRosterTime = 5 * time.Second
-
-// startDrain begins a planned stop; further calls change nothing.
-func (s *Server) startDrain() {
-	s.drainOnce.Do(func() { close(s.drainStart) })
-}
-
-// drain announces the planned stop, refuses new work, and waits until what is in flight has ended.
-func (s *Server) drain() {
-	s.Log.Info().Msg("server: draining")
-	s.drainedAt.Store(int64(s.clock.Now()))
-	s.draining.Store(true)
-	s.members.announce(hornbeamcroft.MemberDraining)
-	ctx, cancel := context.WithTimeout(context.Background(), s.Settings.Node.DrainTimeout)
-	defer cancel()
-	// Peers that have not yet heard of the drain still send calls; these are refused and go elsewhere.
-	pause(ctx, leaveTime)
-	for ctx.Err() == nil && s.serving.Load()+s.outside.Load() > 0 {
-		pause(ctx, 5*time.Millisecond)
+const (
+	// leaveTime is how long the node keeps its links after it has announced that it left, so that the announcement
+	// arrives.
+	leaveTime = 200 * time.Millisecond
+	// drainTick is how often a stop looks whether its next step is due.
+	drainTick = 5 * time.Millisecond
+	// drainHomeTime is how long a draining node still takes new keys while it is their home, so that a planned stop
+	// refuses fewer of them. It is below the 2 s after which a leaving upstream gets no new work.
+	drainHomeTime = 1500 * time.Millisecond
+)
+
+// drain drives the drainer.
+type drain struct {
+	s     *Server
+	start chan struct{}
+	once  sync.Once
+
+	mu        sync.Mutex
+	core      *drainer.Drainer
+	draining  bool
+	startedAt time.Duration
+}
+
+func newDrain(s *Server) (*drain, error) {
+	core, err := drainer.New(drainer.Config{
+		Linger: drainer.DefaultLinger, Deadline: max(s.Settings.Node.DrainTimeout, drainer.DefaultLinger),
+		HandOverTime: drainer.DefaultHandOverTime,
+	})
+	if err != nil {
+		return nil, err
 	}
-	if n := s.serving.Load() + s.outside.Load(); n > 0 {
-		s.Log.Warn().Int64("calls", n).Msg("server: drain timeout, calls are cut")
+	return &drain{s: s, core: core, start: make(chan struct{})}, nil
+}
+
+// ask begins a planned stop; further calls change nothing.
+func (d *drain) ask() {
+	d.once.Do(func() { close(d.start) })
+}
+
+// begin takes on a piece of work, or reports false while draining.
+func (d *drain) begin(k drainer.Kind) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Begin(k)
+}
+
+// admit takes on a call of a key whose home is this node, unless the node has been draining for too long.
+func (d *drain) admit() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.draining && d.s.clock.Now()-d.startedAt > drainHomeTime {
+		return false
 	}
-	s.leaveRoster(ctx)
-	s.members.announce(hornbeamcroft.MemberLeft)
-	time.Sleep(leaveTime)
+	d.core.Admit(drainer.KindLink)
+	return true
+}
+
+func (d *drain) end(k drainer.Kind) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.End(k)
+}
+
+func (d *drain) active() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining
 }
 
-// leaveRoster waits until the service's roster epoch is without this node and its key records are handed over. While the
-// store is down the epoch cannot change, and the records are lost.
-func (s *Server) leaveRoster(ctx context.Context) {
-	if s.arbiter == nil {
-		return
+func (d *drain) status() drainer.Status {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.core.Status(d.s.clock.Now())
+}
+
+// run carries out a planned stop and returns when the node may end.
+func (d *drain) run() {
+	d.s.Log.Info().Msg("drainer: planned stop begins")
+	d.mu.Lock()
+	d.draining, d.startedAt = true, d.s.clock.Now()
+	actions := d.core.Start(d.startedAt)
+	d.mu.Unlock()
+	handingOver := false
+	for {
+		for _, a := range actions {
+			switch a {
+			case drainer.ActionAnnounce:
+				d.s.members.announce(hornbeamcroft.MemberDraining)
+			case drainer.ActionStartEpoch:
+				// The other members propose the epoch when they hear of the stop.
+			case drainer.ActionHandOver:
+				handingOver = true
+			case drainer.ActionLeave:
+				d.leave()
+				return
+			}
+		}
+		time.Sleep(drainTick)
+		left := handingOver && (d.s.arbiter == nil || d.s.arbiter.Left())
+		d.mu.Lock()
+		if left {
+			d.core.HandedOver()
+		}
+		actions = d.core.Tick(d.s.clock.Now())
+		d.mu.Unlock()
 	}
-	ctx, cancel := context.WithTimeout(ctx, leaveRosterTime)
-	defer cancel()
-	for ctx.Err() == nil && !s.arbiter.Left() {
-		pause(ctx, 10*time.Millisecond)
+}
+
+func (d *drain) leave() {
+	st := d.status()
+	if st.Interrupted > 0 {
+		d.s.Log.Warn().Int("calls", st.Interrupted).Msg("drainer: deadline passed, calls are interrupted")
 	}
-	if ctx.Err() != nil {
-		s.Log.Warn().Msg("server: left without handing over key records")
+	if st.HandOverCut {
+		d.s.Log.Warn().Msg("drainer: left without handing over key records")
 	}
+	d.s.slo.handOver()
+	d.s.members.announce(hornbeamcroft.MemberLeft)
+	time.Sleep(leaveTime)
 }
--- a/server/home.go
+++ b/server/home.go
@@ -3,21 +3,17 @@
 import (
 	"context"
 	"slices"
-	"time"
 
 	"hornbeamcroft"
 	"hornbeamcroft/arbiter"
 	"hornbeamcroft/deduper"
+	"hornbeamcroft/drainer"
 	"hornbeamcroft/executor"
 	"hornbeamcroft/forwarder"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/owner"
 )
 
-// drainHomeTime is how long a draining node still takes new keys while it is their home, so that a planned stop refuses
-// fewer of them. It is below the 2 s after which a leaving upstream gets no new work.
-const drainHomeTime = 1500 * time.Millisecond
-
 func (s *Server) buildArbiter() {
 	n := s.Settings.Node
 	s.arbiter = &arbiter.Arbiter{
@@ -61,9 +57,10 @@
 // executeOnce runs a non-idempotent call at the own upstream if this node is the home of its key.
 func (s *Server) executeOnce(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	return s.arbiter.Execute(ctx, call, func(mayStart func() (int64, hornbeamcroft.Code)) hornbeamcroft.Answer {
-		if s.draining.Load() && s.clock.Now()-time.Duration(s.drainedAt.Load()) > drainHomeTime {
+		if !s.drain.admit() {
 			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
 		}
+		defer s.drain.end(drainer.KindLink)
 		return s.quarantine.execute(ctx, call, func(alone bool) hornbeamcroft.Answer {
 			return s.executor.Execute(ctx, call, executor.Options{MayStart: mayStart, Detached: true, Alone: alone})
 		})
--- a/server/listen.go
+++ b/server/listen.go
@@ -15,6 +15,7 @@
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
+	"hornbeamcroft/drainer"
 	"hornbeamcroft/loader"
 )
 
@@ -89,8 +90,17 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	s.outside.Add(1)
-	defer s.outside.Add(-1)
+	// A call is counted until its whole answer is written. While draining, the receiver refuses outside callers.
+	kind := drainer.KindHTTP
+	if !s.drain.begin(kind) {
+		kind = drainer.KindChild
+		if !s.drain.begin(kind) {
+			kind = drainer.KindCount
+		}
+	}
+	if kind != drainer.KindCount {
+		defer s.drain.end(kind)
+	}
 	vars := pathvar.Vars(r)
 	s.receiver.Serve(w, r, vars["service"], vars["type"])
 }
@@ -105,6 +115,7 @@
 		{Method: http.MethodGet, Path: "/", Handler: s.openOnLoopback(s.serveStatusPage)},
 		{Method: http.MethodGet, Path: "/status", Handler: s.openOnLoopback(s.serveStatus)},
 		{Method: http.MethodGet, Path: "/metrics", Handler: s.authorized(s.serveMetrics)},
+		{Method: http.MethodGet, Path: "/slo", Handler: s.authorized(s.serveSLO)},
 		{Method: http.MethodPost, Path: "/drain", Handler: s.authorized(s.serveDrain)},
 	})
 	return start(server, address, ends)
--- a/server/members.go
+++ b/server/members.go
@@ -288,6 +288,17 @@
 	return names
 }
 
+// neighbours returns the names of the peers that the tracker links to.
+func (m *membership) neighbours() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, p := range m.tracker.Links() {
+		names = append(names, p.Name)
+	}
+	return names
+}
+
 func (m *membership) wantsLease() bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/server/server.go
+++ b/server/server.go
@@ -18,6 +18,7 @@
 	"hornbeamcroft/connector"
 	"hornbeamcroft/deduper"
 	"hornbeamcroft/dispatcher"
+	"hornbeamcroft/drainer"
 	"hornbeamcroft/executor"
 	"hornbeamcroft/filer"
 	"hornbeamcroft/forwarder"
@@ -50,12 +51,6 @@
 	acceptTLS   *tls.Config
 	document    atomic.Pointer[hornbeamcroft.Document]
 	acceptMu    sync.Mutex
-	draining    atomic.Bool
-	drainedAt   atomic.Int64
-	drainOnce   sync.Once
-	drainStart  chan struct{}
-	outside     atomic.Int64
-	serving     atomic.Int64
 
 	calls      *registrar.Registrar
 	links      *connector.Connector
@@ -68,6 +63,8 @@
 	arbiter    *arbiter.Arbiter
 	documents  *documents
 	quarantine *quarantine
+	drain      *drain
+	slo        *sloCounts
 	metrics    *metricSet
 }
 
@@ -92,6 +89,7 @@
 	go s.members.run(work)
 	go s.documents.run(work)
 	go s.writeRoster(work)
+	go s.slo.run(work)
 	if s.Settings.Node.Upstream != "" {
 		go s.watchUpstream(work)
 		go s.arbiter.Run(work)
@@ -102,9 +100,9 @@
 	case err := <-ends:
 		return err
 	case <-ctx.Done():
-	case <-s.drainStart:
+	case <-s.drain.start:
 	}
-	s.drain()
+	s.drain.run()
 	shutdown, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	public(shutdown)
@@ -117,7 +115,12 @@
 	cfg := s.Settings
 	s.clock = newClock()
 	s.incarnation = uint64(time.Now().UnixMilli())
-	s.drainStart = make(chan struct{})
+	s.slo = newSLOCounts(s)
+	drain, err := newDrain(s)
+	if err != nil {
+		return errors.Wrap(err, "server")
+	}
+	s.drain = drain
 	s.metrics = newMetricSet()
 	perHop := 0
 	if cfg.Policy.Retries == "per-hop" {
@@ -169,10 +172,10 @@
 		Clock:     s.clock,
 		Calls:     s.calls,
 		Document:  s.document.Load,
-		Draining:  s.draining.Load,
+		Draining:  s.drain.active,
 		Forward:   s.forwarder.Forward,
 		DeriveKey: deriveKey,
-		OnAnswer:  s.metrics.answered,
+		OnAnswer:  s.onAnswer,
 	}
 	return nil
 }
@@ -243,18 +246,17 @@
 
 // execute runs a call at the own upstream.
 func (s *Server) execute(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
-	s.serving.Add(1)
-	defer s.serving.Add(-1)
 	var a hornbeamcroft.Answer
-	switch {
-	case !call.Idempotent:
-		a = s.executeOnce(ctx, call)
-	case s.draining.Load():
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
-	default:
+	if call.Idempotent {
+		if !s.drain.begin(drainer.KindLink) {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, Unspent: call.RetryBudget}
+		}
+		defer s.drain.end(drainer.KindLink)
 		a = s.quarantine.execute(ctx, call, func(alone bool) hornbeamcroft.Answer {
 			return s.executor.Execute(ctx, call, executor.Options{Alone: alone})
 		})
+	} else {
+		a = s.executeOnce(ctx, call)
 	}
 	a.Pressure = s.forwarder.Pressure(s.executor.Pressure())
 	return a
@@ -279,6 +281,8 @@
 			return nil
 		}
 		return s.arbiter.Receive(l.Peer.Name, t, payload)
+	case framer.TypeSLOCounts:
+		return s.slo.receive(l, payload)
 	case framer.TypeDocumentDigest, framer.TypeDocumentDelta, framer.TypeDocumentWhole:
 		return s.documents.receive(l, t, payload)
 	case framer.TypeSuspect, framer.TypeCleared, framer.TypeTurn:
@@ -295,6 +299,12 @@
 	return deduper.DeriveKey(parent, service, requestType, body)
 }
 
+// onAnswer counts a finished request of an outside caller.
+func (s *Server) onAnswer(call hornbeamcroft.Call, a hornbeamcroft.Answer, took time.Duration) {
+	s.metrics.answered(call, a, took)
+	s.slo.record(call, a, took)
+}
+
 func (s *Server) onCrash(running []hornbeamcroft.Call) {
 	s.Log.Warn().Int("running", len(running)).Msg("server: upstream crashed")
 	s.quarantine.crash(running)
--- a/server/status.go
+++ b/server/status.go
@@ -12,16 +12,24 @@
 
 // Status is the JSON of GET /status.
 type Status struct {
-	Name             string                 `json:"name"`
-	Service          string                 `json:"service"`
-	Zone             string                 `json:"zone"`
-	State            string                 `json:"state"`
-	DocumentRevision uint64                 `json:"document-revision"`
-	Running          int                    `json:"running"`
-	Waiting          int                    `json:"waiting"`
-	Links            int                    `json:"links"`
-	Pressure         hornbeamcroft.Pressure `json:"pressure"`
-	Members          []MemberStatus         `json:"members"`
+	Name             string `json:"name"`
+	Service          string `json:"service"`
+	Zone             string `json:"zone"`
+	State            string `json:"state"`
+	DocumentRevision uint64 `json:"document-revision"`
+	// StoreBehind is true while the store holds an older document than this node.
+	StoreBehind bool   `json:"store-behind"`
+	Drain       string `json:"drain"`
+	// Epoch is the roster epoch of the own service; Permit tells what the right to run non-idempotent work is based on.
+	Epoch      uint64                 `json:"epoch"`
+	Roster     []string               `json:"roster,omitempty"`
+	Permit     string                 `json:"permit"`
+	KeyRecords int                    `json:"key-records"`
+	Running    int                    `json:"running"`
+	Waiting    int                    `json:"waiting"`
+	Links      int                    `json:"links"`
+	Pressure   hornbeamcroft.Pressure `json:"pressure"`
+	Members    []MemberStatus         `json:"members"`
 }
 
 // MemberStatus is one member as this node knows it.
@@ -47,6 +55,12 @@
 		st.Running, st.Waiting = s.executor.Load()
 		st.Pressure = s.executor.Pressure()
 	}
+	st.StoreBehind = s.documents.status().StoreBehind
+	st.Drain = s.drain.status().State.String()
+	if s.arbiter != nil {
+		o, d := s.arbiter.Status()
+		st.Epoch, st.Roster, st.Permit, st.KeyRecords = o.Epoch.Number, o.Epoch.Roster, o.Permit.String(), d.Records
+	}
 	for _, v := range s.members.all() {
 		st.Members = append(st.Members, MemberStatus{v.Name, v.Service, v.Zone, v.Address, v.State.String(), v.Lost})
 	}
@@ -67,7 +81,7 @@
 }
 
 func (s *Server) serveDrain(w http.ResponseWriter, _ *http.Request) {
-	s.startDrain()
+	s.drain.ask()
 	w.WriteHeader(http.StatusAccepted)
 }
 
@@ -78,7 +92,9 @@
 <table>
 <tr><th>Service<td>{{.Service}}<tr><th>Availability zone<td>{{.Zone}}<tr><th>State<td>{{.State}}
 <tr><th>Document revision<td>{{.DocumentRevision}}<tr><th>Calls running<td>{{.Running}}
-<tr><th>Calls waiting<td>{{.Waiting}}<tr><th>Links<td>{{.Links}}
+<tr><th>Calls waiting<td>{{.Waiting}}<tr><th>Roster epoch<td>{{.Epoch}} {{.Roster}}
+<tr><th>Permit<td>{{.Permit}}<tr><th>Key records<td>{{.KeyRecords}}<tr><th>Drain<td>{{.Drain}}
+<tr><th>Store behind<td>{{.StoreBehind}}<tr><th>Links<td>{{.Links}}
 <tr><th>Importance admitted<td>{{.Pressure.Importance}} (threshold {{.Pressure.Threshold}} of 65536)
 </table>
 <h2>Members</h2>
--- a/server/upstream.go
+++ b/server/upstream.go
@@ -32,7 +32,7 @@
 }
 
 func (s *Server) announceUpstream(up bool) {
-	if s.draining.Load() {
+	if s.drain.active() {
 		return
 	}
 	state := hornbeamcroft.MemberStarting
