admitter: pass at most one importance in a window

Cause: the excess of one window at the start of an overload walked through all levels up to critical, so that deposits were shed as a whole and came back slowly. Change: tighten stops at the next importance.

--- a/admitter/level.go
+++ b/admitter/level.go
@@ -100,17 +100,18 @@
 	l.share = math.Min(1, l.share*relaxFactor+relaxStep)
 }
 
-// tighten sheds the excess, a number of calls in a window, from the least importance upwards. Critical requests are
-// left to the queue.
+// tighten sheds the excess, a number of calls in a window, from the least importance. One window passes at most one
+// importance: the queue already prefers the important calls, and a count of one window may hold a burst. Critical
+// requests are left to the queue.
 func (l *level) tighten(excess float64) {
-	for excess > 0 && l.importance < hornbeamcroft.ImportanceCritical {
-		n := float64(l.w.offered[l.importance])
-		if keep := n - excess; n > 0 && keep/n*l.share >= leastShare {
-			l.share *= keep / n
-			return
-		}
-		excess -= n
-		l.importance++
-		l.share = 1
+	if excess <= 0 || l.importance >= hornbeamcroft.ImportanceCritical {
+		return
+	}
+	n := float64(l.w.offered[l.importance])
+	if keep := n - excess; n > 0 && keep/n*l.share >= leastShare {
+		l.share *= keep / n
+		return
 	}
+	l.importance++
+	l.share = 1
 }
