--- a/scenarios/config_test.go
+++ b/scenarios/config_test.go
@@ -13,16 +13,16 @@
 
 // config holds the parameters of a chain as a script gives them.
 type config struct {
-	seed                                                        uint64
-	services, upstreams, slots                                  int
-	cores, low, high, background, slow, probe, maxEjected, lost float64
-	work, deadline, end, from, to, join                         time.Duration
-	zoneDelay, slowStart, halfLife, resend, lostFrom            time.Duration
-	tries, perHop, budget, callerTries, depth                   int
-	admission, balancer                                         string
-	independent, pressure, trace                                bool
-	share                                                       retrier.ShareRule
-	traits                                                      map[int]trait
+	seed                                                              uint64
+	services, upstreams, slots                                        int
+	cores, low, high, background, slow, probe, maxEjected, lost, fail float64
+	work, deadline, end, from, to, join                               time.Duration
+	zoneDelay, slowStart, halfLife, resend, lostFrom                  time.Duration
+	tries, perHop, budget, callerTries, depth, requests               int
+	admission, balancer                                               string
+	independent, pressure, trace                                      bool
+	share                                                             retrier.ShareRule
+	traits                                                            map[int]trait
 }
 
 // trait is what sets one upstream of each service apart.
@@ -43,13 +43,19 @@
 func defaults() config {
 	return config{
 		seed: 1, services: 1, upstreams: 1, slots: 50, cores: 10, slow: 1, work: 10 * time.Millisecond,
-		deadline: time.Second, end: 20 * time.Second, tries: 1, callerTries: 1, resend: 10 * time.Millisecond,
+		deadline: time.Second, end: 20 * time.Second, tries: 1, callerTries: 1, requests: 1, fail: 1, resend: 10 * time.Millisecond,
 		admission: "adaptive", balancer: "score", pressure: true, traits: map[int]trait{},
 	}
 }
 
 var shares = map[string]retrier.ShareRule{
 	"half": retrier.HalfShare, "whole": retrier.WholeShare,
+	"quarter":        func(held int) int { return (held + 3) / 4 },
+	"three-quarters": func(held int) int { return (3*held + 3) / 4 },
+	"third":          func(held int) int { return (held + 2) / 3 },
+	"two-thirds":     func(held int) int { return (2*held + 2) / 3 },
+	"one":            func(held int) int { return min(held, 1) },
+	"all-but-one":    func(held int) int { return max(held-1, min(held, 1)) },
 }
 
 // parse reads words of the form name=value; u1.slow=2 sets a trait of the upstreams with index 1.
@@ -92,7 +98,7 @@
 func (c *config) floats() map[string]*float64 {
 	return map[string]*float64{
 		"cores": &c.cores, "low": &c.low, "high": &c.high, "background": &c.background, "slow": &c.slow,
-		"probe": &c.probe, "max-ejected": &c.maxEjected, "lost": &c.lost,
+		"probe": &c.probe, "max-ejected": &c.maxEjected, "lost": &c.lost, "fail": &c.fail,
 	}
 }
 
@@ -100,7 +106,7 @@
 	return map[string]*int{
 		"services": &c.services, "upstreams": &c.upstreams, "slots": &c.slots, "tries": &c.tries,
 		"per-hop": &c.perHop, "budget": &c.budget, "caller-tries": &c.callerTries,
-		"depth": &c.depth,
+		"depth": &c.depth, "requests": &c.requests,
 	}
 }
 
--- a/scenarios/layers_test.go
+++ b/scenarios/layers_test.go
@@ -9,8 +9,8 @@
 	"hornbeamcroft/retrier"
 )
 
-// layers is a chain of calls without time. The deepest service fails; each layer's own code tries the next one several
-// times. Answers are lost at random.
+// layers is a chain of calls without time. Calls of the deepest service fail and answers are lost at random; each
+// layer's own code tries the next one several times.
 type layers struct {
 	cfg     config
 	rnd     *rand.Rand
@@ -19,22 +19,33 @@
 	reached int
 }
 
-// runLayers counts the calls that reach the deepest service: "layers depth=n tries=n budget=n|per-hop=n lost=share".
+// runLayers counts the calls that reach the deepest service per request, and the requests that succeed:
+// "layers depth=n tries=n budget=n|per-hop=n fail=share lost=share requests=n".
 func runLayers(ts *testscript.TestScript, _ bool, args []string) {
 	cfg, err := parse(args)
 	ts.Check(err)
 	l := &layers{cfg: cfg, rnd: rand.New(rand.NewPCG(cfg.seed, 1))}
 	l.r = retrier.Retrier{PerHop: cfg.perHop, Share: cfg.share}
-	l.execute(0, cfg.budget)
+	most, answered, calls := 0, 0, 0
+	for range cfg.requests {
+		l.reached = 0
+		if _, ok := l.execute(0, cfg.budget); ok {
+			answered++
+		}
+		most, calls = max(most, l.reached), calls+l.reached
+	}
 	results := ts.Value("results").(map[string]float64)
-	results["reached"] = float64(l.reached)
+	results["reached"] = float64(most)
+	results["answered"] = float64(answered) / float64(cfg.requests)
+	results["calls"] = float64(calls) / float64(cfg.requests)
+	ts.Logf("reached %d answered %.4g calls %.4g", most, results["answered"], results["calls"])
 }
 
-// execute runs a call at the given depth and returns its unspent budget.
-func (l *layers) execute(depth, budget int) int {
+// execute runs a call at the given depth and returns its unspent budget and whether it succeeded.
+func (l *layers) execute(depth, budget int) (int, bool) {
 	if depth == l.cfg.depth {
 		l.reached++
-		return budget
+		return budget, l.rnd.Float64() >= l.cfg.fail
 	}
 	l.id++
 	id := l.id
@@ -44,11 +55,14 @@
 		if code != hornbeamcroft.CodeAnswered {
 			break
 		}
-		unspent := l.execute(depth+1, a.Share)
+		unspent, ok := l.execute(depth+1, a.Share)
 		if l.rnd.Float64() < l.cfg.lost {
 			l.r.Lose(a)
+			continue
+		}
+		if l.r.Return(a, unspent); ok {
+			return l.r.Close(id), true
 		}
-		l.r.Return(a, unspent)
 	}
-	return l.r.Close(id)
+	return l.r.Close(id), false
 }
