--- /dev/null
+++ b/distributor/distributor_test.go
@@ -0,0 +1,267 @@
+package distributor_test
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"hornbeamcroft"
+	"hornbeamcroft/distributor"
+	"hornbeamcroft/parser"
+)
+
+func accepting(hornbeamcroft.StoredDocument) error { return nil }
+
+// document returns a document with n sections of a size; the sections named in edited have the revision as generation.
+func document(revision uint64, n, size int, edited ...int) hornbeamcroft.StoredDocument {
+	stored := hornbeamcroft.StoredDocument{Revision: revision}
+	for i := range n {
+		s := hornbeamcroft.Section{Name: fmt.Sprintf("service s-%04d", i), Owner: "o", Generation: 1, Text: strings.Repeat("x", size)}
+		if slices.Contains(edited, i) {
+			s.Generation, s.Text = revision, fmt.Sprintf("edited at %d ", revision)+s.Text
+		}
+		stored.Sections = append(stored.Sections, s)
+	}
+	return stored
+}
+
+func holding(stored hornbeamcroft.StoredDocument) *distributor.Distributor {
+	d := &distributor.Distributor{Check: accepting}
+	d.OnRead(stored, 1)
+	return d
+}
+
+// deliver passes messages to d and returns the replies and whether a document was accepted.
+func deliver(d *distributor.Distributor, now time.Duration, messages []distributor.Message) (replies []distributor.Message, accepted bool) {
+	for _, m := range messages {
+		var a distributor.Actions
+		switch {
+		case m.Offer != nil:
+			a = d.OnOffer(now, *m.Offer)
+		case m.Delta != nil:
+			a = d.OnDelta(now, *m.Delta)
+		case m.Whole != nil:
+			a = d.OnWhole(now, *m.Whole)
+		}
+		replies = append(replies, a.Reply...)
+		accepted = accepted || a.Accepted
+	}
+	return replies, accepted
+}
+
+// TestMessagesAreBounded guards against messages above the frame limit, for a whole document and for a large delta.
+func TestMessagesAreBounded(t *testing.T) {
+	is := is.New(t)
+	from := holding(document(1, 400, 2000))
+	from.OnWatch(document(2, 400, 2000, 7))
+	small := from.OnOffer(0, distributor.Offer{Revision: 1, Hash: distributor.HashOf(document(1, 400, 2000))}).Reply
+	is.Equal(len(small), 1)
+	is.Equal(len(small[0].Delta.Changed), 1)
+	all := make([]int, 400)
+	for i := range all {
+		all[i] = i
+	}
+	huge := document(3, 400, 2000)
+	for i := range huge.Sections {
+		huge.Sections[i].Generation = 3
+	}
+	from.OnWatch(huge)
+	parts := from.OnOffer(0, distributor.Offer{Revision: 1, Hash: 1}).Reply
+	is.True(len(parts) > 1)
+	to := &distributor.Distributor{Check: accepting}
+	slices.Reverse(parts) // the order does not matter
+	for _, m := range append(parts, small...) {
+		data, err := cbor.Marshal(m.Whole)
+		if m.Delta != nil {
+			data, err = cbor.Marshal(m.Delta)
+		}
+		is.NoErr(err)
+		is.True(len(data) < 64<<10)
+	}
+	_, accepted := deliver(to, 0, parts)
+	is.True(accepted)
+	is.Equal(to.Offer(), from.Offer())
+}
+
+// TestWholeIsAskedOnce guards against two relays that both send the whole document to a node that starts.
+func TestWholeIsAskedOnce(t *testing.T) {
+	is := is.New(t)
+	d := &distributor.Distributor{Check: accepting}
+	o := distributor.Offer{Revision: 9, Hash: 1}
+	is.Equal(len(d.OnOffer(0, o).Reply), 1)
+	is.Equal(len(d.OnOffer(10*time.Millisecond, o).Reply), 0)
+	is.Equal(len(d.OnOffer(2*time.Second, o).Reply), 1) // the first request was lost
+}
+
+// TestRefusedDocument guards against a document that a node cannot check but puts in force or asks for again and again.
+func TestRefusedDocument(t *testing.T) {
+	is := is.New(t)
+	d := holding(document(1, 3, 10))
+	d.Check = func(hornbeamcroft.StoredDocument) error { return errors.New("unknown key") }
+	a := d.OnRead(document(2, 3, 10, 1), 1)
+	is.True(a.Err != nil && !a.Accepted)
+	is.Equal(d.Status(), distributor.Status{Revision: 1, Refused: 2})
+	is.Equal(len(d.OnOffer(time.Minute, distributor.Offer{Revision: 2, Hash: 5}).Reply), 0)
+	d.Check = accepting
+	is.True(d.OnRead(document(3, 3, 10, 1), 1).Accepted)
+}
+
+// TestAbandonedParts guards against an abandoned document of a high revision that blocks the others.
+func TestAbandonedParts(t *testing.T) {
+	is := is.New(t)
+	d := holding(document(1, 3, 10))
+	d.OnWhole(0, distributor.Whole{Revision: 1 << 40, Hash: 1, Parts: 2})
+	whole := holding(document(2, 300, 1000)).OnOffer(0, distributor.Offer{Revision: 1, NeedWhole: true}).Reply
+	_, accepted := deliver(d, time.Second, whole)
+	is.True(!accepted)
+	_, accepted = deliver(d, time.Minute, whole)
+	is.True(accepted)
+}
+
+// TestBoundsAgree guards against a section that the parser accepts and no message can hold.
+func TestBoundsAgree(t *testing.T) {
+	is := is.New(t)
+	is.Equal(parser.MaxSection, distributor.MaxText)
+	is.True(parser.MaxDocument/(distributor.MaxMessage-parser.MaxSection) < 64) // the bound of parts
+}
+
+// TestConverges guards against nodes that stay on different documents, or go back, under any order of edits, lost
+// messages and restarts: after lossless digests all have the newest document.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := make([]*distributor.Distributor, 4)
+		for i := range nodes {
+			nodes[i] = &distributor.Distributor{Check: accepting}
+		}
+		revision, now := uint64(0), time.Duration(0)
+		exchange := func(lossless bool) {
+			for a := range nodes {
+				for b := range nodes {
+					o := nodes[a].Offer()
+					messages, to, other := []distributor.Message{{Offer: &o}}, b, a
+					for len(messages) > 0 && (lossless || rapid.Bool().Draw(t, "delivered")) {
+						before := nodes[to].Offer().Revision
+						messages, _ = deliver(nodes[to], now, messages)
+						if nodes[to].Offer().Revision < before {
+							t.Fatalf("revision fell from %d to %d", before, nodes[to].Offer().Revision)
+						}
+						to, other = other, to
+					}
+				}
+			}
+		}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += 300 * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0, 1:
+				revision++
+				n := rapid.IntRange(1, 6).Draw(t, "sections")
+				nodes[rapid.IntRange(0, 3).Draw(t, "relay")].OnWatch(document(revision, n, 10, rapid.IntRange(0, 5).Draw(t, "edited")))
+			case 2:
+				exchange(false)
+			case 3:
+				nodes[rapid.IntRange(0, 2).Draw(t, "restarted")] = &distributor.Distributor{Check: accepting}
+			}
+		}
+		newest := distributor.Offer{}
+		for _, n := range nodes {
+			if o := n.Offer(); o.Revision > newest.Revision {
+				newest = o
+			}
+		}
+		for range 3 {
+			now += 2 * time.Second
+			exchange(true)
+		}
+		for i, n := range nodes {
+			if n.Offer() != newest {
+				t.Fatalf("node %d has %v, newest is %v", i, n.Offer(), newest)
+			}
+		}
+	})
+}
+
+// FuzzMessages guards against a panic, a falling revision or a refused bound on any message of another node.
+func FuzzMessages(f *testing.F) {
+	from := holding(document(1, 5, 10))
+	from.OnWatch(document(2, 6, 10, 2))
+	offer := from.Offer()
+	delta := from.OnOffer(0, distributor.Offer{Revision: 1, Hash: 1}).Reply[0].Delta
+	whole := from.OnOffer(0, distributor.Offer{Revision: 1, NeedWhole: true}).Reply[0].Whole
+	for kind, v := range []any{offer, delta, whole, distributor.Whole{Revision: 3, Parts: 1 << 31}} {
+		data, err := cbor.Marshal(v)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(min(kind, 2), data)
+	}
+	f.Fuzz(func(t *testing.T, kind int, data []byte) {
+		d := holding(document(1, 5, 10))
+		var m distributor.Message
+		var err error
+		switch kind {
+		case 0:
+			m.Offer = &distributor.Offer{}
+			err = cbor.Unmarshal(data, m.Offer)
+		case 1:
+			m.Delta = &distributor.Delta{}
+			err = cbor.Unmarshal(data, m.Delta)
+		default:
+			m.Whole = &distributor.Whole{}
+			err = cbor.Unmarshal(data, m.Whole)
+		}
+		if err != nil {
+			return
+		}
+		_, accepted := deliver(d, 0, []distributor.Message{m})
+		if o := d.Offer(); accepted != (o.Revision > 1) || o.Hash != distributor.HashOf(d.Newest()) {
+			t.Errorf("accepted %v, holds %v", accepted, o)
+		}
+	})
+}
+
+func ExampleDistributor() {
+	relay := holding(document(1, 3, 10))
+	node := holding(document(1, 3, 10))
+	push := relay.OnWatch(document(2, 3, 10, 1)).Push
+	fmt.Println(len(push[0].Delta.Changed), node.OnDelta(0, *push[0].Delta).Accepted, node.Newest().Revision)
+	// Output: 1 true 2
+}
+
+// BenchmarkDelta measures one edit on its way: the relay takes the document and makes the delta, a node applies it. The
+// documents have the planned 442 sections; Check is left out.
+func BenchmarkDelta(b *testing.B) {
+	first, second := document(1, 442, 190), document(2, 442, 190, 17)
+	base := holding(first)
+	push := base.OnWatch(second).Push
+	data, err := cbor.Marshal(push[0].Delta)
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("relay", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			d := holding(first)
+			b.StartTimer()
+			d.OnWatch(second)
+		}
+	})
+	b.Run("node", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			d := holding(first)
+			b.StartTimer()
+			if !d.OnDelta(0, *push[0].Delta).Accepted {
+				b.Fatal("not accepted")
+			}
+		}
+		b.ReportMetric(float64(len(data)), "delta-bytes")
+	})
+}
--- /dev/null
+++ b/etcdclient/client_test.go
@@ -0,0 +1,167 @@
+package etcdclient
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+	"github.com/zeromicro/go-zero/core/logx"
+
+	"hornbeamcroft"
+)
+
+func TestMain(m *testing.M) {
+	logx.Disable() // httpc logs every call
+	os.Exit(m.Run())
+}
+
+// answering returns a client of a server that gives the same answer to every call.
+func answering(tb testing.TB, status int, body string) *Client {
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, body)
+	}))
+	tb.Cleanup(web.Close)
+	c := &Client{Endpoints: []string{strings.TrimPrefix(web.URL, "http://")}, NoBreaker: true}
+	c.Init()
+	return c
+}
+
+// TestBrokenAnswers guards against a broken answer that is taken for a missing key or for a write that did not happen.
+func TestBrokenAnswers(t *testing.T) {
+	for _, tt := range []struct {
+		status int
+		body   string
+	}{
+		{200, ``},
+		{200, `{}`},
+		{200, `{"header":{"revision":"x"}}`},
+		{200, `{"header":{"revision":"0"},"succeeded":true}`},
+		{500, `{"header":{"revision":"3"},"succeeded":true}`},
+		{503, `{"code":14,"message":"etcdserver: request timed out"}`},
+		{307, ``},
+	} {
+		t.Run(fmt.Sprint(tt.status, tt.body), func(t *testing.T) {
+			is := is.New(t)
+			_, err := answering(t, tt.status, tt.body).Txn(t.Context(), nil, nil)
+			is.True(err != nil)
+			is.True(!errors.Is(err, hornbeamcroft.ErrStoreUnreachable)) // it was sent
+		})
+	}
+	is := is.New(t)
+	_, err := answering(t, 200, `{"kvs":[{"key":"b3RoZXI=","mod_revision":"1"}]}`).Get(t.Context(), "key")
+	is.True(err != nil) // an answer about another key
+}
+
+// TestLeaseErrors guards against a lost lease that is taken for a passing failure.
+func TestLeaseErrors(t *testing.T) {
+	is, ctx := is.New(t), t.Context()
+	gone := answering(t, 404, `{"error":"x","code":5,"message":"etcdserver: requested lease not found"}`)
+	is.True(errors.Is(gone.Revoke(ctx, 1), hornbeamcroft.ErrLeaseNotFound))
+	is.True(errors.Is(answering(t, 200, `{"result":{"ID":"1"}}`).KeepAlive(ctx, 1), hornbeamcroft.ErrLeaseNotFound))
+	passing := answering(t, 200, `{"error":{"grpc_code":14,"message":"unavailable"}}`).KeepAlive(ctx, 1)
+	is.True(passing != nil && !errors.Is(passing, hornbeamcroft.ErrLeaseNotFound))
+	is.NoErr(answering(t, 200, `{"result":{"ID":"1","TTL":"3"}}`).KeepAlive(ctx, 1))
+}
+
+// TestUnsentAfterCancel guards against a call that is reported as possibly applied although its context had ended.
+func TestUnsentAfterCancel(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := answering(t, 200, `{}`).Txn(ctx, nil, nil)
+	is.True(errors.Is(err, hornbeamcroft.ErrStoreUnreachable))
+}
+
+// TestWriteIsNotRepeated guards against a write that is sent to a second endpoint after the first may have applied it.
+func TestWriteIsNotRepeated(t *testing.T) {
+	is := is.New(t)
+	var calls atomic.Int32
+	web := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		calls.Add(1)
+		panic(http.ErrAbortHandler)
+	}))
+	defer web.Close()
+	address := strings.TrimPrefix(web.URL, "http://")
+	c := &Client{Endpoints: []string{address, address}, NoBreaker: true}
+	c.Init()
+	_, err := c.Txn(t.Context(), nil, nil)
+	is.True(err != nil)
+	is.Equal(calls.Load(), int32(1))
+	_, err = c.Get(t.Context(), "a")
+	is.True(err != nil)
+	is.Equal(calls.Load(), int32(3)) // a read may be repeated
+}
+
+// TestWatchRenews guards against a watch on a connection that went silent and is never replaced.
+func TestWatchRenews(t *testing.T) {
+	is := is.New(t)
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		_, _ = io.WriteString(w, `{"result":{"header":{"revision":"5"},"created":true}}`)
+		w.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	defer web.Close()
+	c := &Client{Endpoints: []string{strings.TrimPrefix(web.URL, "http://")}, WatchTime: 10 * time.Millisecond, NoBreaker: true}
+	c.Init()
+	err := c.Watch(t.Context(), "a", 5, func(hornbeamcroft.Event) {})
+	is.Equal(err, ErrWatchRenew)
+}
+
+// FuzzAnswers guards against a panic, or a success without a revision, on any answer of a store.
+func FuzzAnswers(f *testing.F) {
+	for _, seed := range []string{
+		`{"header":{"revision":"3"},"kvs":[{"key":"YQ==","mod_revision":"3","value":"MQ==","lease":"7"}],"count":"1"}`,
+		`{"header":{"revision":"3"},"succeeded":true}`,
+		`{"result":{"ID":"7","TTL":"3"}}`,
+		`{"result":{"header":{"revision":"3"},"events":[{"type":"DELETE","kv":{"key":"YQ==","mod_revision":"3"}}]}}`,
+		`{"result":{"canceled":true,"compact_revision":"9"}}{"result":null}`,
+		`{"error":{"grpc_code":5,"message":"x"}}`, `{"error":"x","code":5}`, `[]`, `null`, `{"kvs":[{}]}`, "\x00",
+	} {
+		f.Add(200, []byte(seed))
+		f.Add(404, []byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, status int, body []byte) {
+		answer := func() *http.Response {
+			return &http.Response{StatusCode: status, Body: io.NopCloser(bytes.NewReader(body))}
+		}
+		var out rangeResponse
+		_ = decode(answer(), &out)
+		for _, kv := range out.Kvs {
+			if kv.check() == nil && kv.entry().ModRevision <= 0 {
+				t.Errorf("accepted an entry without a revision: %+v", kv)
+			}
+		}
+		_ = decode(answer(), &streamResponse[leaseResponse]{})
+		err := readWatch(answer(), 1, func(e hornbeamcroft.Event) {
+			if e.Entry.Key == "" || e.Entry.ModRevision <= 0 {
+				t.Errorf("delivered an event without key or revision: %+v", e)
+			}
+		})
+		if err == nil && status == http.StatusOK {
+			t.Error("a watch ended without a reason")
+		}
+	})
+}
+
+func ExampleClient() {
+	web := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, `{"header":{"revision":"3"},"kvs":[{"key":"YQ==","mod_revision":"2","value":"MQ=="}]}`)
+	}))
+	defer web.Close()
+	c := New(strings.TrimPrefix(web.URL, "http://"))
+	e, err := c.Get(context.Background(), "a")
+	fmt.Println(string(e.Value), e.ModRevision, err)
+	// Output: 1 2 <nil>
+}
