--- a/cmd/hornbeam-standin/bench/command.go
+++ b/cmd/hornbeam-standin/bench/command.go
@@ -27,10 +27,22 @@
 			&cli.StringSliceFlag{Name: "deployment", Usage: "only regie or omuramba; repeatable"},
 			&cli.StringSliceFlag{Name: "system", Usage: "only the `system` no control, plain limit or this build; repeatable"},
 		),
-		Action: run,
+		Action:   run,
+		Commands: []*cli.Command{edgeCommand(), nodeCommand(), configCommand()},
 	}
 }
 
+// open starts a deployment for a measurement with the flags of the command.
+func open(ctx context.Context, cmd *cli.Command, d fleet.Deployment) (*fleet.Fleet, func() []string, error) {
+	binaries, err := fleet.BinariesOf(cmd)
+	if err != nil {
+		return nil, nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, readyTime)
+	defer cancel()
+	return fleet.Open(ctx, d, binaries, cmd.String("dir"))
+}
+
 // commonFlags are the flags of all measurements.
 func commonFlags() []cli.Flag {
 	return []cli.Flag{
--- a/cmd/hornbeam-standin/bench/result.go
+++ b/cmd/hornbeam-standin/bench/result.go
@@ -26,9 +26,11 @@
 	Time     time.Time `json:"time"`
 	Cores    int       `json:"cores"`
 	// Memory is the machine's memory in bytes.
-	Memory int64  `json:"memory"`
-	Go     string `json:"go"`
-	Seed   uint64 `json:"seed"`
+	Memory int64 `json:"memory"`
+	// Load is the machine's load average over one minute at the start; other work changes the figures.
+	Load float64 `json:"load"`
+	Go   string  `json:"go"`
+	Seed uint64  `json:"seed"`
 	// Scale divides the slots and connections of the design page.
 	Scale int `json:"scale"`
 	Runs  int `json:"runs"`
@@ -36,7 +38,7 @@
 
 func newHeader(seed uint64, runs int) Header {
 	h := Header{
-		Commit: "unknown", Time: time.Now().UTC().Truncate(time.Second), Cores: runtime.NumCPU(), Memory: memory(), Go: runtime.Version(),
+		Commit: "unknown", Time: time.Now().UTC().Truncate(time.Second), Cores: runtime.NumCPU(), Memory: memory(), Load: load(), Go: runtime.Version(),
 		Seed: seed, Scale: fleet.Scale, Runs: runs,
 	}
 	info, _ := debug.ReadBuildInfo()
@@ -78,6 +80,14 @@
 	return 0
 }
 
+// load returns the load average over one minute; 0 if it is not known.
+func load() float64 {
+	data, _ := os.ReadFile("/proc/loadavg")
+	first, _, _ := strings.Cut(string(data), " ")
+	v, _ := strconv.ParseFloat(first, 64)
+	return v
+}
+
 // Run holds the figures of one scenario on one system.
 type Run struct {
 	Deployment string `json:"deployment"`
--- a/cmd/hornbeam-standin/bench/table.go
+++ b/cmd/hornbeam-standin/bench/table.go
@@ -79,11 +79,15 @@
 	return fmt.Sprintf("%.2f", build/baseline)
 }
 
+// line says in one line what was measured and where.
+func (h Header) line() string {
+	return fmt.Sprintf("Commit %s (modified: %t), %d cores, load average %.1f at the start, %.0f GiB, %s, seed %d, %d runs",
+		h.Commit, h.Modified, h.Cores, h.Load, float64(h.Memory)/(1<<30), h.Go, h.Seed, h.Runs)
+}
+
 // show prints one table per deployment and scenario.
 func (res Results) show(w io.Writer) {
-	h := res.Header
-	_, _ = fmt.Fprintf(w, "Commit %s (modified: %t), %d cores, %.0f GiB, %s, seed %d, slots and connections at 1/%d, medians of %d runs\n",
-		h.Commit, h.Modified, h.Cores, float64(h.Memory)/(1<<30), h.Go, h.Seed, h.Scale, h.Runs)
+	_, _ = fmt.Fprintf(w, "%s, slots and connections at 1/%d\n", res.Header.line(), res.Header.Scale)
 	for _, group := range res.groups() {
 		res.showGroup(w, group)
 	}
--- a/cmd/hornbeam-standin/caller/action.go
+++ b/cmd/hornbeam-standin/caller/action.go
@@ -6,6 +6,8 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
+	"syscall"
 	"time"
 
 	"hornbeamcroft"
@@ -58,6 +60,15 @@
 	return len(a.Sends) > 0 && a.Sends[len(a.Sends)-1].Result == ResultWhole
 }
 
+// Interrupted reports whether the send may have been received and its outcome is not known. A refused connection is no
+// interruption, since nothing was sent.
+func (s Send) Interrupted() bool {
+	if s.Result == ResultLost {
+		return !strings.Contains(s.Fault, syscall.ECONNREFUSED.Error())
+	}
+	return s.Claim == hornbeamcroft.ClaimMayHaveRun.String()
+}
+
 // send makes one send and classifies its outcome.
 func (c *Caller) send(ctx context.Context, node string, a Action, attempt int) Send {
 	s := Send{Sent: time.Now().UnixNano()}
--- a/cmd/hornbeam-standin/caller/caller.go
+++ b/cmd/hornbeam-standin/caller/caller.go
@@ -37,10 +37,9 @@
 	}
 	c.seed()
 	c.client = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleConnections, DisableCompression: true,
+		MaxIdleConnsPerHost: idleConnections, DisableCompression: true, DisableKeepAlives: c.Settings.Fresh,
 	}}
 	defer c.client.CloseIdleConnections()
-	c.actions = nil
 	start := time.Now()
 	unsent := c.arrivals(ctx, start)
 	report := NewReport(c.Settings, c.actions)
@@ -105,6 +104,19 @@
 	return c.Settings.Mix[0].Target
 }
 
+// Whole returns the number of actions that got a whole answer so far. It may be called while Run runs.
+func (c *Caller) Whole() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, a := range c.actions {
+		if a.Whole() {
+			n++
+		}
+	}
+	return n
+}
+
 func (c *Caller) perform(ctx context.Context, start time.Time, a Action, nodes []string) {
 	for i, node := range nodes {
 		s := c.send(ctx, node, a, i+1)
--- a/cmd/hornbeam-standin/fleet/deployment.go
+++ b/cmd/hornbeam-standin/fleet/deployment.go
@@ -8,6 +8,8 @@
 	// Zones get the upstreams of each service in turn.
 	Zones    []string  `json:"zones"`
 	Services []Service `json:"services"`
+	// UnusedServices adds services without upstreams to the document, to make it longer.
+	UnusedServices int `json:"unused-services,omitempty"`
 	// ZoneDelay is written into the document; it is not added to the traffic on loopback.
 	ZoneDelay time.Duration `json:"zone-delay"`
 	// Tries is the number of times that each upstream's own code tries a child call.
--- a/cmd/hornbeam-standin/fleet/fleet.go
+++ b/cmd/hornbeam-standin/fleet/fleet.go
@@ -22,8 +22,8 @@
 	Dir string
 	// LogLevel is the nodes' log level; warn if empty.
 	LogLevel string
-	// Link replaces the address of an upstream or of the store that a node is given, for proxies of tests; nil for none.
-	Link func(from, to string) string
+	// Link returns the address under which the node of a member reaches its upstream, for proxies of tests; nil for none.
+	Link func(member, upstream string) string
 
 	// Store is the address of the platform.
 	Store string
--- a/cmd/hornbeam-standin/fleet/text.go
+++ b/cmd/hornbeam-standin/fleet/text.go
@@ -29,6 +29,13 @@
 				s.Name, t.Name, owner, t.Importance, yesNo(t.Idempotent), t.Timeout, extraAttempts)
 		}
 	}
+	for n := range d.UnusedServices {
+		name := fmt.Sprintf("unused-%d", n)
+		fmt.Fprintf(&b, "\n[service %s]\nowner = %s\nslots = 10\nconnections = 100\n", name, owner)
+		for _, t := range []string{"look-up", "order", "deposit"} {
+			fmt.Fprintf(&b, "\n[request %s/%s]\nowner = %s\nimportance = low\nidempotent = yes\ntimeout = 1s\n", name, t, owner)
+		}
+	}
 	return b.String()
 }
 
@@ -44,7 +51,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "[upstream]\nlisten = %s\ncontrol-listen = %s\nservice = %s\nnode = %s\nslots = %d\nconnections = %d\n",
 		m.Upstream, m.Control, s.Name, m.Listen, s.Slots, s.Connections+reservedConnections)
-	fmt.Fprintf(&b, "jitter = %g\nseed = %d\ntries = %d\nrecord = %s\n", jitter, d.Seed+uint64(n), max(1, d.Tries), m.record)
+	fmt.Fprintf(&b, "service-time = 1us\njitter = %g\nseed = %d\ntries = %d\nrecord = %s\n", jitter, d.Seed+uint64(n), max(1, d.Tries), m.record)
 	for _, t := range s.withProbes() {
 		fmt.Fprintf(&b, "\n[type %s]\nservice-time = %s\n", t.Name, t.ServiceTime)
 		if len(t.Calls) > 0 {
--- a/cmd/hornbeam-standin/upstream/run.go
+++ b/cmd/hornbeam-standin/upstream/run.go
@@ -136,6 +136,9 @@
 
 // sleep reports whether d passed before ctx ended.
 func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
