registrar, executor: measure the time of child calls

Cause: the concurrency limit followed the whole service time, so calls that waited for a slow service below lowered it, and lookups were shed at services that were idle. Change: the registrar measures the time in which child calls are in progress, and the limit follows the rest.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -86,8 +86,11 @@
 	e.mu.Lock()
 	delete(e.running, id)
 	e.mu.Unlock()
-	res.Answer.Unspent = e.Calls.Close(run)
-	e.finish(id, sample(res, e.Clock.Now()-start))
+	unspent, childTime := e.Calls.Close(run)
+	res.Answer.Unspent = unspent
+	s := sample(res, e.Clock.Now()-start)
+	s.ChildTime = childTime
+	e.finish(id, s)
 	return e.answer(res.Answer)
 }
 
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -54,6 +54,9 @@
 	outside := call.Depth == 1
 	if outside {
 		defer v.Calls.Leave(parents[0])
+	} else {
+		v.Calls.ChildStarted(parents)
+		defer v.Calls.ChildEnded(parents)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Remaining)
 	defer cancel()
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -15,7 +15,7 @@
 	"hornbeamcroft/retrier"
 )
 
-// Running is a call in progress that may have child calls. It is not changed after Open.
+// Running is a call in progress that may have child calls. Its exported fields are not changed after Open.
 type Running struct {
 	ID uint64
 	// Token is what the upstream's own code passes back in Hornbeam-Call; empty for a request of an outside caller.
@@ -33,6 +33,11 @@
 	ReceivedAt int64
 	// Trace is the traceparent header without its span id; child calls carry it.
 	Trace string
+
+	// children is the number of child calls in progress, since childSince; childTime is the time of earlier ones.
+	children   int
+	childSince time.Duration
+	childTime  time.Duration
 }
 
 // Registrar holds the running calls. It is safe for concurrent use.
@@ -104,15 +109,18 @@
 	return &run
 }
 
-// Close ends the record and returns the unspent retry budget.
-func (g *Registrar) Close(r *Running) int {
+// Close ends the record. It returns the unspent retry budget and the time in which child calls were in progress.
+func (g *Registrar) Close(r *Running) (unspent int, childTime time.Duration) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if r.children > 0 {
+		r.childTime += g.Clock.Now() - r.childSince
+	}
 	delete(g.byToken, r.Token)
 	if id := TraceID(r.Trace); id != "" {
 		g.removeTrace(id, r)
 	}
-	return g.retrier.Close(r.ID)
+	return g.retrier.Close(r.ID), r.childTime
 }
 
 func (g *Registrar) removeTrace(id string, r *Running) {
@@ -179,6 +187,30 @@
 	return g.retrier.BeginAmbiguous(g.Clock.Now(), ids, c)
 }
 
+// ChildStarted tells that a child call of the parents is in progress until ChildEnded.
+func (g *Registrar) ChildStarted(parents []*Running) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range parents {
+		if p.children == 0 {
+			p.childSince = g.Clock.Now()
+		}
+		p.children++
+	}
+}
+
+// ChildEnded ends a child call.
+func (g *Registrar) ChildEnded(parents []*Running) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range parents {
+		p.children--
+		if p.children == 0 {
+			p.childTime += g.Clock.Now() - p.childSince
+		}
+	}
+}
+
 // Decide says whether the call of the attempt may be repeated. A free repeat is counted at once.
 func (g *Registrar) Decide(rnd hornbeamcroft.Rand, a retrier.Attempt, c retrier.Child, f retrier.Failure) retrier.Verdict {
 	g.mu.Lock()
--- a/server/listen.go
+++ b/server/listen.go
@@ -5,6 +5,7 @@
 	"crypto/subtle"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"strconv"
 	"strings"
 	"time"
@@ -118,9 +119,25 @@
 		{Method: http.MethodGet, Path: "/slo", Handler: s.authorized(s.serveSLO)},
 		{Method: http.MethodPost, Path: "/drain", Handler: s.authorized(s.serveDrain)},
 	})
+	for _, name := range []string{"profile", "heap", "goroutine", "trace"} {
+		server.AddRoute(rest.Route{
+			Method: http.MethodGet, Path: "/debug/pprof/" + name, Handler: s.authorized(profile(name)),
+		})
+	}
 	return start(server, address, ends)
 }
 
+// profile returns the handler of a runtime profile.
+func profile(name string) http.HandlerFunc {
+	switch name {
+	case "profile":
+		return pprof.Profile
+	case "trace":
+		return pprof.Trace
+	}
+	return pprof.Handler(name).ServeHTTP
+}
+
 // authorized lets requests with the operators' key through.
 func (s *Server) authorized(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
