forwarder: make the claim of the final answer cover all attempts

Cause: a lookup whose first attempt was lost and whose second was refused was answered 'not run'. Found by reading; TestFinalClaim failed before the change.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -123,23 +123,34 @@
 	}
 	child := retrier.Child{Service: call.Service, Type: call.Type, Content: call.Fingerprint}
 	var excluded []string
-	repeated := false
+	mayHaveRun, repeated := false, false
 	for {
 		attempt, code := f.Calls.Begin(parents, child)
 		if code != hornbeamcroft.CodeAnswered {
-			return f.refuse(call, code)
+			// A repeat that the budget does not cover follows an earlier send, whose outcome this node does not know.
+			call.FirstSend = call.FirstSend && (code != hornbeamcroft.CodeRetryBudgetSpent || repeated)
+			return conclude(f.refuse(call, code), mayHaveRun)
 		}
 		call.FirstSend = call.FirstSend && (!attempt.Repeat || repeated)
 		answer, again := f.attempt(ctx, call, child, attempt, &excluded)
 		if !again {
-			return answer
+			return conclude(answer, mayHaveRun)
 		}
 		// After "not run", the next send is as good as the first one.
 		repeated = true
-		call.FirstSend = call.FirstSend && answer.Code.Claim() == hornbeamcroft.ClaimNotRun
+		mayHaveRun = mayHaveRun || answer.Code.Claim() != hornbeamcroft.ClaimNotRun
+		call.FirstSend = call.FirstSend && !mayHaveRun
 	}
 }
 
+// conclude corrects the claim of the final answer: "not run" is about all attempts, and an earlier one may have run.
+func conclude(a hornbeamcroft.Answer, mayHaveRun bool) hornbeamcroft.Answer {
+	if mayHaveRun && a.Code.Claim() == hornbeamcroft.ClaimNotRun {
+		a.Code = hornbeamcroft.CodeOutcomeUnknown
+	}
+	return a
+}
+
 // refuse returns a refusal by this node. For a non-idempotent call that may have been sent before, the node cannot say
 // that its key did not run.
 func (f *Forwarder) refuse(call hornbeamcroft.Call, code hornbeamcroft.Code) hornbeamcroft.Answer {
