balancer: give a latency sample a weight of 0.2

Cause: at a weight of 0.05 a node needs about 20 calls to notice that an upstream became slow, which takes seconds at a low rate. Change: latencyGain 0.05 to 0.2; the share of refusals keeps 0.05 (refusedGain). Conclusion: 0.2 kept.

--- a/balancer/member.go
+++ b/balancer/member.go
@@ -15,12 +15,14 @@
 	// latencyTime is the time constant of the smoothed latency.
 	latencyTime = 2 * time.Second
 	// latencyGain is the least weight of a sample, for upstreams that get many calls.
-	latencyGain = 0.05
+	latencyGain = 0.2
 	// staleTime halves the distance of an idle member's latency from the mean. A member that was slow once would get no
 	// calls, and so no samples, for ever.
 	staleTime = 5 * time.Second
 	// refusedTime is the time constant of the share of refusals.
 	refusedTime = time.Second
+	// refusedGain is the weight of one call in the share of refusals.
+	refusedGain = 0.05
 	// refusedPenalty is the factor by which a member that refuses everything scores worse.
 	refusedPenalty = 10
 	// leastWeight is the weight of an upstream that has just started.
@@ -89,7 +91,7 @@
 }
 
 func (s *refusals) add(now time.Duration, refused float64) {
-	s.share = s.share*s.fade(now)*(1-latencyGain) + refused*latencyGain
+	s.share = s.share*s.fade(now)*(1-refusedGain) + refused*refusedGain
 	s.last = now
 }
 
--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -270,8 +270,12 @@
 	if trait.cold {
 		cores *= min(1, max(0.1, (c.now-c.cfg.join).Seconds()/10))
 	}
-	t *= max(1, float64(n.running)/cores) * trait.slow
-	if n.service == c.cfg.services-1 && c.now >= c.cfg.from && c.now < c.cfg.to {
+	t *= max(1, float64(n.running)/cores)
+	during := c.now >= c.cfg.from && c.now < c.cfg.to
+	if during || c.cfg.to == 0 {
+		t *= trait.slow
+	}
+	if during && n.service == c.cfg.services-1 {
 		t *= c.cfg.slow
 	}
 	return time.Duration(t)
