--- a/owner/messages.go
+++ b/owner/messages.go
@@ -10,7 +10,7 @@
 }
 
 // Check reports whether the message is well formed.
-func (m EpochOffer) Check() error { return errors.Wrap(m.Epoch.Check(), "epoch-offer") }
+func (m EpochOffer) Check() error { return m.Epoch.Check() }
 
 // EpochAck states that its sender knows the epoch and will never again confirm a permit for an older one.
 type EpochAck struct {
@@ -63,7 +63,7 @@
 		if m.Newer.Number != m.Number {
 			return errors.Errorf("permit-reply: number %d with epoch %d", m.Number, m.Newer.Number)
 		}
-		return errors.Wrap(m.Newer.Check(), "permit-reply")
+		return m.Newer.Check()
 	}
 	return nil
 }
