--- a/applier/applier_test.go
+++ b/applier/applier_test.go
@@ -19,8 +19,8 @@
 	return editor.Edit{Owner: "cash", Writer: writer, Write: []hornbeamcroft.Section{{Name: "service cash", Owner: "cash", Text: text}}}
 }
 
-// TestCallsPerEdit guards against an edit that costs the store more calls than documented: two undisturbed, five when
-// an answer is lost (read, write, reread, history), four after a lost race.
+// TestCallsPerEdit guards against an edit that costs the store more calls than documented: two undisturbed, four when
+// an answer is lost (read, write, read, history) or a race is lost (read, write, read, write).
 func TestCallsPerEdit(t *testing.T) {
 	for _, tt := range []struct {
 		name  string
--- a/etcdclient/client.go
+++ b/etcdclient/client.go
@@ -38,9 +38,6 @@
 	maxIdleConns = 4
 )
 
-// ErrWatchRenew means that a watch reached its WatchTime; the caller reads and watches again.
-var ErrWatchRenew = errors.New("watch renewed")
-
 // ErrStoreOlder means that the store's revision is below the one asked for: it was restored from an older copy.
 var ErrStoreOlder = errors.New("store revision is older than expected")
 
--- a/etcdclient/ops.go
+++ b/etcdclient/ops.go
@@ -102,10 +102,10 @@
 	return c.call(ctx, "/v3/lease/revoke", true, leaseRequest{ID: int64s(id)}, &out)
 }
 
-// Watch implements hornbeamcroft.Store. It returns ErrWatchRenew after WatchTime and ErrStoreOlder if the store's
-// revision is below fromRevision - 1; in both cases the caller reads before it watches again.
+// Watch implements hornbeamcroft.Store. It returns nil after WatchTime and ErrStoreOlder if the store's revision is below
+// fromRevision - 1; in both cases the caller reads before it watches again.
 func (c *Client) Watch(ctx context.Context, prefix string, fromRevision int64, fn func(hornbeamcroft.Event)) error {
-	watchCtx, cancel := context.WithTimeoutCause(ctx, c.WatchTime, ErrWatchRenew)
+	watchCtx, cancel := context.WithTimeout(ctx, c.WatchTime)
 	defer cancel()
 	in := watchRequest{watchCreate{[]byte(prefix), rangeEnd(prefix), int64s(fromRevision)}}
 	err := c.each(func(i int) (bool, error) {
@@ -116,7 +116,7 @@
 		return false, readWatch(resp, fromRevision, fn)
 	})
 	if ctx.Err() == nil && watchCtx.Err() != nil {
-		return ErrWatchRenew
+		return nil
 	}
 	return err
 }
