--- a/etcdclient/client.go
+++ b/etcdclient/client.go
@@ -54,7 +54,7 @@
 	NoBreaker bool
 
 	services []httpc.Service
-	// current is the index of the endpoint that answered last.
+	// current is the index of the endpoint to try first, modulo their number.
 	current atomic.Int64
 }
 
@@ -109,7 +109,7 @@
 	ctx, cancel := context.WithTimeout(ctx, c.Timeout)
 	defer cancel()
 	return c.each(func(i int) (bool, error) {
-		resp, sent, err := c.post(ctx, i, path, in)
+		resp, sent, err := c.post(ctx, i, path, write, in)
 		if err == nil {
 			err = decode(resp, out)
 		}
@@ -121,15 +121,19 @@
 // each tries the endpoints in turn, starting with the one that answered last.
 func (c *Client) each(try func(i int) (retry bool, err error)) error {
 	err := errors.Wrap(hornbeamcroft.ErrStoreUnreachable, "no endpoints")
-	first := int(c.current.Load())
+	first := c.current.Load()
 	for k := range c.services {
-		i := (first + k) % len(c.services)
+		i := (int(first) + k) % len(c.services)
 		var retry bool
 		retry, err = try(i)
 		if err == nil {
 			c.current.Store(int64(i))
 			return nil
 		}
+		if !definite(err) {
+			// The next call starts elsewhere, since this endpoint may be silent and use up the call's whole time.
+			c.current.Store(int64(i + 1))
+		}
 		if !retry {
 			return err
 		}
@@ -138,7 +142,7 @@
 }
 
 // post sends one request. It reports whether a byte of it may have been sent.
-func (c *Client) post(ctx context.Context, i int, path string, in any) (*http.Response, bool, error) {
+func (c *Client) post(ctx context.Context, i int, path string, write bool, in any) (*http.Response, bool, error) {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return nil, false, err
@@ -150,8 +154,11 @@
 	if err != nil {
 		return nil, false, err
 	}
-	// Without GetBody the transport never repeats a request by itself.
-	r.GetBody = nil
+	if !write {
+		// The transport repeats a request by itself if its reused connection turns out to be closed: a POST only if no
+		// byte was written, and with this entry, which is not sent, also later.
+		r.Header["Idempotency-Key"] = nil
+	}
 	r.Header.Set("Content-Type", "application/json")
 	resp, err := c.services[i].DoRequest(r)
 	return resp, sent.Load(), err
--- a/etcdclient/client_test.go
+++ b/etcdclient/client_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -103,6 +104,24 @@
 	is.Equal(calls.Load(), int32(3)) // a read may be repeated
 }
 
+// TestSilentEndpoint guards against calls that all time out at a silent endpoint although another one answers.
+func TestSilentEndpoint(t *testing.T) {
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = silent.Close() }()
+	live := answering(t, 200, `{"header":{"revision":"1"}}`)
+	c := &Client{Endpoints: []string{silent.Addr().String(), live.Endpoints[0]}, NoBreaker: true}
+	c.Init()
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	_, err = c.Get(ctx, "a")
+	is.True(err != nil)
+	_, err = c.Get(t.Context(), "a")
+	is.NoErr(err)
+	is.Equal(int(c.current.Load()), 1)
+}
+
 // TestWatchRenews guards against a watch on a connection that went silent and is never replaced.
 func TestWatchRenews(t *testing.T) {
 	is := is.New(t)
--- a/etcdclient/ops.go
+++ b/etcdclient/ops.go
@@ -109,7 +109,7 @@
 	defer cancel()
 	in := watchRequest{watchCreate{[]byte(prefix), rangeEnd(prefix), int64s(fromRevision)}}
 	err := c.each(func(i int) (bool, error) {
-		resp, sent, err := c.post(watchCtx, i, "/v3/watch", in)
+		resp, sent, err := c.post(watchCtx, i, "/v3/watch", false, in)
 		if err != nil {
 			return watchCtx.Err() == nil, classify(err, sent)
 		}
