owner: serve moved keys as soon as their previous home has handed them over

Cause: after a planned restart, the keys that moved were refused for the wait of T x 1.05 although their previous home had stopped them and sent its records. Change: a complete handover for the epoch releases the keys of its sender before the epoch is settled. The handover proves that the sender knows the epoch and starts none of these calls any more; a record of a running call is handed over as running.

--- a/owner/horizon.go
+++ b/owner/horizon.go
@@ -75,7 +75,7 @@
 		v.Code = hornbeamcroft.CodeHomeMoved
 	case !o.permitted(now):
 		v.Code = hornbeamcroft.CodeNoPermit
-	case !o.epoch.Settled && !o.relax.openMoved && o.previous.home(key) != o.Self:
+	case !o.epoch.Settled && !o.relax.openMoved && !o.released(key):
 		v.Code = hornbeamcroft.CodeNoPermit
 	default:
 		v.Serve = true
@@ -83,6 +83,24 @@
 	return v
 }
 
+// released reports whether the key may be served before the epoch is settled: its previous home is this node, or has
+// handed over all of its records for this epoch. The handover proves that the previous home knows the epoch and starts
+// no further call of the key, so the wait for its permit to end is not needed. Homes before it ended when the previous
+// epoch was settled.
+func (o *Owner) released(key string) bool {
+	from := o.previous.home(key)
+	if from == o.Self {
+		return true
+	}
+	for i := range o.moves {
+		if m := &o.moves[i]; m.epoch == o.epoch.Number && !m.gap {
+			_, ok := m.handed[from]
+			return ok
+		}
+	}
+	return false
+}
+
 // addMove records the change to the current epoch. A gap is a move of its own, because it begins with the permit while
 // the keys that moved begin when the epoch is settled.
 func (o *Owner) addMove(gap bool) {
@@ -116,7 +134,7 @@
 	}
 	if h, ok := m.handed[from]; ok && from != "" {
 		if issued == 0 {
-			return h.untimedOld && now-m.beganAt < o.KeyWindow, false
+			return h.untimedOld && (!m.begun || now-m.beganAt < o.KeyWindow), false
 		}
 		return issued <= h.horizon, false
 	}
