--- a/cmd/hornbeam-standin/caller/action.go
+++ b/cmd/hornbeam-standin/caller/action.go
@@ -60,12 +60,16 @@
 	return len(a.Sends) > 0 && a.Sends[len(a.Sends)-1].Result == ResultWhole
 }
 
-// Interrupted reports whether the send may have been received and its outcome is not known. A refused connection is no
-// interruption, since nothing was sent.
+// Interrupted reports whether the send was cut after it may have been received. A refused connection is no interruption,
+// since nothing was sent; nor is a refusal because of earlier sends, whose outcome alone is unknown.
 func (s Send) Interrupted() bool {
 	if s.Result == ResultLost {
 		return !strings.Contains(s.Fault, syscall.ECONNREFUSED.Error())
 	}
+	switch s.Code {
+	case hornbeamcroft.CodeKeyBeforeTakeover, hornbeamcroft.CodeKeyExpired, hornbeamcroft.CodeEarlierSendUnknown:
+		return false
+	}
 	return s.Claim == hornbeamcroft.ClaimMayHaveRun.String()
 }
 
