--- /dev/null
+++ b/cmd/hornbeam-standin/bench/bench_test.go
@@ -0,0 +1,77 @@
+package bench
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft/cmd/hornbeam-standin/caller"
+	"hornbeamcroft/cmd/hornbeam-standin/fleet"
+	"hornbeamcroft/cmd/hornbeam-standin/upstream"
+)
+
+// Guards against figures of a scenario that count the wrong part, mix lookups with orders, or miss a broken promise.
+func TestScore(t *testing.T) {
+	data, err := os.ReadFile("testdata/score.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var in struct {
+		Times   Times
+		Actions []struct {
+			Target, Marker string
+			AtMs           int
+			Whole          bool
+		}
+		Executions []upstream.Execution
+		Want       Run
+	}
+	if err := json.Unmarshal(data, &in); err != nil {
+		t.Fatal(err)
+	}
+	is := is.New(t)
+	w := Workload{
+		Deployment: fleet.Demo(), Deep: "cash-office", Mix: []caller.Mix{{Target: "sizing/size"}, {Target: "sizing/order"}},
+		Lookups: map[string]bool{"sizing/size": true},
+	}
+	var actions []caller.Action
+	for _, a := range in.Actions {
+		s := caller.Send{Result: caller.ResultRefused, Claim: "may-have-run"}
+		if a.Whole {
+			s = caller.Send{Result: caller.ResultWhole, Claim: "ran"}
+		}
+		actions = append(actions, caller.Action{
+			Target: a.Target, Marker: a.Marker, At: time.Duration(a.AtMs) * time.Millisecond, Sends: []caller.Send{s},
+		})
+	}
+	got := score(w, Scenario{ID: "a"}, in.Times, caller.NewReport(caller.Settings{Mix: w.Mix}, actions), in.Executions)
+	got.Bins, got.Codes = nil, nil
+	is.Equal(got, in.Want)
+}
+
+// Guards against a table that shows a missing measurement or a lacking recovery as a number.
+func TestShow(t *testing.T) {
+	is := is.New(t)
+	res := Results{Times: fullTimes, Runs: []Run{
+		{Deployment: "regie", Scenario: "a", System: "no control", Recovered: false},
+		{Deployment: "regie", Scenario: "a", System: "plain limit", Error: "not started"},
+		{Deployment: "regie", Scenario: "a", System: "this build", Recovered: true, Recovery: 0.5},
+	}}
+	var out bytes.Buffer
+	res.show(&out)
+	for _, want := range []string{"not within 5.0", "not measured", "0.50", "plain limit, run 0: not started"} {
+		is.True(strings.Contains(out.String(), want)) // want
+	}
+	is.True(res.failure() != nil)
+	dir := t.TempDir()
+	res.Runs[0].Bins = nil
+	is.NoErr(res.plots(dir))
+	plots, _ := filepath.Glob(filepath.Join(dir, "*.svg"))
+	is.Equal(len(plots), 1)
+}
