--- a/applier/scenario_test.go
+++ b/applier/scenario_test.go
@@ -65,6 +65,7 @@
 			"store": cmdStore, "node": cmdNode, "expect": cmdExpect, "digests": cmdDigests,
 			"apply":        func(ts *testscript.TestScript, _ bool, args []string) { apply(ts, false, args) },
 			"reapply":      func(ts *testscript.TestScript, _ bool, args []string) { apply(ts, true, args) },
+			"remove":       remove,
 			"before-write": func(ts *testscript.TestScript, _ bool, args []string) { around(ts, false, args) },
 			"after-write":  func(ts *testscript.TestScript, _ bool, args []string) { around(ts, true, args) },
 		},
@@ -143,6 +144,14 @@
 	ts.Logf("%s: %s, revision %d, %d conflicts", args[0], r.Code, r.Revision, len(r.Conflicts))
 }
 
+// remove removes a section: remove WRITER SECTION CODE.
+func remove(ts *testscript.TestScript, _ bool, args []string) {
+	r := worldOf(ts).apply(editor.Edit{Owner: "any", Writer: args[0], Remove: args[1:2]}, false)
+	if got := r.Code.Info().Name; got != args[2] {
+		ts.Fatalf("remove: got %s (%v), want %s", got, r.Err, args[2])
+	}
+}
+
 // around runs a command before or after the next transaction: before-write COMMAND ARGS.
 func around(ts *testscript.TestScript, after bool, args []string) {
 	commands := map[string]func(*testscript.TestScript, bool, []string){
--- a/applier/world_test.go
+++ b/applier/world_test.go
@@ -44,11 +44,13 @@
 	"compare-generation": {editor: editor.CompareGeneration},
 	"detect-conflict":    {editor: editor.DetectConflict},
 	"compare-highest":    {editor: editor.CompareHighest},
+	"raise-generation":   {editor: editor.RaiseGeneration},
 	"compare-and-swap":   {unconditional: true},
 	"higher-only":        {distributor: distributor.HigherOnly},
 	"compare-hash":       {distributor: distributor.CompareHash},
 	"repair":             {distributor: distributor.Repair},
 	"compare-digest":     {distributor: distributor.CompareDigest},
+	"merge-diverged":     {distributor: distributor.MergeDiverged},
 }
 
 func newWorld(off mechanisms) *world {
@@ -145,7 +147,9 @@
 	for ; n > 0 && w.nodes[name].watched < len(w.events); n-- {
 		event := w.events[w.nodes[name].watched]
 		w.nodes[name].watched++
-		w.push(name, w.nodes[name].OnWatch(event).Push)
+		actions := w.nodes[name].OnWatch(event)
+		w.push(name, actions.Push)
+		w.readIfAsked(name, actions)
 	}
 }
 
@@ -171,6 +175,14 @@
 			actions = w.nodes[to].OnWhole(w.clock.Now(), *m.Whole)
 		}
 		w.send(to, from, actions.Reply)
+		w.readIfAsked(to, actions)
+	}
+}
+
+// readIfAsked lets a node read the store because documents diverged.
+func (w *world) readIfAsked(name string, actions distributor.Actions) {
+	if actions.ReadStore {
+		w.read(name)
 	}
 }
 
--- a/cmd/hornbeamctl/apply.go
+++ b/cmd/hornbeamctl/apply.go
@@ -60,10 +60,9 @@
 	if err != nil {
 		return err
 	}
-	highest, heard := collector.Highest(s.collector().Statuses(ctx))
-	if heard == 0 && !cmd.Bool("without-nodes") {
-		return fail(hornbeamcroft.CodeStoreBehind, errors.New(
-			"no node answered, so the store may be behind; set --nodes, or --without-nodes for the first document"))
+	highest, err := askNodes(ctx, cmd, s)
+	if err != nil {
+		return err
 	}
 	line(cmd.Root().ErrWriter, "apply: writer %s", edit.Writer)
 	e := &editor.Editor{Edit: edit, Check: applier.Check, Highest: highest}
@@ -71,6 +70,22 @@
 	return reportApply(ctx, cmd, s, r)
 }
 
+// askNodes returns the highest revision in force. It refuses an edit that could be based on an old document.
+func askNodes(ctx context.Context, cmd *cli.Command, s settings) (uint64, error) {
+	statuses := s.collector().Statuses(ctx)
+	highest, heard := collector.Highest(statuses)
+	if heard == 0 && !cmd.Bool("without-nodes") {
+		return 0, fail(hornbeamcroft.CodeStoreBehind, errors.New(
+			"no node answered, so the store may be behind; set --nodes, or --without-nodes for the first document"))
+	}
+	if names := collector.Diverged(statuses); len(names) > 0 {
+		return 0, fail(hornbeamcroft.CodeStoreBehind, errors.Errorf(
+			"accepted edits are missing from the store's document and are being merged by %s; try again in a few seconds",
+			strings.Join(names, ", ")))
+	}
+	return highest, nil
+}
+
 // readEdit builds the edit from the file and the flags.
 func readEdit(cmd *cli.Command) (editor.Edit, bool, error) {
 	edit := editor.Edit{Owner: cmd.String("as"), Writer: cmd.String("writer"), Remove: cmd.StringSlice("remove")}
--- a/cmd/hornbeamctl/collector/status.go
+++ b/cmd/hornbeamctl/collector/status.go
@@ -22,6 +22,8 @@
 	Revision uint64 `json:"document-revision"`
 	// StoreBehind is set if the node knows that the store holds an older document.
 	StoreBehind bool `json:"store-behind,omitempty"`
+	// Diverged is set while the node holds an accepted edit that is missing from the document and is being merged.
+	Diverged bool `json:"diverged,omitempty"`
 	// Members are the members known to the node.
 	Members []Member `json:"-"`
 }
@@ -41,6 +43,7 @@
 	State       string          `json:"state"`
 	Revision    *uint64         `json:"document-revision"`
 	StoreBehind bool            `json:"store-behind"`
+	Diverged    bool            `json:"diverged"`
 	Members     json.RawMessage `json:"members"`
 }
 
@@ -70,7 +73,7 @@
 	}
 	s := Status{
 		Heard: true, Name: b.Name, Service: b.Service, Zone: b.Zone, State: b.State, Revision: *b.Revision,
-		StoreBehind: b.StoreBehind,
+		StoreBehind: b.StoreBehind, Diverged: b.Diverged,
 	}
 	// Members may be a number; then there are no names to compare.
 	if json.Unmarshal(b.Members, &s.Members) != nil {
@@ -90,6 +93,17 @@
 	return revision, heard
 }
 
+// Diverged returns the names of the nodes that report diverged documents.
+func Diverged(statuses []Status) []string {
+	var names []string
+	for _, s := range statuses {
+		if s.Diverged {
+			names = append(names, s.Name)
+		}
+	}
+	return names
+}
+
 // Missing returns the members that nodes know of and that did not answer, by name.
 func Missing(statuses []Status) []Member {
 	heard, listed := map[string]bool{}, map[string]bool{}
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -26,6 +26,8 @@
 	Repair
 	// CompareDigest answers the offers of others.
 	CompareDigest
+	// MergeDiverged merges documents of which neither is the successor of the other.
+	MergeDiverged
 )
 
 // askInterval is the time for which a request for the same revision is not repeated, so that two relays that offer the
@@ -48,7 +50,10 @@
 	// refused is the last document that did not pass Check; it is not asked for again.
 	refused     Offer
 	storeBehind bool
-	diverged    bool
+	// merged is the document to write because others diverged from each other; its revision is zero if there is none.
+	merged hornbeamcroft.StoredDocument
+	// fork is the last document that was merged.
+	fork Offer
 }
 
 // request is the last request for a newer document.
@@ -66,9 +71,11 @@
 	Reply []Message
 	// Push is sent by a relay to the nodes of its zone and the relays of other zones, but not to the sender.
 	Push []Message
-	// Write is set if the store is behind; a relay writes it, on condition that the document's key still has the given
-	// ModRevision.
+	// Write is set if the store is behind or documents diverged. It is written on condition that the document's key still
+	// has the given ModRevision.
 	Write *Write
+	// ReadStore asks to read the store now and to call OnRead, since documents diverged.
+	ReadStore bool
 	// Err is the reason why a document was not accepted; it is logged.
 	Err error
 }
@@ -77,6 +84,9 @@
 type Write struct {
 	Document    hornbeamcroft.StoredDocument
 	ModRevision int64
+	// Merge is set if documents diverged. A merge is written by any node, since no other may know of it; a store that is
+	// behind is repaired by relays only.
+	Merge bool
 }
 
 // Status is the state for status pages.
@@ -84,7 +94,8 @@
 	Revision uint64 `json:"document-revision"`
 	// StoreBehind is set while the store holds an older document than this node.
 	StoreBehind bool `json:"store-behind"`
-	// Diverged is set while another document with the same revision is known; the next edit ends it.
+	// Diverged is set while accepted edits are missing from the newest document, because the store was restored and written
+	// before the nodes' document reached it. A merged document is being written.
 	Diverged bool `json:"diverged"`
 	// Refused is the revision of a newer document that this node cannot accept, or zero.
 	Refused uint64 `json:"refused-revision,omitempty"`
@@ -99,20 +110,25 @@
 
 // Status returns the state for status pages.
 func (d *Distributor) Status() Status {
-	return Status{d.newest.Revision, d.storeBehind, d.diverged, d.refused.Revision}
+	return Status{d.newest.Revision, d.storeBehind, d.merged.Revision != 0, d.refused.Revision}
 }
 
 // OnRead takes the document that was read from the store, with its ModRevision; a store without one gives revision 0.
 func (d *Distributor) OnRead(stored hornbeamcroft.StoredDocument, modRevision int64) Actions {
 	own := d.newest
 	d.storeBehind = stored.Revision < own.Revision
-	if !d.storeBehind || d.Without&HigherOnly != 0 && stored.Revision > 0 {
-		return d.OnWatch(stored)
-	}
-	if d.Without&Repair != 0 {
-		return Actions{}
-	}
-	return Actions{Write: &Write{own, modRevision}}
+	if d.storeBehind && (d.Without&HigherOnly == 0 || stored.Revision == 0) {
+		if d.Without&Repair != 0 {
+			return Actions{}
+		}
+		return Actions{Write: &Write{Document: own, ModRevision: modRevision}}
+	}
+	actions := d.OnWatch(stored)
+	if d.merged.Revision > stored.Revision {
+		actions.ReadStore = false
+		actions.Write = &Write{Document: d.merged, ModRevision: modRevision, Merge: true}
+	}
+	return actions
 }
 
 // OnWatch takes a document that a watch delivered. A watch may lag, so a lower revision says nothing about the store.
@@ -121,29 +137,19 @@
 		return Actions{}
 	}
 	stored.Sections = slices.SortedFunc(slices.Values(stored.Sections), byName)
-	hash := HashOf(stored)
 	if stored.Revision >= d.newest.Revision {
 		d.storeBehind = false
 	}
-	d.compare(Offer{Revision: stored.Revision, Hash: hash})
-	return d.accept(stored, hash)
+	return d.accept(stored, HashOf(stored))
 }
 
 func byName(a, b hornbeamcroft.Section) int { return strings.Compare(a.Name, b.Name) }
 
-// compare notes a different document of the same revision.
-func (d *Distributor) compare(o Offer) {
-	if o.Revision == d.newest.Revision && o.Hash != d.hash {
-		d.diverged = true
-	}
-}
-
 // OnOffer takes a digest or request of another node.
 func (d *Distributor) OnOffer(now time.Duration, o Offer) Actions {
 	if err := o.Check(); err != nil {
 		return Actions{Err: err}
 	}
-	d.compare(o)
 	switch {
 	case d.Without&CompareDigest != 0:
 		return Actions{}
@@ -151,6 +157,10 @@
 		return Actions{Reply: d.catchUp(o)}
 	case o.Revision > d.newest.Revision && o.Revision != d.refused.Revision:
 		return Actions{Reply: d.ask(now, o.Revision, d.newest.Revision == 0)}
+	case d.forked(o) && o.NeedWhole:
+		return Actions{Reply: d.whole()}
+	case d.forked(o):
+		return Actions{Reply: d.ask(now, o.Revision, true)}
 	}
 	return Actions{}
 }
@@ -174,7 +184,6 @@
 	}
 	switch {
 	case m.To <= d.newest.Revision && d.Without&HigherOnly == 0:
-		d.compare(Offer{Revision: m.To, Hash: m.Hash})
 		return Actions{}
 	case m.From > d.newest.Revision:
 		return Actions{Reply: d.ask(now, m.To, d.newest.Revision == 0)}
@@ -191,8 +200,8 @@
 	if err := m.Check(); err != nil {
 		return Actions{Err: err}
 	}
-	if m.Revision <= d.newest.Revision && d.Without&HigherOnly == 0 {
-		d.compare(Offer{Revision: m.Revision, Hash: m.Hash})
+	forked := d.forked(Offer{Revision: m.Revision, Hash: m.Hash})
+	if m.Revision <= d.newest.Revision && !forked && d.Without&HigherOnly == 0 {
 		return Actions{}
 	}
 	stored, done := d.parts.add(now, m)
@@ -208,21 +217,24 @@
 // accept puts a document in force if its revision is higher and it passes Check.
 func (d *Distributor) accept(stored hornbeamcroft.StoredDocument, hash uint64) Actions {
 	if stored.Revision <= d.newest.Revision && d.Without&HigherOnly == 0 {
-		return Actions{}
+		return d.merge(stored, Offer{Revision: stored.Revision, Hash: hash})
 	}
 	if err := d.Check(stored); err != nil {
 		d.refused = Offer{Revision: stored.Revision, Hash: hash}
 		return Actions{Err: errors.Wrapf(err, "document of revision %d refused", stored.Revision)}
 	}
-	from := Offer{Revision: d.newest.Revision, Hash: d.hash}
-	d.steps.add(d.newest, stored)
+	old := d.newest
+	from := d.Offer()
+	d.steps.add(old, stored)
 	d.newest, d.hash = stored, hash
-	d.diverged, d.refused, d.parts = false, Offer{}, assembly{}
+	d.refused, d.parts = Offer{}, assembly{}
 	push := d.catchUp(from)
 	if from.Revision == 0 {
 		// A start brings nothing new to others; they compare digests.
 		o := d.Offer()
 		push = []Message{{Offer: &o}}
 	}
-	return Actions{Accepted: true, Push: push}
+	actions := d.keepEdits(old)
+	actions.Accepted, actions.Push = true, push
+	return actions
 }
--- /dev/null
+++ b/distributor/merge.go
@@ -0,0 +1,82 @@
+package distributor
+
+import (
+	"slices"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+)
+
+// Documents diverge if a store is restored from an old copy and edited before the nodes' newer document reaches it. Then
+// two documents hold accepted edits that the other lacks. As generations only rise, each section tells which one is the
+// newer, and a merged document with a higher revision holds both edits.
+
+// forked reports whether o is another document of the same revision that is not merged yet.
+func (d *Distributor) forked(o Offer) bool {
+	return o.Revision != 0 && o.Revision == d.newest.Revision && o.Hash != d.hash && o != d.fork && d.Without&MergeDiverged == 0
+}
+
+// merge takes another document of the same revision. Sections that only one of the two has are kept.
+func (d *Distributor) merge(other hornbeamcroft.StoredDocument, o Offer) Actions {
+	if !d.forked(o) {
+		return Actions{}
+	}
+	d.fork = o
+	return d.propose(newer(d.base(), other, true))
+}
+
+// keepEdits compares the newest document with the one that it replaced. Sections that are missing in the newest were
+// removed, as far as this node can tell.
+func (d *Distributor) keepEdits(old hornbeamcroft.StoredDocument) Actions {
+	if d.merged.Revision != 0 {
+		old = d.merged
+	}
+	d.merged, d.fork = hornbeamcroft.StoredDocument{}, Offer{}
+	if d.Without&(MergeDiverged|HigherOnly) != 0 {
+		return Actions{}
+	}
+	return d.propose(newer(d.newest, old, false))
+}
+
+// base returns the document that a merge begins with.
+func (d *Distributor) base() hornbeamcroft.StoredDocument {
+	if d.merged.Revision != 0 {
+		return d.merged
+	}
+	return d.newest
+}
+
+// propose makes a document the one to write, unless it has the content of the newest or does not pass Check.
+func (d *Distributor) propose(sections []hornbeamcroft.Section) Actions {
+	if slices.Equal(sections, d.newest.Sections) {
+		return Actions{}
+	}
+	merged := hornbeamcroft.StoredDocument{Revision: d.newest.Revision + 1, Sections: sections}
+	if err := d.Check(merged); err != nil {
+		return Actions{Err: errors.Wrap(err, "diverged documents cannot be merged; an operator decides")}
+	}
+	d.merged = merged
+	return Actions{ReadStore: true}
+}
+
+// newer returns the sections of a with those of b that have a higher generation. At the same generation the greater
+// writer id wins on all nodes; ids begin with the time, so this is the later edit. Sections that only b has are added if
+// union is set.
+func newer(a, b hornbeamcroft.StoredDocument, union bool) []hornbeamcroft.Section {
+	sections, others := slices.Clone(a.Sections), index(b.Sections)
+	for i, s := range sections {
+		o, ok := others[s.Name]
+		if ok && (o.Generation > s.Generation || o.Generation == s.Generation && o.Writer > s.Writer) {
+			sections[i] = o
+		}
+		delete(others, s.Name)
+	}
+	for _, o := range others {
+		if union {
+			sections = append(sections, o)
+		}
+	}
+	slices.SortFunc(sections, byName)
+	return sections
+}
--- a/document.go
+++ b/document.go
@@ -10,7 +10,8 @@
 	Owner string `cbor:"2,keyasint" json:"owner"`
 	// Text is the section's INI text without the line in brackets.
 	Text string `cbor:"3,keyasint" json:"text"`
-	// Generation counts the accepted edits of this section, from 1.
+	// Generation rises by one with each accepted edit of this section. A new section begins with the document's revision,
+	// so that a section that was removed and is made again has a higher generation than before.
 	Generation uint64 `cbor:"4,keyasint" json:"generation"`
 	// Writer identifies the edit that wrote this generation; it tells a lost answer from another's write.
 	Writer string `cbor:"5,keyasint" json:"writer"`
--- a/editor/merge.go
+++ b/editor/merge.go
@@ -114,6 +114,9 @@
 // written returns the section as this edit writes it and notes it in the history entry.
 func (e *Editor) written(mine, old hornbeamcroft.Section, change *Change) hornbeamcroft.Section {
 	mine.Generation, mine.Writer = old.Generation+1, e.Edit.Writer
+	if old.Generation == 0 && e.Without&RaiseGeneration == 0 {
+		mine.Generation = change.Revision
+	}
 	change.Sections = append(change.Sections, SectionChange{
 		Name: mine.Name, Generation: mine.Generation, Before: old.Text, After: mine.Text,
 	})
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -73,7 +73,7 @@
 	}
 }
 
-// Read reads the document once, repairs the store if OnRead asks for it, and returns the store's revision of the read. A
+// Read reads the document once, when Actions.ReadStore asks for it or at the start, repairs the store if OnRead asks for it, and returns the store's revision of the read. A
 // node without peers calls it at its start.
 func (f *Follower) Read(ctx context.Context) (int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
