distributor: keep edits made on a restored store, and mark removed sections

A model test found that repairing a store that is behind reverted edits accepted on it after the restore, and that two documents of one revision could stay different.

--- a/applier/world_test.go
+++ b/applier/world_test.go
@@ -44,7 +44,7 @@
 	"compare-generation": {editor: editor.CompareGeneration},
 	"detect-conflict":    {editor: editor.DetectConflict},
 	"compare-highest":    {editor: editor.CompareHighest},
-	"raise-generation":   {editor: editor.RaiseGeneration},
+	"mark-removed":       {editor: editor.MarkRemoved},
 	"compare-and-swap":   {unconditional: true},
 	"higher-only":        {distributor: distributor.HigherOnly},
 	"compare-hash":       {distributor: distributor.CompareHash},
--- a/cmd/hornbeamctl/show.go
+++ b/cmd/hornbeamctl/show.go
@@ -78,7 +78,7 @@
 		return err
 	}
 	out.Revision = stored.Revision
-	if out.Sections, err = chosen(stored.Sections, cmd.Args().Slice()); err != nil {
+	if out.Sections, err = chosen(parser.Present(stored.Sections), cmd.Args().Slice()); err != nil {
 		return err
 	}
 	if !cmd.Bool("history") {
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -115,13 +115,9 @@
 
 // OnRead takes the document that was read from the store, with its ModRevision; a store without one gives revision 0.
 func (d *Distributor) OnRead(stored hornbeamcroft.StoredDocument, modRevision int64) Actions {
-	own := d.newest
-	d.storeBehind = stored.Revision < own.Revision
+	d.storeBehind = stored.Revision < d.newest.Revision
 	if d.storeBehind && (d.Without&HigherOnly == 0 || stored.Revision == 0) {
-		if d.Without&Repair != 0 {
-			return Actions{}
-		}
-		return Actions{Write: &Write{Document: own, ModRevision: modRevision}}
+		return d.repair(stored, modRevision)
 	}
 	actions := d.OnWatch(stored)
 	if d.merged.Revision > stored.Revision {
--- a/distributor/merge.go
+++ b/distributor/merge.go
@@ -17,17 +17,17 @@
 	return o.Revision != 0 && o.Revision == d.newest.Revision && o.Hash != d.hash && o != d.fork && d.Without&MergeDiverged == 0
 }
 
-// merge takes another document of the same revision. Sections that only one of the two has are kept.
+// merge takes another document of the same revision. The merged document is written even if it has the content of the
+// newest, since the other one may be that of the store.
 func (d *Distributor) merge(other hornbeamcroft.StoredDocument, o Offer) Actions {
 	if !d.forked(o) {
 		return Actions{}
 	}
 	d.fork = o
-	return d.propose(newer(d.base(), other, true))
+	return d.propose(newer(d.base(), other), true)
 }
 
-// keepEdits compares the newest document with the one that it replaced. Sections that are missing in the newest were
-// removed, as far as this node can tell.
+// keepEdits compares the newest document with the one that it replaced.
 func (d *Distributor) keepEdits(old hornbeamcroft.StoredDocument) Actions {
 	if d.merged.Revision != 0 {
 		old = d.merged
@@ -36,7 +36,24 @@
 	if d.Without&(MergeDiverged|HigherOnly) != 0 {
 		return Actions{}
 	}
-	return d.propose(newer(d.newest, old, false))
+	return d.propose(newer(d.newest, old), false)
+}
+
+// repair returns what is written to a store that is behind: the newest document, or a merge if the store was edited after
+// it was restored.
+func (d *Distributor) repair(stored hornbeamcroft.StoredDocument, modRevision int64) Actions {
+	if d.Without&Repair != 0 {
+		return Actions{}
+	}
+	if d.Without&MergeDiverged == 0 {
+		if actions := d.propose(newer(d.base(), stored), false); actions.Err != nil {
+			return actions
+		}
+	}
+	if d.merged.Revision != 0 {
+		return Actions{Write: &Write{Document: d.merged, ModRevision: modRevision, Merge: true}}
+	}
+	return Actions{Write: &Write{Document: d.newest, ModRevision: modRevision}}
 }
 
 // base returns the document that a merge begins with.
@@ -47,9 +64,10 @@
 	return d.newest
 }
 
-// propose makes a document the one to write, unless it has the content of the newest or does not pass Check.
-func (d *Distributor) propose(sections []hornbeamcroft.Section) Actions {
-	if slices.Equal(sections, d.newest.Sections) {
+// propose makes a document the one to write, if it passes Check. Without same, one with the content of the newest is not
+// written.
+func (d *Distributor) propose(sections []hornbeamcroft.Section, same bool) Actions {
+	if !same && slices.Equal(sections, d.newest.Sections) {
 		return Actions{}
 	}
 	merged := hornbeamcroft.StoredDocument{Revision: d.newest.Revision + 1, Sections: sections}
@@ -61,9 +79,9 @@
 }
 
 // newer returns the sections of a with those of b that have a higher generation. At the same generation the greater
-// writer id wins on all nodes; ids begin with the time, so this is the later edit. Sections that only b has are added if
-// union is set.
-func newer(a, b hornbeamcroft.StoredDocument, union bool) []hornbeamcroft.Section {
+// writer id wins on all nodes; ids begin with the time, so this is the later edit. Sections that only one of them has are
+// kept, since removed sections leave a mark.
+func newer(a, b hornbeamcroft.StoredDocument) []hornbeamcroft.Section {
 	sections, others := slices.Clone(a.Sections), index(b.Sections)
 	for i, s := range sections {
 		o, ok := others[s.Name]
@@ -73,9 +91,7 @@
 		delete(others, s.Name)
 	}
 	for _, o := range others {
-		if union {
-			sections = append(sections, o)
-		}
+		sections = append(sections, o)
 	}
 	slices.SortFunc(sections, byName)
 	return sections
--- a/distributor/message.go
+++ b/distributor/message.go
@@ -133,6 +133,9 @@
 		text(s.Text)
 		text(s.Writer)
 		number(s.Generation)
+		if s.Removed {
+			number(1)
+		}
 	}
 	return h.Sum64()
 }
--- a/document.go
+++ b/document.go
@@ -10,11 +10,13 @@
 	Owner string `cbor:"2,keyasint" json:"owner"`
 	// Text is the section's INI text without the line in brackets.
 	Text string `cbor:"3,keyasint" json:"text"`
-	// Generation rises by one with each accepted edit of this section. A new section begins with the document's revision,
-	// so that a section that was removed and is made again has a higher generation than before.
+	// Generation counts the accepted edits of this section, from 1, its removal included.
 	Generation uint64 `cbor:"4,keyasint" json:"generation"`
 	// Writer identifies the edit that wrote this generation; it tells a lost answer from another's write.
 	Writer string `cbor:"5,keyasint" json:"writer"`
+	// Removed marks a section that was removed; Owner and Text are empty. The mark stays in the document, so that a merge
+	// of documents that diverged tells a removed section from one that the other document never had.
+	Removed bool `cbor:"6,keyasint,omitempty" json:"removed,omitempty"`
 }
 
 // StoredDocument is the value in the store. It is replaced as a whole by compare-and-swap.
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -24,8 +24,8 @@
 	DetectConflict
 	// CompareHighest refuses to write while the store is behind the nodes.
 	CompareHighest
-	// RaiseGeneration begins the generations of a new section with the document's revision.
-	RaiseGeneration
+	// MarkRemoved keeps a mark of removed sections in the document.
+	MarkRemoved
 )
 
 // Edit is a requested change of one section or more.
--- a/editor/merge.go
+++ b/editor/merge.go
@@ -42,6 +42,9 @@
 	return names
 }
 
+// present reports whether a section that was looked up exists.
+func present(s hornbeamcroft.Section) bool { return s.Name != "" && !s.Removed }
+
 // conflicts returns the edited sections that differ from what the edit is based on. A section that already has the
 // wanted text is no conflict.
 func (e *Editor) conflicts(current hornbeamcroft.StoredDocument) []Conflict {
@@ -50,9 +53,9 @@
 	}
 	var conflicts []Conflict
 	for _, name := range e.Edit.names() {
-		theirs, exists := find(current.Sections, name)
+		theirs, _ := find(current.Sections, name)
 		mine, writes := find(e.Edit.Write, name)
-		same := writes == exists && mine.Text == theirs.Text
+		same := writes == present(theirs) && mine.Text == theirs.Text
 		if same || !e.changed(theirs, mine, name) {
 			continue
 		}
@@ -76,11 +79,11 @@
 // checkOwner refuses sections of other owners. The owner of a section may hand it over by writing another owner.
 func (e *Editor) checkOwner(current hornbeamcroft.StoredDocument) error {
 	for _, name := range e.Edit.names() {
-		owned, exists := find(current.Sections, name)
-		if !exists {
-			owned, exists = find(e.Edit.Write, name)
+		owned, _ := find(current.Sections, name)
+		if !present(owned) {
+			owned, _ = find(e.Edit.Write, name)
 		}
-		if exists && owned.Owner != e.Edit.Owner {
+		if present(owned) && owned.Owner != e.Edit.Owner {
 			return errors.Errorf("section [%s] is owned by %q; the edit is made as %q", name, owned.Owner, e.Edit.Owner)
 		}
 	}
@@ -94,12 +97,12 @@
 	for _, old := range current.Sections {
 		mine, writes := find(e.Edit.Write, old.Name)
 		switch {
-		case slices.Contains(e.Edit.Remove, old.Name):
-			change.Sections = append(change.Sections, SectionChange{Name: old.Name, Before: old.Text, Removed: true})
-		case !writes || mine.Text == old.Text:
-			next.Sections = append(next.Sections, old)
-		default:
+		case slices.Contains(e.Edit.Remove, old.Name) && !old.Removed:
+			next.Sections = append(next.Sections, e.removed(old, &change)...)
+		case writes && (old.Removed || mine.Text != old.Text):
 			next.Sections = append(next.Sections, e.written(mine, old, &change))
+		default:
+			next.Sections = append(next.Sections, old)
 		}
 	}
 	for _, mine := range e.Edit.Write {
@@ -114,11 +117,20 @@
 // written returns the section as this edit writes it and notes it in the history entry.
 func (e *Editor) written(mine, old hornbeamcroft.Section, change *Change) hornbeamcroft.Section {
 	mine.Generation, mine.Writer = old.Generation+1, e.Edit.Writer
-	if old.Generation == 0 && e.Without&RaiseGeneration == 0 {
-		mine.Generation = change.Revision
-	}
 	change.Sections = append(change.Sections, SectionChange{
 		Name: mine.Name, Generation: mine.Generation, Before: old.Text, After: mine.Text,
 	})
 	return mine
 }
+
+// removed returns the mark of a removed section and notes it in the history entry.
+func (e *Editor) removed(old hornbeamcroft.Section, change *Change) []hornbeamcroft.Section {
+	mark := hornbeamcroft.Section{Name: old.Name, Generation: old.Generation + 1, Writer: e.Edit.Writer, Removed: true}
+	change.Sections = append(change.Sections, SectionChange{
+		Name: old.Name, Generation: mark.Generation, Before: old.Text, Removed: true,
+	})
+	if e.Without&MarkRemoved != 0 {
+		return nil
+	}
+	return []hornbeamcroft.Section{mark}
+}
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -85,7 +85,9 @@
 			continue
 		}
 		seen[s.Name] = true
-		b.section(s)
+		if !s.Removed {
+			b.section(s)
+		}
 	}
 	b.checkWhole()
 	if err := b.problems.err(); err != nil {
--- a/parser/split.go
+++ b/parser/split.go
@@ -56,10 +56,15 @@
 	return sections, problems.err()
 }
 
+// Present returns the sections that are not marked as removed.
+func Present(sections []hornbeamcroft.Section) []hornbeamcroft.Section {
+	return slices.DeleteFunc(slices.Clone(sections), func(s hornbeamcroft.Section) bool { return s.Removed })
+}
+
 // Join returns the sections as INI text; Split of the result returns sections of the same names, owners and texts.
 func Join(sections []hornbeamcroft.Section) []byte {
 	var b bytes.Buffer
-	for i, s := range sections {
+	for i, s := range Present(sections) {
 		if i > 0 {
 			b.WriteString("\n")
 		}
