--- a/cmd/hornbeam-standin/platform/platform_test.go
+++ b/cmd/hornbeam-standin/platform/platform_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -159,3 +163,16 @@
 	f.NoErr(err)
 	f.Equal(e.ModRevision, int64(0))
 }
+
+func Example() {
+	s, _ := New()
+	_ = s.Load([]byte("[service cash]\nowner = cash\nslots = 2\nconnections = 9\n"))
+	web := httptest.NewServer(s)
+	defer web.Close()
+	resp, _ := http.Post(web.URL+"/v3/kv/range", "application/json", strings.NewReader(`{"key":"YWJzZW50"}`))
+	_, _ = io.Copy(os.Stdout, resp.Body)
+	fmt.Println(s.Counts()["all"])
+	// Output:
+	// {"header":{"cluster_id":"1","member_id":"1","revision":"2","raft_term":"1"}}
+	// 1
+}
--- a/cmd/hornbeamctl/collector/collector.go
+++ b/cmd/hornbeamctl/collector/collector.go
@@ -16,7 +16,7 @@
 
 const (
 	// parallel is the number of nodes that are asked at once.
-	parallel = 32
+	parallel = 128
 	// maxAnswer bounds an answer in bytes.
 	maxAnswer = 4 << 20
 	// DefaultTimeout bounds the question to one node.
--- a/cmd/hornbeamctl/show.go
+++ b/cmd/hornbeamctl/show.go
@@ -134,6 +134,8 @@
 			t.AppendRow([]any{s.Address, "", "", "not heard", "", s.Error})
 		case s.StoreBehind:
 			t.AppendRow([]any{s.Name, s.Service, s.Zone, s.State, s.Revision, "reports that the store is behind"})
+		case s.Diverged:
+			t.AppendRow([]any{s.Name, s.Service, s.Zone, s.State, s.Revision, "merges diverged documents"})
 		case s.Revision < max(highest, out.Revision):
 			t.AppendRow([]any{s.Name, s.Service, s.Zone, s.State, s.Revision, "behind"})
 		default:
--- a/follower/follower_test.go
+++ b/follower/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,3 +108,17 @@
 	f.edit(t, "again", "slots = 1") // revision 1 anew
 	f.Equal(<-f.watched, uint64(1))
 }
+
+func ExampleFollower() {
+	store := faker.NewStore(&faker.Clock{})
+	dist := &distributor.Distributor{Check: applier.Check}
+	f := &follower.Follower{
+		Store: store, Rand: faker.Rand(1),
+		OnRead: func(stored hornbeamcroft.StoredDocument, modRevision int64) *distributor.Write {
+			return dist.OnRead(stored, modRevision).Write
+		},
+	}
+	revision, err := f.Read(context.Background())
+	fmt.Println(revision, err, dist.Newest().Revision)
+	// Output: 1 <nil> 0
+}
