--- a/applier/applier.go
+++ b/applier/applier.go
@@ -12,6 +12,7 @@
 	"hornbeamcroft"
 	"hornbeamcroft/editor"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/signer"
 )
 
 // DefaultAttempts is the number of tries before an edit gives up.
@@ -25,6 +26,10 @@
 	Store hornbeamcroft.Store
 	// Attempts is DefaultAttempts if zero.
 	Attempts int
+	// Signer proves the written documents and checks the one that is edited.
+	Signer signer.Signer
+	// AcceptUnproven edits a document whose proof is wrong or missing, and proves the result.
+	AcceptUnproven bool
 	// Now is the wall clock of history entries; time.Now if nil.
 	Now func() time.Time
 	// Wait pauses between tries; a timer if nil.
@@ -84,6 +89,9 @@
 		return a.failed(ctx, err, last)
 	}
 	*last = nil
+	if err := a.trust(stored); err != nil {
+		return e.Refuse(err)
+	}
 	step := e.Read(stored, modRevision, entry)
 	if step == editor.StepRead {
 		return a.failed(ctx, editor.ErrStale, last)
@@ -91,6 +99,17 @@
 	return step
 }
 
+// trust refuses to edit, and so to prove, what somebody wrote without the operators' key.
+func (a *Applier) trust(stored hornbeamcroft.StoredDocument) error {
+	switch {
+	case stored.Revision == 0 || a.AcceptUnproven:
+		return nil
+	case len(a.Signer.Key) == 0 && len(stored.Proof) > 0:
+		return errors.New("the document has a proof; an edit needs the operators' key")
+	}
+	return a.Signer.Check(stored)
+}
+
 // failed notes an error and waits before the next read.
 func (a *Applier) failed(ctx context.Context, err error, last *error) editor.Step {
 	*last = err
@@ -116,9 +135,12 @@
 func (a *Applier) write(ctx context.Context, e *editor.Editor, last *error) editor.Step {
 	next, change, condition := e.Next()
 	change.At = a.now().UnixMilli()
+	if err := a.Signer.Sign(&next); err != nil {
+		return e.Refuse(err)
+	}
 	puts, err := Puts(next, change)
 	if err != nil {
-		return e.GiveUp(err)
+		return e.Refuse(err)
 	}
 	conditions := []hornbeamcroft.Compare{{Key: hornbeamcroft.KeyDocument, ModRevision: condition}}
 	if a.Unconditional {
--- a/cmd/hornbeam-standin/platform/command.go
+++ b/cmd/hornbeam-standin/platform/command.go
@@ -25,6 +25,7 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "listen", Value: "127.0.0.1:7001", Usage: "`ADDRESS` to serve on; port 0 picks a free one"},
 			&cli.StringFlag{Name: "load", Usage: "start with the document in this INI `FILE`, at revision 1"},
+			&cli.StringFlag{Name: "operators-key", Usage: "prove the loaded document with this `KEY`"},
 		},
 		Action: run,
 	}
@@ -40,6 +41,7 @@
 		if err != nil {
 			return errors.Wrap(err, "platform")
 		}
+		s.OperatorsKey = cmd.String("operators-key")
 		if err := s.Load(text); err != nil {
 			return errors.Wrapf(err, "platform: load %s", file)
 		}
--- a/cmd/hornbeam-standin/platform/server.go
+++ b/cmd/hornbeam-standin/platform/server.go
@@ -16,6 +16,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/signer"
 )
 
 // maxRequest bounds a request in bytes: several values of 1 MB in base64.
@@ -28,6 +29,8 @@
 type Server struct {
 	// Now is the clock of the leases; time.Now if nil.
 	Now func() time.Time
+	// OperatorsKey proves the document of Load; without it the document has no proof.
+	OperatorsKey string
 
 	state   *state
 	control *control
@@ -125,6 +128,9 @@
 	if _, err := parser.Parse(stored); err != nil {
 		return err
 	}
+	if err := (signer.Signer{Key: []byte(s.OperatorsKey)}).Sign(&stored); err != nil {
+		return err
+	}
 	data, err := parser.Encode(stored)
 	if err != nil {
 		return err
--- a/cmd/hornbeamctl/apply.go
+++ b/cmd/hornbeamctl/apply.go
@@ -39,6 +39,7 @@
 			&cli.StringSliceFlag{Name: "remove", Usage: "remove this `SECTION`; repeat for several"},
 			&cli.StringFlag{Name: "writer", Usage: "`ID` of an earlier apply that is repeated"},
 			&cli.BoolFlag{Name: "without-nodes", Usage: "write although no node can say whether the store is behind; for the first document"},
+			&cli.BoolFlag{Name: "accept-unproven", Usage: "edit a document that was written without the operators' key, and prove it; look at it first"},
 			&cli.DurationFlag{Name: "wait", Usage: "wait up to this `TIME` until the edit is in force on all nodes heard"},
 		},
 		Action: apply,
@@ -66,7 +67,7 @@
 	}
 	line(cmd.Root().ErrWriter, "apply: writer %s", edit.Writer)
 	e := &editor.Editor{Edit: edit, Check: applier.Check, Highest: highest}
-	r := (&applier.Applier{Store: client}).Apply(ctx, e, repeat)
+	r := (&applier.Applier{Store: client, Signer: s.signer(), AcceptUnproven: cmd.Bool("accept-unproven")}).Apply(ctx, e, repeat)
 	return reportApply(ctx, cmd, s, r)
 }
 
--- a/cmd/hornbeamctl/settings.go
+++ b/cmd/hornbeamctl/settings.go
@@ -10,6 +10,7 @@
 
 	"hornbeamcroft/cmd/hornbeamctl/collector"
 	"hornbeamcroft/etcdclient"
+	"hornbeamcroft/signer"
 )
 
 // defaultTimeout bounds a command.
@@ -78,6 +79,9 @@
 	return c, nil
 }
 
+// signer returns the signer of documents; without a key it signs nothing.
+func (s settings) signer() signer.Signer { return signer.Signer{Key: []byte(s.key)} }
+
 func (s settings) collector() *collector.Collector {
 	return &collector.Collector{Addresses: s.nodes, Key: s.key}
 }
--- a/distributor/delta.go
+++ b/distributor/delta.go
@@ -78,7 +78,7 @@
 	if !ok {
 		return Delta{}, false
 	}
-	m := Delta{From: from, To: d.newest.Revision, Hash: d.hash}
+	m := Delta{From: from, To: d.newest.Revision, Hash: d.hash, Proof: d.newest.Proof}
 	size, sections := 0, index(d.newest.Sections)
 	for _, name := range names {
 		if s, exists := sections[name]; exists {
@@ -95,7 +95,7 @@
 // apply returns the document that the delta leads to.
 func (m Delta) apply(old hornbeamcroft.StoredDocument) hornbeamcroft.StoredDocument {
 	replaced := index(m.Changed)
-	stored := hornbeamcroft.StoredDocument{Revision: m.To, Sections: slices.Clone(m.Changed)}
+	stored := hornbeamcroft.StoredDocument{Revision: m.To, Sections: slices.Clone(m.Changed), Proof: m.Proof}
 	for _, s := range old.Sections {
 		if _, ok := replaced[s.Name]; !ok && !slices.Contains(m.Removed, s.Name) {
 			stored.Sections = append(stored.Sections, s)
--- a/distributor/distributor.go
+++ b/distributor/distributor.go
@@ -37,8 +37,10 @@
 // Distributor holds the newest document of a node. Exported fields are set before the first call. It is not safe for
 // concurrent use.
 type Distributor struct {
-	// Check validates a whole document before it is accepted; not nil.
+	// Check validates a whole document and its proof before it is accepted; not nil.
 	Check func(hornbeamcroft.StoredDocument) error
+	// Sign sets the proof of a merged document; nil if documents have none.
+	Sign func(*hornbeamcroft.StoredDocument) error
 	// Without is for tests.
 	Without Mechanism
 
--- a/distributor/distributor_test.go
+++ b/distributor/distributor_test.go
@@ -113,6 +113,30 @@
 	is.True(d.OnRead(document(3, 3, 10, 1), 1).Accepted)
 }
 
+// TestUnprovedIsNotMerged guards against sections that come into a merged and proved document from one that was written
+// without the operators' key.
+func TestUnprovedIsNotMerged(t *testing.T) {
+	is := is.New(t)
+	d := holding(document(3, 3, 10))
+	d.Check = func(stored hornbeamcroft.StoredDocument) error {
+		if string(stored.Proof) != "proof" {
+			return errors.New("no proof")
+		}
+		return nil
+	}
+	d.Sign = func(stored *hornbeamcroft.StoredDocument) error { stored.Proof = []byte("proof"); return nil }
+	forged := document(3, 3, 10, 1)
+	is.True(d.OnRead(forged, 9).Write == nil)
+	forged.Revision = 2
+	is.Equal(d.OnRead(forged, 9).Write.Document, d.Newest())
+	edited := document(2, 3, 10, 1)
+	edited.Proof = []byte("proof")
+	merged := d.OnRead(edited, 9).Write
+	is.True(merged.Merge)
+	is.Equal(merged.Document.Revision, uint64(4))
+	is.Equal(string(merged.Document.Proof), "proof")
+}
+
 // TestAbandonedParts guards against an abandoned document of a high revision that blocks the others.
 func TestAbandonedParts(t *testing.T) {
 	is := is.New(t)
--- a/distributor/merge.go
+++ b/distributor/merge.go
@@ -24,6 +24,9 @@
 		return Actions{}
 	}
 	d.fork = o
+	if err := d.Check(other); err != nil {
+		return Actions{Err: errors.Wrapf(err, "another document of revision %d refused", o.Revision)}
+	}
 	return d.propose(newer(d.base(), other), true)
 }
 
@@ -45,7 +48,8 @@
 	if d.Without&Repair != 0 {
 		return Actions{}
 	}
-	if d.Without&MergeDiverged == 0 {
+	// A document that does not pass Check may come from somebody without the operators' key, and is not merged.
+	if d.Without&MergeDiverged == 0 && d.Check(stored) == nil {
 		if actions := d.propose(newer(d.base(), stored), false); actions.Err != nil {
 			return actions
 		}
@@ -71,7 +75,14 @@
 		return Actions{}
 	}
 	merged := hornbeamcroft.StoredDocument{Revision: d.newest.Revision + 1, Sections: sections}
-	if err := d.Check(merged); err != nil {
+	err := error(nil)
+	if d.Sign != nil {
+		err = d.Sign(&merged)
+	}
+	if err == nil {
+		err = d.Check(merged)
+	}
+	if err != nil {
 		return Actions{Err: errors.Wrap(err, "diverged documents cannot be merged; an operator decides")}
 	}
 	d.merged = merged
--- a/distributor/message.go
+++ b/distributor/message.go
@@ -18,6 +18,8 @@
 	MaxText = 32 << 10
 	// maxName bounds names of sections, owners and writers in bytes.
 	maxName = 256
+	// maxProof bounds a proof in bytes; an HMAC with SHA-256 has 32.
+	maxProof = 64
 	// maxSections bounds the sections of one message.
 	maxSections = 2000
 	// maxParts bounds the parts of a whole document: 900,000 bytes in parts that are at least half full.
@@ -52,6 +54,8 @@
 	Hash    uint64                  `cbor:"3,keyasint"`
 	Changed []hornbeamcroft.Section `cbor:"4,keyasint,omitempty"`
 	Removed []string                `cbor:"5,keyasint,omitempty"`
+	// Proof is that of the whole document at To.
+	Proof []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports whether the delta is well formed.
@@ -67,7 +71,7 @@
 			return errors.Errorf("delta: removed section: allowed are names of 1 to %d bytes", maxName)
 		}
 	}
-	return checkSections("delta", d.Changed)
+	return checkSections("delta", d.Changed, d.Proof)
 }
 
 // Whole is one part of a whole document. The parts hold the sections in the order of their names.
@@ -79,6 +83,8 @@
 	Part     uint32                  `cbor:"3,keyasint"`
 	Parts    uint32                  `cbor:"4,keyasint"`
 	Sections []hornbeamcroft.Section `cbor:"5,keyasint"`
+	// Proof is that of the whole document.
+	Proof []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports whether the part is well formed.
@@ -87,10 +93,13 @@
 		return errors.Errorf("whole: revision %d, part %d of %d: allowed are revisions from 1 and %d parts",
 			w.Revision, w.Part, w.Parts, maxParts)
 	}
-	return checkSections("whole", w.Sections)
+	return checkSections("whole", w.Sections, w.Proof)
 }
 
-func checkSections(kind string, sections []hornbeamcroft.Section) error {
+func checkSections(kind string, sections []hornbeamcroft.Section, proof []byte) error {
+	if len(proof) > maxProof {
+		return errors.Errorf("%s: proof of %d bytes: allowed are %d", kind, len(proof), maxProof)
+	}
 	if len(sections) > maxSections {
 		return errors.Errorf("%s: %d sections: allowed are %d", kind, len(sections), maxSections)
 	}
@@ -114,7 +123,8 @@
 	return len(s.Name) + len(s.Owner) + len(s.Text) + len(s.Writer) + sectionOverhead
 }
 
-// HashOf returns the hash of a document whose sections are ordered by name. It does not depend on the encoding.
+// HashOf returns the hash of a document whose sections are ordered by name. It depends neither on the encoding nor on
+// the proof.
 func HashOf(stored hornbeamcroft.StoredDocument) uint64 {
 	h := xxhash.New()
 	number := func(n uint64) {
--- a/distributor/whole.go
+++ b/distributor/whole.go
@@ -28,7 +28,7 @@
 	}
 	messages := make([]Message, len(groups))
 	for i, g := range groups {
-		messages[i] = Message{Whole: &Whole{d.newest.Revision, d.hash, uint32(i), uint32(len(groups)), g}}
+		messages[i] = Message{Whole: &Whole{d.newest.Revision, d.hash, uint32(i), uint32(len(groups)), g, d.newest.Proof}}
 	}
 	return messages
 }
@@ -64,7 +64,7 @@
 	if a.have < len(a.parts) {
 		return hornbeamcroft.StoredDocument{}, false
 	}
-	stored := hornbeamcroft.StoredDocument{Revision: a.revision}
+	stored := hornbeamcroft.StoredDocument{Revision: a.revision, Proof: m.Proof}
 	for _, part := range a.parts {
 		stored.Sections = append(stored.Sections, part...)
 	}
--- a/document.go
+++ b/document.go
@@ -25,6 +25,8 @@
 	// a store restored from an old copy is noticed.
 	Revision uint64    `cbor:"1,keyasint" json:"revision"`
 	Sections []Section `cbor:"2,keyasint" json:"sections"`
+	// Proof shows that the document was written with the operators' key; nodes that have the key accept no other.
+	Proof []byte `cbor:"3,keyasint,omitempty" json:"-"`
 }
 
 // Document is the parsed and checked document.
--- a/editor/editor.go
+++ b/editor/editor.go
@@ -169,6 +169,11 @@
 	return e.done(Result{Code: hornbeamcroft.CodeStoreUnreachable, Err: err})
 }
 
+// Refuse ends the edit because the document in the store cannot be trusted.
+func (e *Editor) Refuse(err error) Step {
+	return e.done(Result{Code: hornbeamcroft.CodeInvalid, Err: err})
+}
+
 // done ends the edit. While a write is open, a refusal would claim too much, so the result is unknown.
 func (e *Editor) done(r Result) Step {
 	r.Writer = e.Edit.Writer
