--- a/retrier/decide.go
+++ b/retrier/decide.go
@@ -53,6 +53,17 @@
 	return Verdict{Retry: true, Wait: wait}
 }
 
+// Settle handles the answer of an attempt and says whether the call may be repeated now. It returns the unspent budget,
+// unless the repeat is free: then the attempt stays open with its share, the reroute is counted, and the sender sends
+// the same attempt to another upstream.
+func (t *Retrier) Settle(now time.Duration, rnd hornbeamcroft.Rand, a Attempt, c Child, unspent int, f Failure) Verdict {
+	if v := t.Decide(now, rnd, a, c, f); v.Free && t.Reroute(a) {
+		return v
+	}
+	t.Return(a, unspent)
+	return t.Decide(now, rnd, a, c, f)
+}
+
 // moved reports whether the code only says that the work belongs to another node.
 func moved(c hornbeamcroft.Code) bool {
 	return c == hornbeamcroft.CodeDraining || c == hornbeamcroft.CodeHomeMoved
--- a/retrier/retrier.go
+++ b/retrier/retrier.go
@@ -51,6 +51,7 @@
 	// requests maps the caller's key to its record; expiry holds the same requests in order of their expiry.
 	requests map[string]uint64
 	expiry   []keptRequest
+	counts   Counts
 }
 
 // record is the state of one running call.
@@ -101,6 +102,7 @@
 	}
 	repeat := !r.first(c)
 	if repeat && !t.affords(r, c) {
+		t.counts.Refused++
 		return Attempt{}, hornbeamcroft.CodeRetryBudgetSpent
 	}
 	if repeat && t.PerHop == 0 {
@@ -125,6 +127,7 @@
 		default:
 			r.count(c)
 			t.serial++
+			t.counts.add(false)
 			r.open = append(r.open, openAttempt{serial: t.serial})
 			return Attempt{Parent: id, Serial: t.serial}, hornbeamcroft.CodeAnswered
 		}
@@ -140,6 +143,7 @@
 	share := min(max(rule(r.held), 0), r.held)
 	r.held -= share
 	t.serial++
+	t.counts.add(repeat)
 	r.open = append(r.open, openAttempt{serial: t.serial, share: share})
 	return Attempt{Parent: parent, Serial: t.serial, Share: share, Repeat: repeat}
 }
@@ -157,6 +161,7 @@
 func (t *Retrier) Return(a Attempt, unspent int) bool {
 	r, i := t.find(a)
 	if i < 0 {
+		t.counts.LateReturns++
 		return false
 	}
 	r.held += min(max(unspent, 0), r.open[i].share)
@@ -170,6 +175,7 @@
 	if i < 0 {
 		return false
 	}
+	t.counts.LostUnits += uint64(r.open[i].share)
 	r.drop(i)
 	return true
 }
@@ -182,6 +188,7 @@
 		return false
 	}
 	r.open[i].reroutes++
+	t.counts.Reroutes++
 	return true
 }
 
@@ -193,6 +200,9 @@
 		return 0
 	}
 	if !r.kept {
+		for i := range r.open {
+			t.counts.LostUnits += uint64(r.open[i].share)
+		}
 		delete(t.records, id)
 	}
 	return r.held
