--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -39,6 +39,7 @@
 	alone        []queuer.Entry
 	aloneRunning bool
 	expired      []queuer.Entry
+	counts       Counts
 }
 
 func (a *Admitter) init(now time.Duration) {
@@ -58,10 +59,11 @@
 	a.init(now)
 	a.level.w.arrived[t.Importance]++
 	if !Admits(a.level.pressure(""), t.Importance, t.Hash) {
+		a.counts.Shed[t.Importance]++
 		return []hornbeamcroft.Decision{refuse(t, hornbeamcroft.CodeOverloaded, levelRetryAfter)}
 	}
 	if a.tooLate(now, t) {
-		return []hornbeamcroft.Decision{refuse(t, hornbeamcroft.CodeDeadlineTooShort, 0)}
+		return []hornbeamcroft.Decision{a.refuseLate(t)}
 	}
 	a.level.w.offered[t.Importance]++
 	if t.Alone {
@@ -74,6 +76,7 @@
 	var ds []hornbeamcroft.Decision
 	if e, full := a.queue.Push(now, t, a.limiter.Limit()); full {
 		a.level.w.dropped++
+		a.counts.Displaced[e.Ticket.Importance]++
 		ds = append(ds, refuse(e.Ticket, hornbeamcroft.CodeOverloaded, a.QueueTime))
 	}
 	return a.dispatch(now, ds)
@@ -126,13 +129,13 @@
 	return a.level.pressure(a.Service)
 }
 
-// Limit returns the concurrency limit, for metrics.
+// Limit returns the concurrency limit.
 func (a *Admitter) Limit() int { return a.limiter.Limit() }
 
-// InFlight returns the number of admitted tickets, for metrics.
+// InFlight returns the number of admitted tickets.
 func (a *Admitter) InFlight() int { return len(a.running) }
 
-// Waiting returns the number of waiting tickets, for metrics.
+// Waiting returns the number of waiting tickets.
 func (a *Admitter) Waiting() int { return a.queue.Len() + len(a.alone) }
 
 // dispatch drops what expired and starts what fits; it appends the decisions to ds.
@@ -147,7 +150,7 @@
 			break
 		}
 		if a.tooLate(now, e.Ticket) {
-			ds = append(ds, refuse(e.Ticket, hornbeamcroft.CodeDeadlineTooShort, 0))
+			ds = append(ds, a.refuseLate(e.Ticket))
 			continue
 		}
 		ds = append(ds, a.start(e.Ticket))
@@ -170,6 +173,7 @@
 	a.expired = a.queue.Expire(now, a.expired[:0])
 	a.level.w.dropped += len(a.expired)
 	for _, e := range a.expired {
+		a.counts.Expired[e.Ticket.Importance]++
 		ds = append(ds, refuse(e.Ticket, hornbeamcroft.CodeQueueExpired, a.QueueTime))
 	}
 	for len(a.alone) > 0 && (now-a.alone[0].Arrived >= aloneWait || now >= a.alone[0].Ticket.Deadline) {
@@ -192,9 +196,15 @@
 func (a *Admitter) start(t hornbeamcroft.Ticket) hornbeamcroft.Decision {
 	a.running[t.ID] = t.Alone
 	a.level.w.started++
+	a.counts.Admitted++
 	return hornbeamcroft.Decision{ID: t.ID, Admitted: true}
 }
 
+func (a *Admitter) refuseLate(t hornbeamcroft.Ticket) hornbeamcroft.Decision {
+	a.counts.TooLate++
+	return refuse(t, hornbeamcroft.CodeDeadlineTooShort, 0)
+}
+
 // refuse spreads Retry-After between half and one and a half of after by the hash, so that refused callers do not
 // return together.
 func refuse(t hornbeamcroft.Ticket, c hornbeamcroft.Code, after time.Duration) hornbeamcroft.Decision {
--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -129,7 +129,7 @@
 		}
 		c.stats.max("ejected", float64(n.ejectedCount()))
 		if a, ok := n.admitter.(*admitter.Admitter); ok && c.cfg.trace && c.now%(100*time.Millisecond) == 0 {
-			fmt.Println(c.now, n.name, a.Limit(), a.InFlight(), a.Waiting(), a.Pressure(c.now))
+			fmt.Printf("%s %s %+v\n", c.now, n.name, a.Status(c.now))
 		}
 	}
 	c.after(5*time.Millisecond, c.tick)
