--- a/balancer/balancer.go
+++ b/balancer/balancer.go
@@ -131,11 +131,14 @@
 }
 
 func (b *Balancer) score(now time.Duration, m *member, fallback float64) float64 {
-	slow := b.SlowStart
-	if slow <= 0 {
-		slow = DefaultSlowStart
+	return float64(m.inFlight+1) * m.latency.at(now, fallback) * m.refused.factor(now) / m.weight(now, b.slowStart())
+}
+
+func (b *Balancer) slowStart() time.Duration {
+	if b.SlowStart <= 0 {
+		return DefaultSlowStart
 	}
-	return float64(m.inFlight+1) * m.latency.at(now, fallback) * m.refused.factor(now) / m.weight(now, slow)
+	return b.SlowStart
 }
 
 // meanLatency returns the mean over the members with samples, for those without.
--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -63,6 +63,21 @@
 			delete(e.entries, name)
 		}
 	}
+	for e.ejected > e.limit() {
+		e.readmit()
+	}
+}
+
+// readmit ends the ejection that ends next, when the service has lost upstreams and more than the cap are ejected.
+func (e *Ejector) readmit() {
+	var next *entry
+	for _, u := range e.entries {
+		if u.ejected && (next == nil || u.until < next.until) {
+			next = u
+		}
+	}
+	e.ejected--
+	next.serve()
 }
 
 // Reset forgets what is known about an upstream, for example because it was restarted.
@@ -103,7 +118,7 @@
 		u.eject(now)
 	default:
 		e.ejected--
-		u.ejected, u.consecutive, u.calls, u.failed = false, 0, 0, 0
+		u.serve()
 	}
 }
 
@@ -170,6 +185,11 @@
 	u.consecutive++
 }
 
+// serve ends an ejection; the failures before it do not count again.
+func (u *entry) serve() {
+	u.ejected, u.consecutive, u.calls, u.failed = false, 0, 0, 0
+}
+
 func (u *entry) eject(now time.Duration) {
 	if u.level > 0 {
 		u.level = max(0, u.level-int((now-u.started)/forgiveTime))
