limiter: judge a decrease by window means

Cause: a new unit test showed that the limit stayed at 80 of 100 slots with 10 cores: the smoothed service time still rose after the decrease, which counted as no effect. Change: the means of the two windows are compared in place of the smoothed value.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -44,9 +44,10 @@
 	Ceiling int
 
 	limit float64
-	// base is the long-term minimum of the window means and short the smoothed mean, both in seconds.
-	base, short float64
-	// lowered is the smoothed mean at a clear decrease in the last window, zero if there was none.
+	// base is the long-term minimum of the window means, short the smoothed mean and mean that of the last window, all
+	// in seconds.
+	base, short, mean float64
+	// lowered is the window mean at a clear decrease in the last window, zero if there was none.
 	lowered float64
 	// settled is when the calls that began before that decrease have ended; samples before it do not show its effect.
 	settled    time.Duration
@@ -147,6 +148,7 @@
 
 // learn updates the smoothed service time and its long-term minimum.
 func (l *Limiter) learn(mean float64, age time.Duration) {
+	l.mean = mean
 	if l.short == 0 {
 		l.short, l.base = mean, mean
 		return
@@ -176,13 +178,13 @@
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
 	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, old*gradient+math.Sqrt(old)))
 	if l.limit <= clearDecrease*old {
-		l.lowered = l.short
+		l.lowered = l.mean
 	}
 }
 
 // judge raises the long-term minimum if the last clear decrease of the limit did not shorten the service time.
 func (l *Limiter) judge() {
-	if l.lowered > 0 && l.short > helpedFactor*l.lowered {
+	if l.lowered > 0 && l.mean > helpedFactor*l.lowered {
 		l.base = math.Max(l.base, (l.base+l.short)/2)
 	}
 	l.lowered = 0
