--- a/retrier/retrier_test.go
+++ b/retrier/retrier_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"math/rand/v2"
 	"os"
 	"testing"
@@ -229,3 +230,20 @@
 		r.Close(1)
 	}
 }
+
+func ExampleRetrier() {
+	var r Retrier
+	r.Open(1, 3, time.Second)
+	child := Child{Service: "felt-stock", Type: "lookup", Content: 42}
+	a, _ := r.Begin(0, 1, child)
+	fmt.Println("first send: share", a.Share, "held", r.Held(1))
+	r.Lose(a)
+	a, _ = r.Begin(0, 1, child)
+	fmt.Println("repeat: share", a.Share, "held", r.Held(1))
+	_, code := r.Begin(0, 1, child)
+	fmt.Println(code)
+	// Output:
+	// first send: share 2 held 1
+	// repeat: share 0 held 0
+	// 212 retry-budget-spent
+}
