queuer: run the order property on fuller queues

With short runs the property passed although the oldest entry of the least importance was displaced in place of the newest. It fails now for that fault.

--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -17,6 +17,9 @@
 	// A fixed seed makes a failure repeatable.
 	_ = flag.Set("rapid.seed", "1")
 	_ = flag.Set("rapid.nofailfile", "true")
+	// The queue is seldom full in short runs, so that a wrong displacement would not show.
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.steps", "60")
 	os.Exit(m.Run())
 }
 
@@ -57,24 +60,25 @@
 			}
 			return best
 		}
+		push := func(t *rapid.T) {
+			id++
+			n := ticket(t, id)
+			n.Deadline += now
+			want := next(true)
+			if n.Importance <= want.Importance {
+				want = n
+			}
+			e, full := q.Push(now, n, capacity)
+			waiting[id] = Entry{Ticket: n, Arrived: now}
+			if full != (len(waiting) > capacity) || (full && e.Ticket != want) {
+				t.Fatalf("refused %+v (%v), want %+v", e.Ticket, full, want)
+			}
+			if full {
+				delete(waiting, e.Ticket.ID)
+			}
+		}
 		t.Repeat(map[string]func(*rapid.T){
-			"push": func(t *rapid.T) {
-				id++
-				n := ticket(t, id)
-				n.Deadline += now
-				want := next(true)
-				if n.Importance <= want.Importance {
-					want = n
-				}
-				e, full := q.Push(now, n, capacity)
-				waiting[id] = Entry{Ticket: n, Arrived: now}
-				if full != (len(waiting) > capacity) || (full && e.Ticket != want) {
-					t.Fatalf("refused %+v (%v), want %+v", e.Ticket, full, want)
-				}
-				if full {
-					delete(waiting, e.Ticket.ID)
-				}
-			},
+			"push": push, "push-2": push, "push-3": push,
 			"pop": func(t *rapid.T) {
 				want := next(false)
 				if e, _ := q.Pop(); e.Ticket != want {
