scenarios: take queue-time; note a failed try on the level's window

Tried and dropped: prolonging an overloaded window of the admission level to 20 offered calls or 1 s, so that one dropped call of two does not shed a whole importance. Reacting late costs more than reacting to noise.

--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -87,7 +87,7 @@
 	switch {
 	case service < 0:
 	case c.cfg.admission == "adaptive":
-		n.admitter = &admitter.Admitter{Service: c.serve[service], Slots: c.cfg.slots}
+		n.admitter = &admitter.Admitter{Service: c.serve[service], Slots: c.cfg.slots, QueueTime: c.cfg.queueTime}
 	case c.cfg.admission == "fixed":
 		n.admitter = &filer.Filer{Service: c.serve[service], Slots: c.cfg.slots}
 	default:
--- a/scenarios/config_test.go
+++ b/scenarios/config_test.go
@@ -17,7 +17,7 @@
 	services, upstreams, slots                                        int
 	cores, low, high, background, slow, probe, maxEjected, lost, fail float64
 	work, deadline, end, from, to, join                               time.Duration
-	zoneDelay, slowStart, halfLife, resend, lostFrom                  time.Duration
+	zoneDelay, slowStart, halfLife, resend, lostFrom, queueTime       time.Duration
 	tries, perHop, budget, callerTries, depth, requests               int
 	admission, balancer                                               string
 	independent, pressure, trace                                      bool
@@ -114,7 +114,7 @@
 	return map[string]*time.Duration{
 		"work": &c.work, "deadline": &c.deadline, "end": &c.end, "from": &c.from, "to": &c.to, "join": &c.join,
 		"zone-delay": &c.zoneDelay, "slow-start": &c.slowStart, "half-life": &c.halfLife, "resend": &c.resend,
-		"lost-from": &c.lostFrom,
+		"lost-from": &c.lostFrom, "queue-time": &c.queueTime,
 	}
 }
 
