scenarios: show the ejection cap by a shared fault

The former script compared the number of ejected upstreams only, and its upstreams failed for good, where the cap costs answers. Traits of single upstreams apply between from and to where these are given.

--- a/scenarios/chain_test.go
+++ b/scenarios/chain_test.go
@@ -247,7 +247,7 @@
 		switch {
 		case c.now >= r.deadline:
 			end(answer{code: hornbeamcroft.CodeDeadlinePassed})
-		case c.rnd.Float64() < c.cfg.trait(n.index).fail:
+		case (c.during() || c.cfg.to == 0) && c.rnd.Float64() < c.cfg.trait(n.index).fail:
 			end(answer{code: hornbeamcroft.CodeOutcomeUnknown})
 		case r.leaf || n.service == c.cfg.services-1:
 			end(answer{ok: true, code: hornbeamcroft.CodeAnswered})
@@ -271,16 +271,18 @@
 		cores *= min(1, max(0.1, (c.now-c.cfg.join).Seconds()/10))
 	}
 	t *= max(1, float64(n.running)/cores)
-	during := c.now >= c.cfg.from && c.now < c.cfg.to
-	if during || c.cfg.to == 0 {
+	if c.during() || c.cfg.to == 0 {
 		t *= trait.slow
 	}
-	if during && n.service == c.cfg.services-1 {
+	if c.during() && n.service == c.cfg.services-1 {
 		t *= c.cfg.slow
 	}
 	return time.Duration(t)
 }
 
+// during reports whether the slow-down or fault of the script is on.
+func (c *chain) during() bool { return c.now >= c.cfg.from && c.now < c.cfg.to }
+
 func (c *chain) export(n *node) []hornbeamcroft.Pressure {
 	return n.propagator.Export(c.now, n.admitter.Pressure(c.now))
 }
