--- a/retrier/request.go
+++ b/retrier/request.go
@@ -18,7 +18,7 @@
 
 // OpenRequest returns the record of the request with the caller's key, and opens one with the id and the budget if none
 // is kept: a resend by the caller then is a repeat under the same record. While too many requests are kept, a new one
-// gets a budget of 0 and is not kept.
+// gets a budget of 0 and is not kept. The node calls Close at the end of each send, kept or not.
 func (t *Retrier) OpenRequest(now time.Duration, key string, id uint64, budget int, deadline time.Duration) uint64 {
 	t.Expire(now)
 	if old, ok := t.requests[key]; ok {
