tracker: repeat probes of suspects

Cause: a suspect was probed once, so one lost probe or reply was taken for a death. Change: the probe is repeated at each tick until the probe time ends.

--- a/tracker/liveness.go
+++ b/tracker/liveness.go
@@ -176,16 +176,20 @@
 	return t.declareDead(now, e)
 }
 
-// endProbes declares those dead who did not answer a probe.
+// endProbes declares those dead who did not answer a probe. Until then it repeats the probe at each tick, so that one
+// lost message decides nothing.
 func (t *Tracker) endProbes(now time.Duration) []Outgoing {
 	var out []Outgoing
 	for _, name := range slices.Sorted(maps.Keys(t.liveness.suspects)) {
-		s := t.liveness.suspects[name]
-		if s == nil || now < s.deadline {
-			continue
-		}
-		delete(t.liveness.suspects, name)
-		if e := t.members[name]; e != nil && e.live() {
+		s, e := t.liveness.suspects[name], t.members[name]
+		switch {
+		case s == nil:
+		case e == nil || !e.live():
+			delete(t.liveness.suspects, name)
+		case now < s.deadline && t.cfg.Off.Repeat:
+		case now < s.deadline:
+			out = append(out, t.to(e, t.heartbeat(PurposeProbe)))
+		default:
 			out = append(out, t.declareDead(now, e)...)
 		}
 	}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -41,6 +41,8 @@
 type Switches struct {
 	// Confirm off: one monitor's report is a death.
 	Confirm bool
+	// Repeat off: a suspect is probed once.
+	Repeat bool
 	// Refute off: a member does not answer a report of its own death.
 	Refute bool
 	// Widen off: reports go to the two relays only, whether they live or not.
