--- a/tracker/liveness.go
+++ b/tracker/liveness.go
@@ -206,7 +206,7 @@
 	t.merge(now, m)
 	out := t.push([]hornbeamcroft.Member{m}, "")
 	for _, o := range orphans {
-		if o.Name != t.self.Name && t.liveness.suspects[o.Name] == nil {
+		if !t.cfg.Off.Orphans && o.Name != t.self.Name && t.liveness.suspects[o.Name] == nil {
 			out = append(out, t.suspect(now, o, t.self.Name)...)
 		}
 	}
--- a/tracker/property_test.go
+++ b/tracker/property_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"testing"
+	"time"
 
 	"hornbeamcroft"
 
@@ -44,6 +45,53 @@
 	})
 }
 
+// TestConverges guards against a sequence of crashes, starts, pauses, losses and partitions after which the members do
+// not agree, or a live one gets no work, or a dead one does.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoop(5, 4, Switches{}) // zone 5 is in a region of its own
+		peers := []string{l.nodes[0].self.Address, l.nodes[7].self.Address, l.nodes[18].self.Address}
+		l.store.up = false
+		for _, n := range l.nodes {
+			l.boot(n, peers...)
+		}
+		l.run(2 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			n := l.nodes[rapid.IntRange(1, len(l.nodes)-1).Draw(t, "node")] // the first stays, so that starts find a peer
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				n.up = false
+			case 1:
+				l.boot(n, peers...)
+			case 2:
+				n.paused = true
+			case 3:
+				l.resume(n)
+			case 4:
+				l.loss["*"] = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "loss")
+			default:
+				cut := rapid.Bool().Draw(t, "cut")
+				l.cut = func(a, b *node) bool { return cut && region(a.self.Zone) != region(b.self.Zone) }
+			}
+			l.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+		}
+		l.cut, l.loss["*"] = nil, 0
+		for _, n := range l.nodes {
+			l.resume(n)
+		}
+		l.run(8 * time.Second)
+		for _, n := range l.nodes {
+			routing, all := l.routing(n.self.Name)
+			if (n.up && routing != all) || (!n.up && routing > 0) {
+				t.Fatalf("%s, up %v: %d of %d send it work", n.self.Name, n.up, routing, all)
+			}
+		}
+		if !l.agree() {
+			t.Fatalf("the rosters differ")
+		}
+	})
+}
+
 // TestOwnRecord guards against two processes under one name that outbid each other, and against a node that keeps an
 // older incarnation because the clock of its host went back.
 func TestOwnRecord(t *testing.T) {
--- a/tracker/script_test.go
+++ b/tracker/script_test.go
@@ -67,7 +67,7 @@
 	switches := map[string]*bool{
 		"off=confirm": &off.Confirm, "off=refute": &off.Refute, "off=widen": &off.Widen, "off=push": &off.Push,
 		"off=zone-watch": &off.ZoneWatch, "off=pause-guard": &off.PauseGuard, "off=digest": &off.Digest,
-		"off=repeat": &off.Repeat,
+		"off=repeat": &off.Repeat, "off=orphans": &off.Orphans,
 	}
 	down := false
 	for _, a := range args[2:] {
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -43,6 +43,8 @@
 	Confirm bool
 	// Repeat off: a suspect is probed once.
 	Repeat bool
+	// Orphans off: the members that a dead one monitored wait for new monitors.
+	Orphans bool
 	// Refute off: a member does not answer a report of its own death.
 	Refute bool
 	// Widen off: reports go to the two relays only, whether they live or not.
