tracker: compare with one relay of each other zone

Cause: each relay compared with both relays of all other zones, so that the same two rosters were compared four times a second in each direction. Change: it compares with the relay of the same rank only; changes are still pushed to both.

--- a/tracker/spread.go
+++ b/tracker/spread.go
@@ -110,6 +110,19 @@
 	return []Outgoing{t.to(e, t.digest(StepCompare))}
 }
 
+// counterparts returns the relay of each other zone that has the same place there as this relay here. Comparing with
+// both would double the largest part of a relay's traffic and tell nothing more.
+func (t *Tracker) counterparts() []*entry {
+	place := slices.Index(names(t.zone(t.self.Zone).relays()), t.self.Name)
+	var out []*entry
+	for _, name := range t.zoneNames {
+		if relays := t.zones[name].relays(); place >= 0 && name != t.self.Zone && len(relays) > 0 {
+			out = append(out, relays[min(place, len(relays)-1)])
+		}
+	}
+	return out
+}
+
 // comparesWith reports whether e is a relay that this node compares rosters with, or a member it is a relay for.
 func (t *Tracker) comparesWith(e *entry) bool {
 	if e.Zone == t.self.Zone {
@@ -167,9 +180,7 @@
 	}
 	if now-s.lastRelayDigest >= relayDigestInterval {
 		s.lastRelayDigest = now
-		if t.IsRelay() {
-			to = append(to, t.remoteRelays()...)
-		}
+		to = append(to, t.counterparts()...)
 	}
 	var out []Outgoing
 	for _, e := range to {
