--- a/tracker/measure_test.go
+++ b/tracker/measure_test.go
@@ -17,6 +17,7 @@
 var (
 	measureZones   = flag.Int("zones", 0, "zones of the cluster that TestMeasure measures; zero skips it")
 	measurePerZone = flag.Int("per-zone", 56, "nodes in each zone")
+	measureChanges = flag.Int("changes", 200, "deaths and drains")
 	measureHours   = flag.Float64("hours", 0.25, "virtual hours of restarts")
 )
 
@@ -46,13 +47,21 @@
 	l.measured = true
 	l.traffic("idle", 60*time.Second, func() { l.run(60 * time.Second) })
 	l.restarts()
-	l.times("death known everywhere", 30, func(n *node) { n.up = false })
-	l.times("drain known everywhere", 30, func(n *node) {
+	l.times("death known everywhere", *measureChanges, func(n *node) { n.up = false })
+	l.times("drain known everywhere", *measureChanges, func(n *node) {
 		l.send(n, n.t.Announce(l.now, hornbeamcroft.MemberDraining, 0))
 	})
 	fmt.Printf("store: %.2f calls/s without the watch of each zone\n", float64(l.store.calls-calls)/l.now.Seconds())
+	for range 5 {
+		l.loseZone(fmt.Sprintf("z%d", 1+l.rng.IntN(*measureZones)))
+	}
+}
+
+// loseZone prints what the loss of a zone costs and how long it takes until no node routes to it, then starts it again.
+func (l *loop) loseZone(name string) {
+	lost := l.find("zone:" + name)
+	l.run(time.Duration(l.rng.IntN(1000)) * time.Millisecond)
 	l.traffic("loss of a zone, first 10 s", 10*time.Second, func() {
-		lost := l.find("zone:z2")
 		for _, n := range lost {
 			n.up = false
 		}
@@ -63,6 +72,15 @@
 		fmt.Printf("loss of a zone known everywhere: %s\n", l.now-start)
 		l.run(start + 10*time.Second - l.now)
 	})
+	for _, n := range lost {
+		l.boot(n, l.nodes[0].self.Address, l.nodes[len(l.nodes)-1].self.Address)
+	}
+	start := l.now
+	for !l.agree() {
+		l.run(5 * time.Millisecond)
+	}
+	fmt.Printf("start of a zone known everywhere: %s\n", l.now-start)
+	l.run(10 * time.Second)
 }
 
 // decoded returns the heap of a tracker whose records were decoded from messages and so share no strings.
