tracker: answer a digest in the zone only if it differs

Cause: a relay answered each digest of its zone, only so that a member learns of lost zones whose report did not arrive. Change: the member says which lost zones the relay told it; the relay answers if these, the roster, the document or the epochs differ.

--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -60,7 +60,7 @@
 	t.noteVersions(e.Name, d.Document, d.Epochs)
 	t.noteLost(e, d.Lost)
 	var out []Outgoing
-	if d.Step == StepCompare && (e.Zone == t.self.Zone || !t.same(d)) {
+	if d.Step == StepCompare && !t.same(e, d) {
 		out = append(out, t.to(e, t.digest(StepCompared)))
 	}
 	if d.Roster == t.hash || d.Step == StepCompare {
@@ -73,10 +73,15 @@
 	return append(out, t.to(e, RosterDigest{Step: StepZones, Zones: zones}))
 }
 
-// same reports whether the digest tells nothing new. Relays of different zones compare in both directions, so they need
-// no answer then; a member of the own zone needs the answer to learn which zones are lost.
-func (t *Tracker) same(d RosterDigest) bool {
-	return d.Roster == t.hash && d.Document == t.document && d.Epochs == t.epochs
+// same reports whether an answer to a digest would tell nothing new.
+func (t *Tracker) same(e *entry, d RosterDigest) bool {
+	if d.Roster != t.hash || d.Document != t.document || d.Epochs != t.epochs {
+		return false
+	}
+	if e.Zone != t.self.Zone {
+		return true // the relays of other zones compare in both directions
+	}
+	return t.IsRelay() && !t.isRelay(e.Name) && slices.Equal(d.Told, t.watch.lostZones())
 }
 
 // onZones sends the versions of each zone that differs.
--- a/tracker/messages.go
+++ b/tracker/messages.go
@@ -1,6 +1,8 @@
 package tracker
 
 import (
+	"slices"
+
 	"hornbeamcroft"
 
 	"github.com/go-faster/errors"
@@ -95,7 +97,7 @@
 
 // The steps of a comparison. Each is sent only if the one before showed a difference.
 const (
-	// StepCompare carries the hash of the whole roster; the receiver answers with its own.
+	// StepCompare carries the hash of the whole roster; the receiver answers if its own differs.
 	StepCompare Step = iota
 	// StepCompared is the answer to StepCompare.
 	StepCompared
@@ -141,6 +143,8 @@
 	Versions []Version `cbor:"8,keyasint,omitempty"`
 	// Want is set in StepWant.
 	Want []uint64 `cbor:"9,keyasint,omitempty"`
+	// Told names the zones that the receiver, a relay, reported as lost, so that a report that did not arrive is noticed.
+	Told []string `cbor:"11,keyasint,omitempty"`
 	// Self is the sender's own record, set in StepJoin.
 	Self *hornbeamcroft.Member `cbor:"10,keyasint,omitempty"`
 }
@@ -150,10 +154,11 @@
 	if d.Step > StepJoin {
 		return errors.Errorf("roster digest: step %d: allowed are 0 to %d", d.Step, StepJoin)
 	}
-	if len(d.Lost) > maxZones || len(d.Zones) > maxZones || len(d.Versions) > maxVersions || len(d.Want) > maxVersions {
+	zones := max(len(d.Lost), len(d.Told), len(d.Zones))
+	if zones > maxZones || len(d.Versions) > maxVersions || len(d.Want) > maxVersions {
 		return errors.Errorf("roster digest: more than %d zones or %d versions", maxZones, maxVersions)
 	}
-	for _, z := range d.Lost {
+	for _, z := range slices.Concat(d.Lost, d.Told) {
 		if len(z) > maxNameLength {
 			return errors.Errorf("roster digest: zone of %d bytes: allowed are at most %d", len(z), maxNameLength)
 		}
--- a/tracker/spread.go
+++ b/tracker/spread.go
@@ -107,7 +107,9 @@
 	if e.Name == t.self.Name || t.cfg.Off.Digest {
 		return nil
 	}
-	return []Outgoing{t.to(e, t.digest(StepCompare))}
+	d := t.digest(StepCompare)
+	d.Told = t.watch.told[e.Name]
+	return []Outgoing{t.to(e, d)}
 }
 
 // counterparts returns the relay of each other zone that has the same place there as this relay here. Comparing with
