tracker: find the other half of a zone after a split

Cause: after a split through a zone each half took the other for dead and nobody spoke to the dead, so the halves never met; with splits through several zones, whole regions stayed apart. TestConverges found it once it was given splits. Change: a relay probes one dead member a second, of its own zone or of a zone where it reaches nobody; a member that refutes its death tells the member that reported it; and a heartbeat that is newer than the report of its sender's death asks for the record in place of repeating the report, which its sender had refuted already.

--- a/tracker/liveness.go
+++ b/tracker/liveness.go
@@ -15,6 +15,8 @@
 type liveness struct {
 	lastTick time.Duration
 	lastBeat time.Duration
+	// lastDeadProbe is when a dead member was probed last.
+	lastDeadProbe time.Duration
 	// silent holds the members that this node monitors.
 	silent map[string]*silence
 	// suspects holds the reports that this node, as a relay, is checking.
@@ -131,11 +133,11 @@
 	}
 	t.noteVersions(from, h.Document, h.Epochs)
 	switch {
-	case h.Incarnation < e.Incarnation || (h.Incarnation == e.Incarnation && !e.live()):
+	case h.Incarnation > e.Incarnation || (h.Incarnation == e.Incarnation && h.Sequence > e.Sequence):
+		out = append(out, t.to(e, RosterDigest{Step: StepWant, Want: []uint64{e.rank}}))
+	case h.Incarnation < e.Incarnation || !e.live():
 		// The sender does not know its own death, or that it was replaced.
 		return append(out, t.to(e, RosterChange{Members: []hornbeamcroft.Member{e.Member}}))
-	case h.Incarnation > e.Incarnation || h.Sequence > e.Sequence:
-		out = append(out, t.to(e, RosterDigest{Step: StepWant, Want: []uint64{e.rank}}))
 	}
 	if s := t.liveness.silent[from]; s != nil {
 		*s = silence{heard: now}
@@ -212,3 +214,27 @@
 	}
 	return out
 }
+
+// probeDead lets a relay probe one dead member a second, of its own zone or of a zone where it reaches nobody. After a
+// split of a zone, each side takes the other for dead and nobody would ever speak to the other side again.
+func (t *Tracker) probeDead(now time.Duration, r hornbeamcroft.Rand) []Outgoing {
+	l := &t.liveness
+	if len(t.gone) == 0 || now-l.lastDeadProbe < deadProbeInterval || t.cfg.Off.DeadProbe || !t.IsRelay() {
+		return nil
+	}
+	l.lastDeadProbe = now
+	var dead []*entry
+	for _, name := range t.gone {
+		e := t.members[name]
+		if e == nil || e.State != hornbeamcroft.MemberDead {
+			continue
+		}
+		if e.Zone == t.self.Zone || t.watch.lost[e.Zone] || len(t.zones[e.Zone].live()) == 0 {
+			dead = append(dead, e)
+		}
+	}
+	if len(dead) == 0 {
+		return nil
+	}
+	return []Outgoing{t.to(dead[r.IntN(len(dead))], t.heartbeat(PurposeProbe))}
+}
--- a/tracker/property_test.go
+++ b/tracker/property_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
@@ -58,7 +59,7 @@
 		l.run(2 * time.Second)
 		for range rapid.IntRange(1, 12).Draw(t, "steps") {
 			n := l.nodes[rapid.IntRange(1, len(l.nodes)-1).Draw(t, "node")] // the first stays, so that starts find a peer
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
 			case 0:
 				n.up = false
 			case 1:
@@ -69,6 +70,8 @@
 				l.resume(n)
 			case 4:
 				l.loss["*"] = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "loss")
+			case 5: // a split through every zone
+				l.cut = func(a, b *node) bool { return a.self.Name[4]%2 != b.self.Name[4]%2 }
 			default:
 				cut := rapid.Bool().Draw(t, "cut")
 				l.cut = func(a, b *node) bool { return cut && region(a.self.Zone) != region(b.self.Zone) }
@@ -79,19 +82,37 @@
 		for _, n := range l.nodes {
 			l.resume(n)
 		}
-		l.run(8 * time.Second)
-		for _, n := range l.nodes {
-			routing, all := l.routing(n.self.Name)
-			if (n.up && routing != all) || (!n.up && routing > 0) {
-				t.Fatalf("%s, up %v: %d of %d send it work", n.self.Name, n.up, routing, all)
+		for start := l.now; !l.converged(); l.run(100 * time.Millisecond) {
+			if l.now-start > settleTime {
+				l.describe(t)
+				t.Fatalf("not converged after %s", settleTime)
 			}
 		}
-		if !l.agree() {
-			t.Fatalf("the rosters differ")
-		}
 	})
 }
 
+// settleTime is the longest time in which the members may differ after the last failure.
+const settleTime = 8 * time.Second
+
+// converged reports whether all live members agree, send work to each other and to nobody else.
+func (l *loop) converged() bool {
+	for _, n := range l.nodes {
+		routing, all := l.routing(n.self.Name)
+		if (n.up && routing != all) || (!n.up && routing > 0) {
+			return false
+		}
+	}
+	return l.agree()
+}
+
+func (l *loop) describe(t *rapid.T) {
+	for _, n := range l.nodes {
+		if n.up {
+			t.Logf("%s: zones %s, relays %v, live %d, hash %x, lost %v, told %v", n.self.Name, l.zoneHashes(n), names(n.t.zone(n.self.Zone).relays()), len(n.t.zone(n.self.Zone).live()), n.t.hash, n.t.watch.lost, n.t.watch.told)
+		}
+	}
+}
+
 // TestOwnRecord guards against two processes under one name that outbid each other, and against a node that keeps an
 // older incarnation because the clock of its host went back.
 func TestOwnRecord(t *testing.T) {
@@ -184,3 +205,10 @@
 	err = cbor.Unmarshal(b, &m)
 	return m, err
 }
+
+func (l *loop) zoneHashes(n *node) (s string) {
+	for _, z := range n.t.zoneNames {
+		s += fmt.Sprintf("%s:%x:%v ", z, n.t.zones[z].hash&0xfff, names(n.t.zones[z].relays()))
+	}
+	return s
+}
--- a/tracker/script_test.go
+++ b/tracker/script_test.go
@@ -18,7 +18,7 @@
 func TestScripts(t *testing.T) {
 	cmds := map[string]command{
 		"cluster": cmdCluster, "run": cmdRun, "store": cmdStore, "loss": cmdLoss, "partition": cmdPartition,
-		"heal": cmdPartition, "routed-never-stops": cmdNeverGone,
+		"heal": cmdPartition, "split": cmdSplit, "routed-never-stops": cmdNeverGone,
 	}
 	for verb, fn := range map[string]func(l *loop, n *node){
 		"crash": func(_ *loop, n *node) { n.up = false },
@@ -68,6 +68,7 @@
 		"off=confirm": &off.Confirm, "off=refute": &off.Refute, "off=widen": &off.Widen, "off=push": &off.Push,
 		"off=zone-watch": &off.ZoneWatch, "off=pause-guard": &off.PauseGuard, "off=digest": &off.Digest,
 		"off=repeat": &off.Repeat, "off=orphans": &off.Orphans,
+		"off=dead-probe": &off.DeadProbe,
 	}
 	down := false
 	for _, a := range args[2:] {
@@ -108,7 +109,7 @@
 	l.loss[args[0]] = share
 }
 
-// partition separates regions 0 and 1, or one NODE from one other; heal ends it.
+// partition separates the regions; heal ends any partition or split.
 func cmdPartition(ts *testscript.TestScript, _ bool, args []string) {
 	l := scriptLoop(ts)
 	l.cut = nil
@@ -117,6 +118,14 @@
 	}
 }
 
+// split ZONE cuts the members with odd numbers from those with even ones.
+func cmdSplit(ts *testscript.TestScript, _ bool, args []string) {
+	side := func(n *node) bool { return (n.self.Name[len(n.self.Name)-1]-'0')%2 == 0 }
+	scriptLoop(ts).cut = func(a, b *node) bool {
+		return a.self.Zone == args[0] && b.self.Zone == args[0] && side(a) != side(b)
+	}
+}
+
 // onNodes makes a command that acts on each named node.
 func onNodes(fn func(l *loop, n *node)) command {
 	return func(ts *testscript.TestScript, _ bool, args []string) {
--- a/tracker/spread.go
+++ b/tracker/spread.go
@@ -33,7 +33,7 @@
 	var out []Outgoing
 	for _, m := range members {
 		if m.Name == t.self.Name {
-			out = append(out, t.onOwnRecord(now, m)...)
+			out = append(out, t.onOwnRecord(now, from, m)...)
 			continue
 		}
 		if t.merge(now, m) {
@@ -45,7 +45,7 @@
 }
 
 // onOwnRecord answers what others say about this node. Only its owner raises a record's version.
-func (t *Tracker) onOwnRecord(now time.Duration, m hornbeamcroft.Member) []Outgoing {
+func (t *Tracker) onOwnRecord(now time.Duration, from string, m hornbeamcroft.Member) []Outgoing {
 	if !m.Newer(t.self) || t.cfg.Off.Refute {
 		return nil
 	}
@@ -59,7 +59,11 @@
 		m.Sequence = 0
 	}
 	t.self.Sequence = max(t.self.Sequence, m.Sequence)
-	return t.announceSelf(now)
+	out := t.announceSelf(now)
+	if e := t.members[from]; e != nil {
+		out = append(out, t.to(e, RosterChange{Members: []hornbeamcroft.Member{t.self}}))
+	}
+	return out
 }
 
 // push sends changes on. A member tells its relays; a relay tells its zone, and the relays of other zones about members
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -23,6 +23,8 @@
 	// in that time tells nothing about others.
 	pauseGap = 400 * time.Millisecond
 
+	deadProbeInterval = time.Second
+
 	digestInterval      = 2 * time.Second
 	relayDigestInterval = time.Second
 	// zoneSilence is the time without any message of a zone after which relays probe it; more than
@@ -45,6 +47,8 @@
 	Repeat bool
 	// Orphans off: the members that a dead one monitored wait for new monitors.
 	Orphans bool
+	// DeadProbe off: nobody speaks to the dead.
+	DeadProbe bool
 	// Refute off: a member does not answer a report of its own death.
 	Refute bool
 	// Widen off: reports go to the two relays only, whether they live or not.
@@ -121,6 +125,7 @@
 	out = append(out, t.compareDue(now)...)
 	out = append(out, t.joinDue(now)...)
 	out = append(out, t.watchZones(now, r)...)
+	out = append(out, t.probeDead(now, r)...)
 	t.forget(now)
 	return out
 }
