--- a/sloreporter/reporter.go
+++ b/sloreporter/reporter.go
@@ -10,7 +10,7 @@
 
 const (
 	maxNameLength = 128
-	// maxTypes bounds the memory of a node: 256 types take 12 MB.
+	// maxTypes bounds the memory of a node: 256 types take 9 MB.
 	maxTypes = 256
 	// maxTickGap is the longest time between ticks that counts as covered. A paused node did not count.
 	maxTickGap = 5 * time.Second
--- a/sloreporter/ring.go
+++ b/sloreporter/ring.go
@@ -6,7 +6,7 @@
 	"github.com/go-faster/errors"
 )
 
-// The two rings of a request type take 1,129 windows of 40 bytes, 45 KB.
+// The two rings of a request type take 1,129 windows of 32 bytes, 36 KB.
 const (
 	// FineLength is the length of the windows for burn rates up to 6 hours.
 	FineLength = time.Minute
--- a/sloreporter/sloreporter_test.go
+++ b/sloreporter/sloreporter_test.go
@@ -184,6 +184,25 @@
 	is.True(strings.Contains(string(b), `"budget-at-least"`))
 }
 
+// TestFrameSize guards against counts that do not fit a frame of 64 KiB.
+func TestFrameSize(t *testing.T) {
+	is := is.New(t)
+	name := strings.Repeat("n", maxNameLength)
+	c := Counts{Node: name, Service: name, Request: name, Incarnation: math.MaxUint64, Since: math.MaxInt64}
+	w := Window{Good: 1e6, Bad: 1e6, Slow: 1e6, Refused: 1e6, Covered: math.MaxUint32}
+	for w.Index = 30_000_000; len(c.Fine) < FineCount; w.Index++ {
+		c.Fine = append(c.Fine, w)
+	}
+	for w.Index = 500_000; len(c.Coarse) < CoarseCount; w.Index++ {
+		c.Coarse = append(c.Coarse, w)
+	}
+	is.NoErr(c.Check())
+	b, err := cbor.Marshal(c)
+	is.NoErr(err)
+	t.Logf("%d bytes", len(b))
+	is.True(len(b) < 64<<10)
+}
+
 // FuzzCounts guards against counts from outside that pass Check and then crash a report or an adoption.
 func FuzzCounts(f *testing.F) {
 	r := New(epoch, "a", 1)
