--- a/tracker/messages.go
+++ b/tracker/messages.go
@@ -11,9 +11,10 @@
 // Bounds of messages from outside. A frame is at most 64 KiB; the largest record takes about 480 bytes.
 const (
 	maxMembersPerChange = 128
-	maxZones            = 256
-	// maxVersions bounds the members of one zone that can be compared; 30 bytes each fill a frame.
-	maxVersions   = 2000
+	// maxZones lets a digest name all zones as lost twice, with names of the greatest length.
+	maxZones = 240
+	// maxVersions bounds the members of one zone that can be compared; 33 bytes each fill a frame.
+	maxVersions   = 1900
 	maxNameLength = 128
 )
 
--- a/tracker/property_test.go
+++ b/tracker/property_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"flag"
-	"fmt"
+	"math"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -84,7 +86,6 @@
 		}
 		for start := l.now; !l.converged(); l.run(100 * time.Millisecond) {
 			if l.now-start > settleTime {
-				l.describe(t)
 				t.Fatalf("not converged after %s", settleTime)
 			}
 		}
@@ -105,14 +106,6 @@
 	return l.agree()
 }
 
-func (l *loop) describe(t *rapid.T) {
-	for _, n := range l.nodes {
-		if n.up {
-			t.Logf("%s: zones %s, relays %v, live %d, hash %x, lost %v, told %v", n.self.Name, l.zoneHashes(n), names(n.t.zone(n.self.Zone).relays()), len(n.t.zone(n.self.Zone).live()), n.t.hash, n.t.watch.lost, n.t.watch.told)
-		}
-	}
-}
-
 // TestOwnRecord guards against two processes under one name that outbid each other, and against a node that keeps an
 // older incarnation because the clock of its host went back.
 func TestOwnRecord(t *testing.T) {
@@ -134,6 +127,29 @@
 	is.Equal(replacing.Self().Incarnation, uint64(10))
 }
 
+// TestFrameSize guards against messages that pass Check and do not fit a frame of 64 KiB.
+func TestFrameSize(t *testing.T) {
+	is := is.New(t)
+	name := strings.Repeat("n", maxNameLength)
+	m := hornbeamcroft.Member{
+		Name: name, Service: name, Zone: name, Address: "[2001:0db8:0000:0000:0000:0000:0000:0001]:65535",
+		Incarnation: math.MaxUint64, Sequence: math.MaxUint64, State: hornbeamcroft.MemberDead, ColdFor: math.MaxUint32,
+	}
+	v := Version{Name: math.MaxUint64, Incarnation: math.MaxUint64, Sequence: math.MaxUint64, State: m.State}
+	lost := slices.Repeat([]string{name}, maxZones)
+	for _, m := range []Message{
+		RosterChange{Members: slices.Repeat([]hornbeamcroft.Member{m}, maxMembersPerChange)},
+		RosterDigest{Step: StepVersions, Zone: name, Versions: slices.Repeat([]Version{v}, maxVersions)},
+		RosterDigest{Roster: v.Name, Document: v.Name, Epochs: v.Name, Lost: lost, Told: lost},
+		RosterDigest{Step: StepZones, Zones: slices.Repeat([]ZoneDigest{{Zone: name, Hash: v.Name}}, maxZones)},
+	} {
+		is.NoErr(m.Check())
+		b, err := cbor.Marshal(m)
+		is.NoErr(err)
+		is.True(len(b) < 64<<10)
+	}
+}
+
 // TestAlone guards against nodes that find nobody and read the store all the time.
 func TestAlone(t *testing.T) {
 	is := is.New(t)
@@ -205,10 +221,3 @@
 	err = cbor.Unmarshal(b, &m)
 	return m, err
 }
-
-func (l *loop) zoneHashes(n *node) (s string) {
-	for _, z := range n.t.zoneNames {
-		s += fmt.Sprintf("%s:%x:%v ", z, n.t.zones[z].hash&0xfff, names(n.t.zones[z].relays()))
-	}
-	return s
-}
