--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -70,6 +70,35 @@
 	is.Equal(len(nodes["a"].Tick(holdTime).Send), 1)   // the holder is silent: the next one runs
 }
 
+// TestNewCoordinator guards against a second isolated run because the node that gave the first one its turn is gone.
+func TestNewCoordinator(t *testing.T) {
+	is := is.New(t)
+	b, _ := New(0, Config{Node: "b", Crashes: 2, RefuseTime: time.Minute})
+	c, _ := New(0, Config{Node: "c", Crashes: 2, RefuseTime: time.Minute})
+	for _, q := range []*Quarantiner{b, c} {
+		q.SetMembers(0, []string{"a", "b", "c"})
+		q.Receive(0, "a", Report{Suspects: []Suspect{{Key: "x", Crashes: []uint64{1}, Remaining: time.Minute}}})
+		is.Equal(q.Arrive(0, Request{ID: 1, Key: "x"}).Verdict, VerdictWait)
+	}
+	is.Equal(c.Receive(0, "a", Turn{Step: TurnGrant}).Alone, []uint64{1})
+	for _, q := range []*Quarantiner{b, c} {
+		q.SetMembers(0, []string{"b", "c"})
+	}
+	for now := time.Duration(0); now < 10*time.Second; now += 100 * time.Millisecond {
+		is.Equal(len(b.Tick(now).Alone), 0) // c still runs
+		for _, o := range c.Tick(now).Send {
+			b.Receive(now, "c", o.Message)
+		}
+	}
+	for _, o := range c.Finish(10*time.Second, 1).Send {
+		res := b.Receive(10*time.Second, "c", o.Message)
+		is.Equal(len(res.Alone), 0)
+		if _, ok := o.Message.(Cleared); ok {
+			is.Equal(res.Release, []uint64{1})
+		}
+	}
+}
+
 // TestBound guards against a table that grows with every crash, and against losing a refusal first.
 func TestBound(t *testing.T) {
 	is := is.New(t)
