--- a/tracker/property_test.go
+++ b/tracker/property_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"flag"
+	"math"
+	"slices"
+	"strings"
 	"testing"
+	"time"
 
 	"hornbeamcroft"
 
@@ -44,6 +48,64 @@
 	})
 }
 
+// TestConverges guards against a sequence of crashes, starts, pauses, losses and partitions after which the members do
+// not agree, or a live one gets no work, or a dead one does.
+func TestConverges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := newLoop(5, 4, Switches{}) // zone 5 is in a region of its own
+		peers := []string{l.nodes[0].self.Address, l.nodes[7].self.Address, l.nodes[18].self.Address}
+		l.store.up = false
+		for _, n := range l.nodes {
+			l.boot(n, peers...)
+		}
+		l.run(2 * time.Second)
+		for range rapid.IntRange(1, 12).Draw(t, "steps") {
+			n := l.nodes[rapid.IntRange(1, len(l.nodes)-1).Draw(t, "node")] // the first stays, so that starts find a peer
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0:
+				n.up = false
+			case 1:
+				l.boot(n, peers...)
+			case 2:
+				n.paused = true
+			case 3:
+				l.resume(n)
+			case 4:
+				l.loss["*"] = rapid.SampledFrom([]float64{0, 0.2, 0.5}).Draw(t, "loss")
+			case 5: // a split through every zone
+				l.cut = func(a, b *node) bool { return a.self.Name[4]%2 != b.self.Name[4]%2 }
+			default:
+				cut := rapid.Bool().Draw(t, "cut")
+				l.cut = func(a, b *node) bool { return cut && region(a.self.Zone) != region(b.self.Zone) }
+			}
+			l.run(time.Duration(rapid.IntRange(1, 3000).Draw(t, "ms")) * time.Millisecond)
+		}
+		l.cut, l.loss["*"] = nil, 0
+		for _, n := range l.nodes {
+			l.resume(n)
+		}
+		for start := l.now; !l.converged(); l.run(100 * time.Millisecond) {
+			if l.now-start > settleTime {
+				t.Fatalf("not converged after %s", settleTime)
+			}
+		}
+	})
+}
+
+// settleTime is the longest time in which the members may differ after the last failure.
+const settleTime = 8 * time.Second
+
+// converged reports whether all live members agree, send work to each other and to nobody else.
+func (l *loop) converged() bool {
+	for _, n := range l.nodes {
+		routing, all := l.routing(n.self.Name)
+		if (n.up && routing != all) || (!n.up && routing > 0) {
+			return false
+		}
+	}
+	return l.agree()
+}
+
 // TestOwnRecord guards against two processes under one name that outbid each other, and against a node that keeps an
 // older incarnation because the clock of its host went back.
 func TestOwnRecord(t *testing.T) {
@@ -65,6 +127,45 @@
 	is.Equal(replacing.Self().Incarnation, uint64(10))
 }
 
+// TestFrameSize guards against messages that pass Check and do not fit a frame of 64 KiB.
+func TestFrameSize(t *testing.T) {
+	is := is.New(t)
+	name := strings.Repeat("n", maxNameLength)
+	m := hornbeamcroft.Member{
+		Name: name, Service: name, Zone: name, Address: "[2001:0db8:0000:0000:0000:0000:0000:0001]:65535",
+		Incarnation: math.MaxUint64, Sequence: math.MaxUint64, State: hornbeamcroft.MemberDead, ColdFor: math.MaxUint32,
+	}
+	v := Version{Name: math.MaxUint64, Incarnation: math.MaxUint64, Sequence: math.MaxUint64, State: m.State}
+	lost := slices.Repeat([]string{name}, maxZones)
+	for _, m := range []Message{
+		RosterChange{Members: slices.Repeat([]hornbeamcroft.Member{m}, maxMembersPerChange)},
+		RosterDigest{Step: StepVersions, Zone: name, Versions: slices.Repeat([]Version{v}, maxVersions)},
+		RosterDigest{Roster: v.Name, Document: v.Name, Epochs: v.Name, Lost: lost, Told: lost},
+		RosterDigest{Step: StepZones, Zones: slices.Repeat([]ZoneDigest{{Zone: name, Hash: v.Name}}, maxZones)},
+	} {
+		is.NoErr(m.Check())
+		b, err := cbor.Marshal(m)
+		is.NoErr(err)
+		is.True(len(b) < 64<<10)
+	}
+}
+
+// TestAlone guards against nodes that find nobody and read the store all the time.
+func TestAlone(t *testing.T) {
+	is := is.New(t)
+	self := hornbeamcroft.Member{Name: "self", Zone: "z", Address: "10.0.0.2:1", Incarnation: 5}
+	tr, err := New(0, Config{Self: self})
+	is.NoErr(err)
+	reads := 0
+	for now := time.Duration(0); now < 30*time.Second; now += TickInterval {
+		if tr.StoreWork(now).Action == StoreList {
+			reads++
+			tr.StoreDone(now, StoreResult{Action: StoreList})
+		}
+	}
+	is.Equal(reads, 10)
+}
+
 // FuzzReceive guards against messages from outside that pass Check and then crash or grow the core.
 func FuzzReceive(f *testing.F) {
 	self := hornbeamcroft.Member{Name: "self", Zone: "z", Address: "10.0.0.2:1", Incarnation: 1}
--- a/tracker/spread.go
+++ b/tracker/spread.go
@@ -33,7 +33,7 @@
 	var out []Outgoing
 	for _, m := range members {
 		if m.Name == t.self.Name {
-			out = append(out, t.onOwnRecord(now, m)...)
+			out = append(out, t.onOwnRecord(now, from, m)...)
 			continue
 		}
 		if t.merge(now, m) {
@@ -45,7 +45,7 @@
 }
 
 // onOwnRecord answers what others say about this node. Only its owner raises a record's version.
-func (t *Tracker) onOwnRecord(now time.Duration, m hornbeamcroft.Member) []Outgoing {
+func (t *Tracker) onOwnRecord(now time.Duration, from string, m hornbeamcroft.Member) []Outgoing {
 	if !m.Newer(t.self) || t.cfg.Off.Refute {
 		return nil
 	}
@@ -59,7 +59,11 @@
 		m.Sequence = 0
 	}
 	t.self.Sequence = max(t.self.Sequence, m.Sequence)
-	return t.announceSelf(now)
+	out := t.announceSelf(now)
+	if e := t.members[from]; e != nil {
+		out = append(out, t.to(e, RosterChange{Members: []hornbeamcroft.Member{t.self}}))
+	}
+	return out
 }
 
 // push sends changes on. A member tells its relays; a relay tells its zone, and the relays of other zones about members
@@ -107,7 +111,22 @@
 	if e.Name == t.self.Name || t.cfg.Off.Digest {
 		return nil
 	}
-	return []Outgoing{t.to(e, t.digest(StepCompare))}
+	d := t.digest(StepCompare)
+	d.Told = t.watch.told[e.Name]
+	return []Outgoing{t.to(e, d)}
+}
+
+// counterparts returns the relay of each other zone that has the same place there as this relay here. Comparing with
+// both would double the largest part of a relay's traffic and tell nothing more.
+func (t *Tracker) counterparts() []*entry {
+	place := slices.Index(names(t.zone(t.self.Zone).relays()), t.self.Name)
+	var out []*entry
+	for _, name := range t.zoneNames {
+		if relays := t.zones[name].relays(); place >= 0 && name != t.self.Zone && len(relays) > 0 {
+			out = append(out, relays[min(place, len(relays)-1)])
+		}
+	}
+	return out
 }
 
 // comparesWith reports whether e is a relay that this node compares rosters with, or a member it is a relay for.
@@ -167,9 +186,7 @@
 	}
 	if now-s.lastRelayDigest >= relayDigestInterval {
 		s.lastRelayDigest = now
-		if t.IsRelay() {
-			to = append(to, t.remoteRelays()...)
-		}
+		to = append(to, t.counterparts()...)
 	}
 	var out []Outgoing
 	for _, e := range to {
