--- a/cmd/hornbeamctl/apply.go
+++ b/cmd/hornbeamctl/apply.go
@@ -39,6 +39,7 @@
 			&cli.StringSliceFlag{Name: "remove", Usage: "remove this `SECTION`; repeat for several"},
 			&cli.StringFlag{Name: "writer", Usage: "`ID` of an earlier apply that is repeated"},
 			&cli.BoolFlag{Name: "without-nodes", Usage: "write although no node can say whether the store is behind; for the first document"},
+			&cli.BoolFlag{Name: "accept-unproven", Usage: "edit a document that was written without the operators' key, and prove it; look at it first"},
 			&cli.DurationFlag{Name: "wait", Usage: "wait up to this `TIME` until the edit is in force on all nodes heard"},
 		},
 		Action: apply,
@@ -60,17 +61,32 @@
 	if err != nil {
 		return err
 	}
-	highest, heard := collector.Highest(s.collector().Statuses(ctx))
-	if heard == 0 && !cmd.Bool("without-nodes") {
-		return fail(hornbeamcroft.CodeStoreBehind, errors.New(
-			"no node answered, so the store may be behind; set --nodes, or --without-nodes for the first document"))
+	highest, err := askNodes(ctx, cmd, s)
+	if err != nil {
+		return err
 	}
 	line(cmd.Root().ErrWriter, "apply: writer %s", edit.Writer)
 	e := &editor.Editor{Edit: edit, Check: applier.Check, Highest: highest}
-	r := (&applier.Applier{Store: client}).Apply(ctx, e, repeat)
+	r := (&applier.Applier{Store: client, Signer: s.signer(), AcceptUnproven: cmd.Bool("accept-unproven")}).Apply(ctx, e, repeat)
 	return reportApply(ctx, cmd, s, r)
 }
 
+// askNodes returns the highest revision in force. It refuses an edit that could be based on an old document.
+func askNodes(ctx context.Context, cmd *cli.Command, s settings) (uint64, error) {
+	statuses := s.collector().Statuses(ctx)
+	highest, heard := collector.Highest(statuses)
+	if heard == 0 && !cmd.Bool("without-nodes") {
+		return 0, fail(hornbeamcroft.CodeStoreBehind, errors.New(
+			"no node answered, so the store may be behind; set --nodes, or --without-nodes for the first document"))
+	}
+	if names := collector.Diverged(statuses); len(names) > 0 {
+		// The merge keeps both edits unless they are of the same section.
+		line(cmd.Root().ErrWriter, "apply: accepted edits are missing from the store's document and are being merged by %s",
+			strings.Join(names, ", "))
+	}
+	return highest, nil
+}
+
 // readEdit builds the edit from the file and the flags.
 func readEdit(cmd *cli.Command) (editor.Edit, bool, error) {
 	edit := editor.Edit{Owner: cmd.String("as"), Writer: cmd.String("writer"), Remove: cmd.StringSlice("remove")}
--- a/document.go
+++ b/document.go
@@ -10,10 +10,13 @@
 	Owner string `cbor:"2,keyasint" json:"owner"`
 	// Text is the section's INI text without the line in brackets.
 	Text string `cbor:"3,keyasint" json:"text"`
-	// Generation counts the accepted edits of this section, from 1.
+	// Generation counts the accepted edits of this section, from 1, its removal included.
 	Generation uint64 `cbor:"4,keyasint" json:"generation"`
 	// Writer identifies the edit that wrote this generation; it tells a lost answer from another's write.
 	Writer string `cbor:"5,keyasint" json:"writer"`
+	// Removed marks a section that was removed; Owner and Text are empty. The mark stays in the document, so that a merge
+	// of documents that diverged tells a removed section from one that the other document never had.
+	Removed bool `cbor:"6,keyasint,omitempty" json:"removed,omitempty"`
 }
 
 // StoredDocument is the value in the store. It is replaced as a whole by compare-and-swap.
@@ -22,6 +25,8 @@
 	// a store restored from an old copy is noticed.
 	Revision uint64    `cbor:"1,keyasint" json:"revision"`
 	Sections []Section `cbor:"2,keyasint" json:"sections"`
+	// Proof shows that the document was written with the operators' key; nodes that have the key accept no other.
+	Proof []byte `cbor:"3,keyasint,omitempty" json:"-"`
 }
 
 // Document is the parsed and checked document.
--- a/tracker/digest.go
+++ b/tracker/digest.go
@@ -60,7 +60,7 @@
 	t.noteVersions(e.Name, d.Document, d.Epochs)
 	t.noteLost(e, d.Lost)
 	var out []Outgoing
-	if d.Step == StepCompare {
+	if d.Step == StepCompare && !t.same(e, d) {
 		out = append(out, t.to(e, t.digest(StepCompared)))
 	}
 	if d.Roster == t.hash || d.Step == StepCompare {
@@ -73,6 +73,17 @@
 	return append(out, t.to(e, RosterDigest{Step: StepZones, Zones: zones}))
 }
 
+// same reports whether an answer to a digest would tell nothing new.
+func (t *Tracker) same(e *entry, d RosterDigest) bool {
+	if d.Roster != t.hash || d.Document != t.document || d.Epochs != t.epochs {
+		return false
+	}
+	if e.Zone != t.self.Zone {
+		return true // the relays of other zones compare in both directions
+	}
+	return t.IsRelay() && !t.isRelay(e.Name) && slices.Equal(d.Told, t.watch.lostZones())
+}
+
 // onZones sends the versions of each zone that differs.
 func (t *Tracker) onZones(e *entry, zones []ZoneDigest) []Outgoing {
 	var out []Outgoing
