--- a/cmd/hornbeam-standin/caller/action.go
+++ b/cmd/hornbeam-standin/caller/action.go
@@ -90,7 +90,7 @@
 func (c *Caller) exchange(ctx context.Context, node string, a Action, attempt int, s *Send) error {
 	ctx, cancel := context.WithTimeout(ctx, c.Settings.Timeout+timeoutSlack)
 	defer cancel()
-	request := exchange.Request{Marker: a.Marker, AnswerBytes: c.Settings.AnswerBytes}
+	request := exchange.Request{Marker: a.Marker, Crash: c.Settings.Crash, AnswerBytes: c.Settings.AnswerBytes}
 	r, err := c.request(ctx, node, a, attempt, request)
 	if err != nil {
 		return err
--- a/cmd/hornbeam-standin/caller/caller.go
+++ b/cmd/hornbeam-standin/caller/caller.go
@@ -32,13 +32,9 @@
 
 // Run sends the load and waits for all outcomes. If ctx ends, no further action arrives.
 func (c *Caller) Run(ctx context.Context) (Report, error) {
-	if err := c.Settings.Check(); err != nil {
+	if err := c.open(); err != nil {
 		return Report{}, err
 	}
-	c.seed()
-	c.client = &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: idleConnections, DisableCompression: true, DisableKeepAlives: c.Settings.Fresh,
-	}}
 	defer c.client.CloseIdleConnections()
 	start := time.Now()
 	unsent := c.arrivals(ctx, start)
@@ -47,6 +43,29 @@
 	return report, nil
 }
 
+// One sends a single action at once.
+func (c *Caller) One(ctx context.Context) (Report, error) {
+	if err := c.open(); err != nil {
+		return Report{}, err
+	}
+	defer c.client.CloseIdleConnections()
+	a, nodes := c.next(0, 0)
+	c.perform(ctx, time.Now(), a, nodes)
+	return NewReport(c.Settings, c.actions), nil
+}
+
+// open checks the settings and prepares the randomness and the connections.
+func (c *Caller) open() error {
+	if err := c.Settings.Check(); err != nil {
+		return err
+	}
+	c.seed()
+	c.client = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: idleConnections, DisableCompression: true, DisableKeepAlives: c.Settings.Fresh,
+	}}
+	return nil
+}
+
 func (c *Caller) seed() { c.rand = rand.New(rand.NewPCG(c.Settings.Seed, 0)) }
 
 // arrivals starts the actions at their times and returns the number that were not sent.
--- a/cmd/hornbeam-standin/caller/settings.go
+++ b/cmd/hornbeam-standin/caller/settings.go
@@ -25,6 +25,8 @@
 	Label string `json:"label"`
 	// Tries is the number of sends of an action, with the same key and without a pause; at least 1.
 	Tries int `json:"tries"`
+	// Crash names a service whose upstreams exit when they run these requests; empty for none.
+	Crash string `json:"crash,omitempty"`
 	// Fresh opens a new connection for each send. A kept connection that its node closes while a request is being sent
 	// would look like an interrupted request.
 	Fresh bool `json:"fresh,omitempty"`
--- a/cmd/hornbeam-standin/proofs/script_test.go
+++ b/cmd/hornbeam-standin/proofs/script_test.go
@@ -47,6 +47,8 @@
 	"platform":  cmdPlatform,
 	"stop-load": cmdStopLoad,
 	"audit":     cmdAudit,
+	"poison":    cmdPoison,
+	"crashed":   cmdCrashed,
 }
 
 // end stops everything that the script started.
@@ -68,11 +70,20 @@
 	}
 }
 
-// cmdFleet starts the demo's deployment with a proxy between each node and its upstream.
-func cmdFleet(ts *testscript.TestScript, _ bool, _ []string) {
+// fleet [COUNT] starts the demo's deployment with a proxy between each node and its upstream, and with COUNT upstreams of
+// each service in place of two.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
+	d := fleet.Demo()
+	if len(args) > 0 {
+		count, err := strconv.Atoi(args[0])
+		ts.Check(err)
+		for i := range d.Services {
+			d.Services[i].Count = count
+		}
+	}
 	s.proxies = make(map[string]*proxy)
-	s.fleet = &fleet.Fleet{Deployment: fleet.Demo(), Binaries: binaries, Dir: s.dir, Link: func(member, upstream string) string {
+	s.fleet = &fleet.Fleet{Deployment: d, Binaries: binaries, Dir: s.dir, Link: func(member, upstream string) string {
 		p, err := newProxy(upstream)
 		ts.Check(err)
 		s.proxies[member] = p
@@ -195,6 +206,37 @@
 	}
 }
 
+// poison TARGET SERVICE SENDS sends one request that crashes upstreams of the service, SENDS times with one key. It waits
+// for the answer of each send.
+func cmdPoison(ts *testscript.TestScript, _ bool, args []string) {
+	s := of(ts)
+	sends, err := strconv.Atoi(args[2])
+	ts.Check(err)
+	c := caller.Caller{Settings: caller.Settings{
+		Nodes: s.fleet.Ingress(), Rate: 1, Time: time.Hour, Seed: 2, Label: "poison-", Tries: sends, Timeout: 5 * time.Second,
+		Crash: args[1], Fresh: true, Mix: []caller.Mix{{Target: args[0], Share: 1}},
+	}}
+	report, err := c.One(context.Background())
+	ts.Check(err)
+	ts.Logf("poison: codes %v", report.Total.Codes)
+}
+
+// crashed SERVICE N fails if more than N upstreams of the service have ended.
+func cmdCrashed(ts *testscript.TestScript, _ bool, args []string) {
+	allowed, err := strconv.Atoi(args[1])
+	ts.Check(err)
+	ended := 0
+	for _, m := range of(ts).fleet.Of(args[0]) {
+		if !m.UpstreamRun.Running() {
+			ended++
+		}
+	}
+	if ended > allowed {
+		ts.Fatalf("%d upstreams of %s ended, allowed are %d", ended, args[0], allowed)
+	}
+	ts.Logf("%d upstreams of %s ended", ended, args[0])
+}
+
 // platform stop, start, slow MS, lose or heal.
 func cmdPlatform(ts *testscript.TestScript, _ bool, args []string) {
 	s := of(ts)
