--- a/cmd/hornbeam-standin/proofs/proofs_test.go
+++ b/cmd/hornbeam-standin/proofs/proofs_test.go
@@ -7,11 +7,13 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
+	"github.com/zeromicro/go-zero/core/logx"
 
 	"hornbeamcroft/cmd/hornbeam-standin/fleet"
 )
@@ -22,6 +24,7 @@
 
 var (
 	only = flag.String("binaries", "", "folder with built programs; they are built if empty")
+	rest = flag.Int("restarts", 16, "planned restarts in the script rolling")
 	red  = flag.Bool("red", false, "run the scripts that KNOWN-RED.txt lists, too")
 )
 
@@ -30,6 +33,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
+	logx.Disable() // the framework's own statistics would mix with the output
 	os.Exit(run(m))
 }
 
@@ -64,6 +68,7 @@
 			if name := known(env.WorkDir); name != "" && !*red {
 				env.T().Skip("listed in KNOWN-RED.txt: " + name)
 			}
+			env.Setenv("RESTARTS", strconv.Itoa(*rest))
 			s := &script{dir: filepath.Join(env.WorkDir, "fleet")}
 			env.Values[key{}] = s
 			env.Defer(s.end)
