--- a/cmd/hornbeam-standin/bench/command.go
+++ b/cmd/hornbeam-standin/bench/command.go
@@ -144,7 +144,7 @@
 	w.Deployment.Policy, w.Deployment.Seed = s.Policy, m.seed+uint64(number)
 	startCtx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
-	f, stop, openErr := fleet.Open(startCtx, w.Deployment, m.binaries, m.dir)
+	f, stop, openErr := m.open(startCtx, w.Deployment)
 	if openErr == nil {
 		defer stop()
 	}
@@ -168,9 +168,23 @@
 	return runs
 }
 
+var errBound = errors.New("not started: interrupted, or the time bound has passed")
+
+// over reports whether nothing more is to be started.
+func (m measurement) over(ctx context.Context) bool {
+	return ctx.Err() != nil || time.Now().After(m.end)
+}
+
+func (m measurement) open(ctx context.Context, d fleet.Deployment) (*fleet.Fleet, func() []string, error) {
+	if m.over(ctx) {
+		return nil, nil, errBound
+	}
+	return fleet.Open(ctx, d, m.binaries, m.dir)
+}
+
 func (m measurement) one(ctx context.Context, r *runner, sc Scenario) (Run, error) {
-	if ctx.Err() != nil || time.Now().After(m.end) {
-		return Run{}, errors.New("not started: the time bound has passed")
+	if m.over(ctx) {
+		return Run{}, errBound
 	}
 	if r.loads > 0 {
 		if err := r.settle(ctx); err != nil {
