--- a/owner/explorer_call_test.go
+++ b/owner/explorer_call_test.go
@@ -72,7 +72,7 @@
 		id[6], id[8] = 0x40, id[8]&0x3f|0x80
 		return id.String(), 0
 	}
-	half := clockSkew.Milliseconds() / 2
+	half := w.skew.Milliseconds() / 2
 	issued := wallStart + w.now.Milliseconds() + w.r.Int64N(2*half+1) - half
 	var b [8]byte
 	binary.BigEndian.PutUint64(b[:], uint64(issued))
@@ -93,15 +93,20 @@
 	w.after(w.between(w.load/2, w.load*3/2), w.arrivals)
 }
 
-// attempt sends the key once more through any node and plans the next attempt.
-func (w *world) attempt(req *request) {
-	ingress := w.nodes[w.r.IntN(len(w.nodes))]
+// attemptVia sends the key once more through a node.
+func (w *world) attemptVia(req *request, ingress *node) *send {
 	s := &send{req: req, number: len(req.sends) + 1, content: 1, receivedAt: -1}
 	if w.faults && w.chance(0.02) {
 		s.content = 2
 	}
 	req.sends = append(req.sends, s)
 	w.schedule(w.delay(), ingress, 0, func() { ingress.receive(s) })
+	return s
+}
+
+// attempt sends the key once more through any node and plans the next attempt.
+func (w *world) attempt(req *request) {
+	s := w.attemptVia(req, w.nodes[w.r.IntN(len(w.nodes))])
 	if s.number > w.resends {
 		return
 	}
--- a/owner/explorer_faults_test.go
+++ b/owner/explorer_faults_test.go
@@ -1,6 +1,11 @@
 package owner_test
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"hornbeamcroft/owner"
+)
 
 // disturb injects a random fault and plans the next.
 func (w *world) disturb() {
@@ -120,6 +125,86 @@
 	}
 }
 
+// strike hits the members while they acknowledge a new epoch: the network falls into two sides, the writer and the
+// store on one of them; then single members change sides, some of them restarting on the way.
+func (w *world) strike(e owner.Epoch) {
+	writer := w.byName[e.Writer]
+	sides, removed := make([]bool, len(w.nodes)), make([]bool, len(w.nodes))
+	for i, n := range w.nodes {
+		removed[i] = slices.Contains(e.Previous, n.name) && !slices.Contains(e.Roster, n.name)
+		sides[i] = i != writer.id && (removed[i] || w.chance(0.5))
+	}
+	last := w.between(5*time.Second, 15*time.Second)
+	at := time.Duration(0)
+	w.split(sides, last)
+	for range w.r.IntN(4) {
+		at += w.between(0, 2500*time.Millisecond)
+		w.after(at, func() {
+			m := w.nodes[w.r.IntN(len(w.nodes))]
+			if m == writer || removed[m.id] {
+				return
+			}
+			sides[m.id] = !sides[m.id]
+			w.split(sides, last)
+			if m.alive && w.chance(0.6) {
+				m.crash()
+				w.after(w.between(0, 50*time.Millisecond), func() {
+					if !m.alive {
+						m.boot()
+					}
+				})
+			}
+		})
+	}
+	for d := time.Duration(0); d < 10*time.Second; d += 50 * time.Millisecond {
+		w.after(d, w.hammer)
+	}
+}
+
+// takeFrom lets all nodes but the one take it for dead, and one of them write the epoch without it.
+func (w *world) takeFrom() {
+	lost, writer := w.nodes[w.r.IntN(w.roster)], w.nodes[w.r.IntN(len(w.nodes))]
+	if lost == writer {
+		writer = w.nodes[(lost.id+1)%len(w.nodes)]
+	}
+	if !writer.alive {
+		writer.boot()
+	}
+	for _, n := range w.nodes {
+		n.drives = n == writer
+		if n.alive {
+			n.believed[lost.name] = n == lost
+		}
+	}
+}
+
+// split cuts the links between the two sides and heals all others. The store is on the side of false.
+func (w *world) split(sides []bool, d time.Duration) {
+	w.logf("strike: sides %v for %s", sides, d)
+	for i := range sides {
+		w.cuts[[2]int{storeID, i}] = 0
+		if sides[i] {
+			w.cutFor(i, storeID, d)
+		}
+		for j := range i {
+			w.cuts[[2]int{j, i}] = 0
+			if sides[i] != sides[j] {
+				w.cutFor(i, j, d)
+			}
+		}
+	}
+}
+
+// hammer sends one new key through every node, at different times.
+func (w *world) hammer() {
+	key, issued := w.newKey(true)
+	req := &request{key: key, issued: issued, at: w.now}
+	w.requests = append(w.requests, req)
+	for _, n := range w.nodes {
+		w.after(w.between(0, 3*time.Second), func() { w.attemptVia(req, n) })
+	}
+}
+
 // isolate cuts a node off from all others, with or without the store.
 func (w *world) isolate(n *node, d time.Duration) {
 	w.logf("%s: cut off from the members for %s", n.name, d)
--- a/owner/explorer_node_test.go
+++ b/owner/explorer_node_test.go
@@ -32,6 +32,7 @@
 	nextID  uint64
 	// believed is the view of the members that live, which may be wrong.
 	believed map[string]bool
+	drives   bool                // in a focused run: this node writes the epochs
 	read     hornbeamcroft.Entry // the latest own read, for members that ask for it
 	readAt   time.Duration
 }
@@ -49,13 +50,13 @@
 	n.alive, n.pausedUntil, n.read = true, 0, hornbeamcroft.Entry{}
 	n.incarnation++
 	n.owner = &owner.Owner{
-		Self: n.name, Service: service, Incarnation: n.incarnation, PermitTime: permitTime, ClockSkew: clockSkew,
+		Self: n.name, Service: service, Incarnation: n.incarnation, PermitTime: permitTime, ClockSkew: n.w.skew,
 		KeyWindow: n.w.window,
 	}
 	if relax := owner.Rules[n.w.rule]; relax != nil {
 		relax(n.owner)
 	}
-	n.deduper = newDeduper(n.w.window)
+	n.deduper = &deduper.Deduper{KeyWindow: n.w.window, ClockSkew: n.w.skew}
 	n.calls = &deduper.Calls{Incarnation: n.incarnation}
 	n.waiting, n.believed = map[string][]*call{}, map[string]bool{}
 	for _, m := range n.w.nodes {
@@ -83,7 +84,7 @@
 		}
 	}
 	slices.Sort(live)
-	drive := len(live) > 0 && (live[0] == n.name || n.w.faults && n.w.chance(0.02))
+	drive := n.drives || !n.w.focused && (live[0] == n.name || n.w.faults && n.w.chance(0.02))
 	n.owner.SetTarget(live, nil, drive)
 	n.apply(n.owner.Tick(n.mono(), n.wall()))
 	n.deduper.Tick(n.mono())
--- a/owner/explorer_test.go
+++ b/owner/explorer_test.go
@@ -17,12 +17,18 @@
 
 // explore runs one random schedule.
 func explore(seed uint64, roster int, rule string) *world {
+	if seed%3 == 0 {
+		return exploreTakeover(seed, roster, rule)
+	}
 	opt := options{
 		seed: seed, roster: roster, spares: int(seed % 3), length: 60 * time.Second, window: 10 * time.Minute, rule: rule,
-		faults: true, load: 120 * time.Millisecond, resends: 6, maxRate: 1.05,
+		faults: true, skew: time.Second, load: 120 * time.Millisecond, resends: 6, maxRate: 1.05,
 	}
 	opt.calm = []time.Duration{2, 4, 8, 16}[seed/4%4] * time.Second
 	opt.change = []time.Duration{0, 3, 6, 12}[seed%4] * time.Second
+	if seed%2 == 0 {
+		opt.skew = 100 * time.Millisecond // a takeover without a wait shows only if the permit outlasts the horizon
+	}
 	if seed%5 == 0 {
 		opt.window = 12 * time.Second
 	}
@@ -36,6 +42,18 @@
 	return w
 }
 
+// exploreTakeover runs one random schedule of a single takeover, with the network falling apart around it.
+func exploreTakeover(seed uint64, roster int, rule string) *world {
+	w := newWorld(options{
+		seed: seed, roster: roster, spares: int(seed % 2), length: 25 * time.Second, window: 10 * time.Minute, rule: rule,
+		faults: true, focused: true, skew: 100 * time.Millisecond, load: 500 * time.Millisecond, resends: 4, maxRate: 1.05,
+	})
+	w.after(time.Second, w.arrivals)
+	w.after(4*time.Second, w.takeFrom)
+	w.run()
+	return w
+}
+
 // TestExplorer guards against any schedule in which a key runs twice, or "not run" is said of a key that ran or runs
 // later by a send from before.
 func TestExplorer(t *testing.T) {
--- a/owner/explorer_world_test.go
+++ b/owner/explorer_world_test.go
@@ -9,14 +9,12 @@
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft"
-	"hornbeamcroft/deduper"
 	"hornbeamcroft/owner"
 )
 
 const (
 	service    = "cash-office"
 	permitTime = 3 * time.Second
-	clockSkew  = time.Second
 	// wallStart is the wall clock at virtual time zero, in Unix milliseconds.
 	wallStart = 1_700_000_000_000
 	storeID   = -1
@@ -29,8 +27,10 @@
 	spares  int // nodes that may join
 	length  time.Duration
 	window  time.Duration
+	skew    time.Duration // greatest difference between wall clocks
 	rule    string        // the rule that is switched off; empty for none
 	faults  bool          // random faults; without, the test injects its own
+	focused bool          // one takeover with the faults around it, in place of random faults
 	calm    time.Duration // longest time between two random faults
 	change  time.Duration // longest time between two changes of the members that nodes believe in
 	load    time.Duration
@@ -101,7 +101,7 @@
 	for i := range opt.roster + opt.spares {
 		n := &node{w: w, id: i, name: fmt.Sprintf("n%d", i), member: i < opt.roster}
 		n.rate = 1 + (opt.maxRate-1)*w.r.Float64()
-		n.wallOffset = w.r.Int64N(clockSkew.Milliseconds()+1) - clockSkew.Milliseconds()/2
+		n.wallOffset = w.r.Int64N(w.skew.Milliseconds()+1) - w.skew.Milliseconds()/2
 		w.nodes = append(w.nodes, n)
 		w.byName[n.name] = n
 	}
@@ -249,9 +249,8 @@
 		w.failures = append(w.failures, "undecodable epoch written: "+err.Error())
 	}
 	w.logf("store: epoch %d %v settled=%v by %s", e.Number, e.Roster, e.Settled, e.Writer)
+	if w.faults && !e.Settled && (w.focused || w.chance(0.5)) {
+		w.after(w.between(0, 300*time.Millisecond), func() { w.strike(e) })
+	}
 	return owner.StoreResult{Txn: hornbeamcroft.TxnResult{Succeeded: true, Revision: s.revision}}
 }
-
-func newDeduper(window time.Duration) *deduper.Deduper {
-	return &deduper.Deduper{KeyWindow: window, ClockSkew: clockSkew}
-}
