server, receiver: pass resends on while draining

Cause: a draining node answered a resend of a non-idempotent request with 308, since only the home of its key knows what happened to it.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -33,8 +33,9 @@
 	Calls *registrar.Registrar
 	// Document returns the accepted document, or nil.
 	Document func() *hornbeamcroft.Document
-	// Draining is true if outside callers are refused; child calls of running work are still taken.
-	Draining func() bool
+	// Draining is true if calls of outside callers are refused; child calls of running work are still taken. A resend is
+	// a non-idempotent call that may have been sent before.
+	Draining func(resend bool) bool
 	// Forward sends the call under its parents.
 	Forward func(ctx context.Context, parents []*registrar.Running, call hornbeamcroft.Call) hornbeamcroft.Answer
 	// DeriveKey returns the idempotency key of a child call that brings none.
@@ -118,8 +119,9 @@
 	if call.Key == "" && !call.Idempotent {
 		return call, nil, hornbeamcroft.CodeKeyMissing
 	}
-	if v.Draining() {
-		if !call.Idempotent && !call.FirstSend {
+	resend := !call.Idempotent && !call.FirstSend
+	if v.Draining(resend) {
+		if resend {
 			return call, nil, hornbeamcroft.CodeEarlierSendUnknown
 		}
 		return call, nil, hornbeamcroft.CodeDraining
--- a/server/drain.go
+++ b/server/drain.go
@@ -65,6 +65,21 @@
 	return true
 }
 
+// count takes on a call of a caller or of the own upstream; the receiver decides whether it is refused.
+func (d *drain) count() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.core.Admit(drainer.KindHTTP)
+}
+
+// refuses reports whether a call of an outside caller is refused. A resend that may have run before is still passed on
+// for a while: only the home of its key can tell what happened to it.
+func (d *drain) refuses(resend bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.draining && (!resend || d.s.clock.Now()-d.startedAt > drainHomeTime)
+}
+
 func (d *drain) end(k drainer.Kind) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/server/listen.go
+++ b/server/listen.go
@@ -91,17 +91,9 @@
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
-	// A call is counted until its whole answer is written. While draining, the receiver refuses outside callers.
-	kind := drainer.KindHTTP
-	if !s.drain.begin(kind) {
-		kind = drainer.KindChild
-		if !s.drain.begin(kind) {
-			kind = drainer.KindCount
-		}
-	}
-	if kind != drainer.KindCount {
-		defer s.drain.end(kind)
-	}
+	// A call is counted until its whole answer is written, refusals while draining included.
+	s.drain.count()
+	defer s.drain.end(drainer.KindHTTP)
 	vars := pathvar.Vars(r)
 	s.receiver.Serve(w, r, vars["service"], vars["type"])
 }
--- a/server/server.go
+++ b/server/server.go
@@ -172,7 +172,7 @@
 		Clock:     s.clock,
 		Calls:     s.calls,
 		Document:  s.document.Load,
-		Draining:  s.drain.active,
+		Draining:  s.drain.refuses,
 		Forward:   s.forwarder.Forward,
 		DeriveKey: deriveKey,
 		OnAnswer:  s.onAnswer,
