--- a/server/drain.go
+++ b/server/drain.go
@@ -72,12 +72,12 @@
 	d.core.Admit(drainer.KindHTTP)
 }
 
-// refuses reports whether a call of an outside caller is refused. A resend that may have run before is still passed on
-// for a while: only the home of its key can tell what happened to it.
+// refuses reports whether a call of an outside caller is refused. A resend that may have run before is still passed on,
+// because only the home of its key can tell what happened to it.
 func (d *drain) refuses(resend bool) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.draining && (!resend || d.s.clock.Now()-d.startedAt > drainHomeTime)
+	return d.draining && !resend
 }
 
 func (d *drain) end(k drainer.Kind) {
--- a/server/listen.go
+++ b/server/listen.go
@@ -94,6 +94,10 @@
 	// A call is counted until its whole answer is written, refusals while draining included.
 	s.drain.count()
 	defer s.drain.end(drainer.KindHTTP)
+	if s.drain.active() {
+		// The caller opens its next connection elsewhere, and none is kept that the stop would reset.
+		w.Header().Set("Connection", "close")
+	}
 	vars := pathvar.Vars(r)
 	s.receiver.Serve(w, r, vars["service"], vars["type"])
 }
