dispatcher: recognise the crash of a process that is still ending

Cause: right after a crash the listener of the ending process still completed a connection, so the crash was taken for a lost connection, no request became a suspect and one lookup took down 4 of 4 upstreams. Change: a new connection is watched for 50 ms; if it is closed without a byte, the upstream has crashed.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -96,6 +97,23 @@
 	return true
 }
 
+// settleTime is how long Crashed watches a new connection. A process that ends can still complete a connection before
+// its listener is closed, but then the connection is reset at once.
+const settleTime = 50 * time.Millisecond
+
+// Crashed reports whether the upstream's process has ended: nothing listens, or a new connection is closed without a
+// byte sent.
+func (d *Dispatcher) Crashed(ctx context.Context) bool {
+	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", d.Address)
+	if err != nil {
+		return true
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadDeadline(time.Now().Add(settleTime))
+	_, err = conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // onceBody is a request body that cannot be rewound. The HTTP client resends a request with an Idempotency-Key on its
 // own when a kept connection breaks, unless the body is one that it cannot rewind.
 type onceBody struct {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -127,3 +127,13 @@
 	})
 	is.Equal(open(address).Run(ctx, call("x")).Answer.Code, hornbeamcroft.CodeCallerGone)
 }
+
+// TestCrashedSeesDyingListener guards against a crash that is taken for a lost connection, because the listener of a
+// process that is ending still completes connections.
+func TestCrashedSeesDyingListener(t *testing.T) {
+	is := is.New(t)
+	dying := rawUpstream(t, func(_ int, conn net.Conn) { _ = conn.Close() })
+	is.True(open(dying).Crashed(context.Background()))
+	alive := rawUpstream(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
+	is.True(!open(alive).Crashed(context.Background()))
+}
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -118,7 +118,7 @@
 // reportCrash tells a broken connection from a crash: after a crash nothing listens. The report of a crash is complete
 // before the answer of any call that ran in the upstream, so that a resend does not overtake it.
 func (e *Executor) reportCrash(ctx context.Context, res *dispatcher.Result) {
-	if e.Dispatcher.Probe(context.WithoutCancel(ctx)) {
+	if !e.Dispatcher.Crashed(context.WithoutCancel(ctx)) {
 		return
 	}
 	if res.Answer.Code == hornbeamcroft.CodeOutcomeUnknown {
