--- a/cmd/hornbeam-standin/fleet/fleet.go
+++ b/cmd/hornbeam-standin/fleet/fleet.go
@@ -155,7 +155,7 @@
 func (f *Fleet) StartPlatform(ctx context.Context) error {
 	var err error
 	f.platform, err = start("platform", filepath.Join(f.Dir, "platform.log"), f.standin(),
-		"platform", "--listen", f.Store, "--load", f.documentFile())
+		"platform", "--listen", f.Store, "--load", f.documentFile(), "--operators-key", f.OperatorsKey)
 	if err != nil {
 		return err
 	}
--- a/server/document.go
+++ b/server/document.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -9,89 +10,98 @@
 	"hornbeamcroft"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/distributor"
+	"hornbeamcroft/follower"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/signer"
 )
 
 const (
-	// storeRetryPause is the wait after the store could not be reached.
-	storeRetryPause = time.Second
-	// watchRetryPause is the wait after a watch has ended.
-	watchRetryPause = 50 * time.Millisecond
+	// peersFirstTime is how long a starting node lets its peers offer a document before it reads the store.
+	peersFirstTime = 300 * time.Millisecond
 	// relayCheckInterval is how often a node looks whether it became a relay.
 	relayCheckInterval = 200 * time.Millisecond
 )
 
 // documents drives the distributor: relays read and watch the store, and all nodes pass changes on.
 type documents struct {
-	s *Server
+	s        *Server
+	follower *follower.Follower
 
 	mu          sync.Mutex
 	distributor distributor.Distributor
-	lastContact time.Duration
 }
 
 func newDocuments(s *Server) *documents {
-	check := func(stored hornbeamcroft.StoredDocument) error {
+	signer := signer.Signer{Key: []byte(s.Settings.Security.OperatorsKey)}
+	d := &documents{s: s}
+	d.distributor.Sign = signer.Sign
+	d.distributor.Check = func(stored hornbeamcroft.StoredDocument) error {
+		if err := signer.Check(stored); err != nil {
+			return err
+		}
 		_, err := parser.Parse(stored)
 		return err
 	}
-	return &documents{s: s, distributor: distributor.Distributor{Check: check}}
+	d.follower = &follower.Follower{
+		Store:   s.Store,
+		OnRead:  d.onRead,
+		OnWatch: d.onWatch,
+		OnError: func(err error) { s.Log.Debug().Err(err).Msg("distributor: store cannot be followed") },
+		Rand:    random{},
+	}
+	return d
 }
 
-// run reads and watches the store while this node is a relay, until ctx ends.
+// random is the process-wide source of randomness, which is safe for concurrent use.
+type random struct{}
+
+func (random) Uint64() uint64   { return rand.Uint64() }
+func (random) IntN(n int) int   { return rand.IntN(n) }
+func (random) Float64() float64 { return rand.Float64() }
+
+// run follows the store while this node is a relay, until ctx ends. A node asks its peers first: a store that was
+// restored from an old copy would give it an older document than theirs.
 func (d *documents) run(ctx context.Context) {
 	if d.s.Store == nil {
 		return
 	}
+	pause(ctx, peersFirstTime)
+	var stop context.CancelFunc
 	for ctx.Err() == nil {
-		if isRelay, _ := d.s.members.relays(); !isRelay {
-			pause(ctx, relayCheckInterval)
-			continue
-		}
-		entry, err := d.s.Store.Get(ctx, hornbeamcroft.KeyDocument)
-		if err != nil {
-			d.s.Log.Debug().Err(err).Msg("distributor: store cannot be read")
-			pause(ctx, storeRetryPause)
-			continue
+		isRelay, _ := d.s.members.relays()
+		if isRelay && stop == nil {
+			var following context.Context
+			following, stop = context.WithCancel(ctx)
+			go d.follower.Run(following)
 		}
-		d.read(ctx, entry)
-		err = d.s.Store.Watch(ctx, hornbeamcroft.KeyDocument, entry.ModRevision+1, func(e hornbeamcroft.Event) {
-			d.watched(ctx, e)
-		})
-		if err != nil && ctx.Err() == nil {
-			d.s.Log.Debug().Err(err).Msg("distributor: watch ended")
-			pause(ctx, watchRetryPause)
+		if !isRelay && stop != nil {
+			stop()
+			stop = nil
 		}
+		pause(ctx, relayCheckInterval)
+	}
+	if stop != nil {
+		stop()
 	}
 }
 
-func (d *documents) read(ctx context.Context, entry hornbeamcroft.Entry) {
-	var stored hornbeamcroft.StoredDocument
-	if len(entry.Value) > 0 {
-		var err error
-		if stored, err = parser.Decode(entry.Value); err != nil {
-			d.s.Log.Error().Err(err).Msg("distributor: stored document is malformed")
-			return
-		}
+// onRead takes a document that was read from the store and returns the repair to write, or nil.
+func (d *documents) onRead(stored hornbeamcroft.StoredDocument, modRevision int64) *distributor.Write {
+	a := d.step(nil, func(time.Duration) distributor.Actions { return d.distributor.OnRead(stored, modRevision) })
+	if a.Write != nil {
+		d.s.Log.Warn().Uint64("revision", a.Write.Document.Revision).Msg("distributor: writing the newer document to the store")
 	}
-	d.step(ctx, nil, func(time.Duration) distributor.Actions { return d.distributor.OnRead(stored, entry.ModRevision) })
+	return a.Write
 }
 
-func (d *documents) watched(ctx context.Context, e hornbeamcroft.Event) {
-	if e.Deleted {
-		return
-	}
-	stored, err := parser.Decode(e.Entry.Value)
-	if err != nil {
-		d.s.Log.Error().Err(err).Msg("distributor: stored document is malformed")
-		return
-	}
-	d.step(ctx, nil, func(time.Duration) distributor.Actions { return d.distributor.OnWatch(stored) })
+func (d *documents) onWatch(stored hornbeamcroft.StoredDocument) {
+	d.step(nil, func(time.Duration) distributor.Actions { return d.distributor.OnWatch(stored) })
 }
 
-// step runs fn under the lock and carries out what it returns. The link is the one that the message came over, or nil.
-func (d *documents) step(ctx context.Context, l *connector.Link, fn func(now time.Duration) distributor.Actions) {
+// step runs fn under the lock and carries out what it returns, but for a write. The link is the one that the message
+// came over, or nil.
+func (d *documents) step(l *connector.Link, fn func(now time.Duration) distributor.Actions) distributor.Actions {
 	d.mu.Lock()
 	a := fn(d.s.clock.Now())
 	newest := d.distributor.Newest()
@@ -108,24 +118,14 @@
 	if len(a.Push) > 0 {
 		d.push(l, a.Push)
 	}
-	if a.Write != nil {
-		go d.repair(ctx, *a.Write)
-	}
-}
-
-// repair writes the newest document to a store that holds an older one.
-func (d *documents) repair(ctx context.Context, w distributor.Write) {
-	value, err := parser.Encode(w.Document)
-	if err != nil {
-		return
-	}
-	d.s.Log.Warn().Uint64("revision", w.Document.Revision).Msg("distributor: store is behind, writing the newer document")
-	_, err = d.s.Store.Txn(ctx,
-		[]hornbeamcroft.Compare{{Key: hornbeamcroft.KeyDocument, ModRevision: w.ModRevision}},
-		[]hornbeamcroft.Put{{Key: hornbeamcroft.KeyDocument, Value: value}})
-	if err != nil {
-		d.s.Log.Warn().Err(err).Msg("distributor: store not repaired")
+	if a.ReadStore && d.s.Store != nil {
+		go func() {
+			if _, err := d.follower.Read(context.Background()); err != nil {
+				d.s.Log.Warn().Err(err).Msg("distributor: diverged documents not merged in the store")
+			}
+		}()
 	}
+	return a
 }
 
 // push sends messages from a relay to the nodes of its zone and the relays of other zones.
@@ -176,7 +176,7 @@
 	if err != nil {
 		return err
 	}
-	go d.step(context.Background(), l, fn)
+	go d.step(l, fn)
 	return nil
 }
 
--- a/server/status.go
+++ b/server/status.go
@@ -18,8 +18,10 @@
 	State            string `json:"state"`
 	DocumentRevision uint64 `json:"document-revision"`
 	// StoreBehind is true while the store holds an older document than this node.
-	StoreBehind bool   `json:"store-behind"`
-	Drain       string `json:"drain"`
+	StoreBehind bool `json:"store-behind"`
+	// Diverged is true while another document with the same revision is known.
+	Diverged bool   `json:"diverged"`
+	Drain    string `json:"drain"`
 	// Epoch is the roster epoch of the own service; Permit tells what the right to run non-idempotent work is based on.
 	Epoch      uint64                 `json:"epoch"`
 	Roster     []string               `json:"roster,omitempty"`
@@ -55,7 +57,8 @@
 		st.Running, st.Waiting = s.executor.Load()
 		st.Pressure = s.executor.Pressure()
 	}
-	st.StoreBehind = s.documents.status().StoreBehind
+	docs := s.documents.status()
+	st.StoreBehind, st.Diverged = docs.StoreBehind, docs.Diverged
 	st.Drain = s.drain.status().State.String()
 	if s.arbiter != nil {
 		o, d := s.arbiter.Status()
