--- a/server/epochs.go
+++ b/server/epochs.go
@@ -14,9 +14,11 @@
 )
 
 const (
-	// epochCacheTime is how long a relay answers from one read of all epochs. A third of the permit time is 1 s, so each
-	// relay reads the store at most twice within that, whatever the number of nodes.
-	epochCacheTime = 500 * time.Millisecond
+	// epochCacheParts divides the permit time: a relay answers from one read of all epochs for that long. Nodes ask every
+	// third of the permit time, so each relay reads at most twice within that, whatever the number of nodes.
+	epochCacheParts = 6
+	// defaultPermitTime applies until a document is accepted.
+	defaultPermitTime = 3 * time.Second
 	// relayTimeout bounds the wait for a relay before the next one is asked.
 	relayTimeout = 300 * time.Millisecond
 )
@@ -83,12 +85,20 @@
 	return e.readCached(ctx, key)
 }
 
+// cacheTime returns how long one read of all epochs is used.
+func (e *epochReader) cacheTime() time.Duration {
+	if doc := e.s.document.Load(); doc != nil {
+		return doc.Platform.PermitTime / epochCacheParts
+	}
+	return defaultPermitTime / epochCacheParts
+}
+
 // readCached answers from a recent read of all epochs, or reads them.
 func (e *epochReader) readCached(ctx context.Context, key string) (hornbeamcroft.Entry, time.Duration, error) {
 	for {
 		e.mu.Lock()
 		now := e.s.clock.Now()
-		if e.loaded && now-e.sentAt < epochCacheTime {
+		if e.loaded && now-e.sentAt < e.cacheTime() {
 			defer e.mu.Unlock()
 			return e.entries[key], max(now-e.sentAt, 1), e.err
 		}
@@ -122,7 +132,7 @@
 	e.mu.Lock()
 	e.sentAt, e.entries, e.err, e.loaded, e.loading = sentAt, entries, err, true, nil
 	if err != nil {
-		// A failure is remembered from its end on: the next read waits epochCacheTime before it tries again.
+		// A failure is remembered from its end on: the next read waits for the cache time before it tries again.
 		e.sentAt = e.s.clock.Now()
 	}
 	e.mu.Unlock()
