owner: carry the permit time in the epoch; default 1 s

Cause: after the loss of a home its keys are refused for detection, the wait of T x 1.05 and the clock-skew horizon; T was 3 s. T also came from each node's document, so a node that had not heard of a shorter T would have outlasted its successor's wait. Change: the epoch carries its T and that of the epoch before; a takeover waits for the latter. The default is 1 s, and relays use one read of all epochs for T/6. Price, by calculation: reads of a relay 2/s to 6/s, 300/s for 50 relays of about 2,000/s.

--- a/owner/epoch.go
+++ b/owner/epoch.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/go-faster/errors"
@@ -30,8 +31,19 @@
 	// Dead lists members of Previous that an operator declares stopped. They count as acknowledging, so a process
 	// under such a name that still runs breaks the promise.
 	Dead []string `cbor:"7,keyasint,omitempty"`
+	// PermitTime is the validity of permits in this epoch. It is part of the epoch, and not read from the document by
+	// each node, because a node that has not heard of a shorter time would outlast the wait of its successor.
+	PermitTime time.Duration `cbor:"8,keyasint"`
+	// PreviousPermitTime is that of the epoch before, for which a takeover waits; zero for epoch 1.
+	PreviousPermitTime time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
+// Bounds of permit times in an epoch.
+const (
+	minPermitTime = 100 * time.Millisecond
+	maxPermitTime = time.Hour
+)
+
 // Check reports whether the epoch is well formed.
 func (e Epoch) Check() error {
 	if e.Service == "" || len(e.Service) > MaxNameLength || len(e.Writer) > MaxNameLength {
@@ -51,6 +63,11 @@
 	if len(e.Previous) == 0 && (e.Number != 1 || !e.Settled) {
 		return errors.New("epoch: only a settled epoch 1 has no previous roster")
 	}
+	if e.PermitTime < minPermitTime || e.PermitTime > maxPermitTime || e.PreviousPermitTime < 0 ||
+		e.PreviousPermitTime > maxPermitTime {
+		return errors.Errorf("epoch: permit time %s after %s: allowed are %s to %s", e.PermitTime, e.PreviousPermitTime,
+			minPermitTime, maxPermitTime)
+	}
 	return nil
 }
 
@@ -69,9 +86,12 @@
 	return nil
 }
 
-// next returns the unsettled epoch that follows e with the given sorted roster.
-func (e Epoch) next(roster []string, writer string) Epoch {
-	n := Epoch{Service: e.Service, Number: e.Number + 1, Roster: roster, Previous: e.Roster, Writer: writer}
+// next returns the unsettled epoch that follows e with the given sorted roster and permit time.
+func (e Epoch) next(roster []string, writer string, permit time.Duration) Epoch {
+	n := Epoch{
+		Service: e.Service, Number: e.Number + 1, Roster: roster, Previous: e.Roster, Writer: writer,
+		PermitTime: permit, PreviousPermitTime: e.PermitTime,
+	}
 	if e.Number == 0 {
 		n.Settled = true
 	}
--- a/owner/explorer_world_test.go
+++ b/owner/explorer_world_test.go
@@ -116,7 +116,7 @@
 
 // bootstrap writes the first epoch, so that a run does not spend its time on it.
 func (w *world) bootstrap() {
-	e := owner.Epoch{Service: service, Number: 1, Settled: true}
+	e := owner.Epoch{Service: service, Number: 1, Settled: true, PermitTime: permitTime}
 	for _, n := range w.nodes {
 		if n.member {
 			e.Roster = append(e.Roster, n.name)
--- a/owner/fuzz_test.go
+++ b/owner/fuzz_test.go
@@ -2,13 +2,14 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 )
 
 // FuzzMessages guards against a message from outside that panics or that makes a node serve without a permit.
 func FuzzMessages(f *testing.F) {
-	e := Epoch{Service: "s", Number: 2, Roster: []string{"a", "b"}, Previous: []string{"a", "b", "c"}}
+	e := Epoch{Service: "s", Number: 2, Roster: []string{"a", "b"}, Previous: []string{"a", "b", "c"}, PermitTime: time.Second}
 	for kind, m := range []Message{
 		EpochOffer{Epoch: e, Round: 1},
 		EpochAck{Number: 2, Round: 1, Incarnation: 3},
--- a/owner/horizon.go
+++ b/owner/horizon.go
@@ -171,7 +171,7 @@
 		}
 		return issued <= h.horizon, false
 	}
-	if m.epoch == o.epoch.Number && contains(o.epoch.Roster, from) && now-o.settledAt < o.PermitTime {
+	if m.epoch == o.epoch.Number && contains(o.epoch.Roster, from) && now-o.settledAt < o.permitTime() {
 		return false, true // a live previous home hands over soon, which makes the key's state exact
 	}
 	if issued == 0 {
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -13,7 +13,7 @@
 	// DriftPercent is the greatest difference between the rates of two hosts' monotonic clocks.
 	DriftPercent = 5
 
-	defaultPermitTime = 3 * time.Second
+	defaultPermitTime = time.Second
 	defaultClockSkew  = time.Second
 	defaultKeyWindow  = 10 * time.Minute
 )
@@ -25,7 +25,7 @@
 	Service string
 	// Incarnation differs for every start of the node.
 	Incarnation uint64
-	// PermitTime is T, the same on all members; zero means 3 s.
+	// PermitTime is T for the epochs that this node writes; zero means 1 s. It applies from the next epoch on.
 	PermitTime time.Duration
 	// ClockSkew is the greatest difference between wall clocks of hosts and callers; zero means 1 s.
 	ClockSkew time.Duration
--- a/owner/permit.go
+++ b/owner/permit.go
@@ -15,9 +15,17 @@
 	return !o.recovering && o.permitUntil > now && contains(o.epoch.Roster, o.Self)
 }
 
+// permitTime is the validity of permits in the current epoch.
+func (o *Owner) permitTime() time.Duration {
+	if o.epoch.PermitTime > 0 {
+		return o.epoch.PermitTime
+	}
+	return o.PermitTime
+}
+
 // grant extends the permit; since is the time from which T counts.
 func (o *Owner) grant(since time.Duration, kind PermitKind) {
-	if until := since + o.PermitTime; until > o.permitUntil {
+	if until := since + o.permitTime(); until > o.permitUntil {
 		o.permitUntil, o.permitKind = until, kind
 	}
 }
@@ -27,10 +35,10 @@
 	if o.relax.recoverByWaiting && o.recovering && now-o.startedAt > o.PermitTime && o.epoch.Number > 0 {
 		o.recovering = false
 	}
-	if o.reads.succeeded && now-o.reads.succeededAt < o.PermitTime/2 {
+	if o.reads.succeeded && now-o.reads.succeededAt < o.permitTime()/2 {
 		return Output{}
 	}
-	if o.round.id != 0 && now-o.round.sentAt < o.PermitTime/4 {
+	if o.round.id != 0 && now-o.round.sentAt < o.permitTime()/4 {
 		return Output{}
 	}
 	names := o.epoch.Roster
--- a/owner/store.go
+++ b/owner/store.go
@@ -47,7 +47,7 @@
 	if o.reads.writeID != 0 && now-o.reads.writeAt > o.PermitTime {
 		o.reads.writeID = 0 // the outcome is lost; the write may still take effect, and the next read shows it
 	}
-	if o.reads.ever && now-o.reads.sentAt < o.PermitTime/3 {
+	if o.reads.ever && now-o.reads.sentAt < o.permitTime()/3 {
 		return Output{}
 	}
 	return o.read(now)
@@ -143,5 +143,5 @@
 		return Output{}
 	}
 	first := Epoch{Service: o.Service}
-	return o.write(now, first.next(o.target, o.Self))
+	return o.write(now, first.next(o.target, o.Self, o.PermitTime))
 }
--- a/owner/takeover.go
+++ b/owner/takeover.go
@@ -35,7 +35,7 @@
 		return Output{}
 	}
 	var out Output
-	if o.takeover.round == 0 || now-o.takeover.sentAt >= o.PermitTime/6 {
+	if o.takeover.round == 0 || now-o.takeover.sentAt >= o.permitTime()/6 {
 		out.add(o.offer(now))
 	}
 	if at, ok := o.acknowledgedAt(now); ok && now >= at+o.wait() {
@@ -44,12 +44,12 @@
 	return out
 }
 
-// wait is the permit time on the slowest allowed clock.
+// wait is the permit time of the epoch before on the slowest allowed clock.
 func (o *Owner) wait() time.Duration {
 	if o.relax.noWait {
 		return 0
 	}
-	return o.PermitTime * (100 + DriftPercent) / 100
+	return max(o.epoch.PreviousPermitTime, minPermitTime) * (100 + DriftPercent) / 100
 }
 
 // drives reports whether this node drives the unsettled epoch: its writer at once, others in turn if it stays
@@ -59,7 +59,7 @@
 		return true
 	}
 	rank, ok := slices.BinarySearch(o.epoch.Roster, o.Self)
-	return ok && now-o.learnedAt >= 2*o.PermitTime*time.Duration(1+min(rank, 4))
+	return ok && now-o.learnedAt >= 2*o.permitTime()*time.Duration(1+min(rank, 4))
 }
 
 // propose writes the next epoch if the target differs and the store's revision of the current one is known.
@@ -67,10 +67,10 @@
 	if !o.drive || len(o.target) == 0 || slices.Equal(o.target, o.epoch.Roster) || o.reads.writeID != 0 || o.modRevision == 0 {
 		return Output{}
 	}
-	if o.behind || now-o.reads.succeededAt > o.PermitTime {
+	if o.behind || now-o.reads.succeededAt > o.permitTime() {
 		return Output{}
 	}
-	next := o.epoch.next(o.target, o.Self)
+	next := o.epoch.next(o.target, o.Self, o.PermitTime)
 	for _, name := range o.dead {
 		if contains(next.Previous, name) && !contains(next.Roster, name) {
 			next.Dead = append(next.Dead, name)
@@ -94,7 +94,7 @@
 	t.round, t.sentAt = o.nextID, now
 	t.offers[t.round] = now
 	for round, at := range t.offers {
-		if now-at > offersKept*o.PermitTime/6 {
+		if now-at > offersKept*o.permitTime()/6 {
 			delete(t.offers, round)
 		}
 	}
@@ -184,7 +184,7 @@
 	if o.modRevision == 0 {
 		return Output{} // the next read tells the revision
 	}
-	if now-o.reads.succeededAt > o.PermitTime && !o.relax.ackBeforeWrite {
+	if now-o.reads.succeededAt > o.permitTime() && !o.relax.ackBeforeWrite {
 		return Output{} // the store does not answer
 	}
 	e := o.epoch
--- a/parser/defaults.go
+++ b/parser/defaults.go
@@ -13,7 +13,7 @@
 	// DefaultClockSkew is the allowed difference of wall clocks, as a duration.
 	DefaultClockSkew = time.Second
 	// DefaultPermitTime is the validity of a permit, as a duration.
-	DefaultPermitTime = 3 * time.Second
+	DefaultPermitTime = time.Second
 	// DefaultPoisonCrashes is in crashes: one among others and one in an isolated run.
 	DefaultPoisonCrashes = 2
 	// DefaultPoisonTime is the time for which a poison request is refused, as a duration.
--- a/server/epochs.go
+++ b/server/epochs.go
@@ -18,7 +18,7 @@
 	// third of the permit time, so each relay reads at most twice within that, whatever the number of nodes.
 	epochCacheParts = 6
 	// defaultPermitTime applies until a document is accepted.
-	defaultPermitTime = 3 * time.Second
+	defaultPermitTime = time.Second
 	// relayTimeout bounds the wait for a relay before the next one is asked.
 	relayTimeout = 300 * time.Millisecond
 )
