admitter: let at least 32 calls wait

Cause: the queue held one limit's worth of calls; at the two slots of a scaled cash office a usual burst overflowed it, and the level shed requests at normal load. Change: the bound of the queue is max(limit, 32); the wait is bounded by time as before.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -13,6 +13,9 @@
 const (
 	// DefaultQueueTime is the longest wait in the queue.
 	DefaultQueueTime = 100 * time.Millisecond
+	// minQueue is the least bound of the queue in entries. At a few slots, one limit's worth of entries is less than the
+	// usual burst of arrivals, and the wait is bounded by time anyway.
+	minQueue = 32
 	// aloneWait is the longest wait for an isolated run; no other call starts meanwhile.
 	aloneWait = time.Second
 	// levelRetryAfter is the mean Retry-After of a request shed by the level.
@@ -74,7 +77,7 @@
 		return []hornbeamcroft.Decision{a.start(t)}
 	}
 	var ds []hornbeamcroft.Decision
-	if e, full := a.queue.Push(now, t, a.limiter.Limit()); full {
+	if e, full := a.queue.Push(now, t, max(a.limiter.Limit(), minQueue)); full {
 		a.level.w.dropped++
 		a.counts.Displaced[e.Ticket.Importance]++
 		ds = append(ds, refuse(e.Ticket, hornbeamcroft.CodeOverloaded, a.QueueTime))
