registrar, forwarder: shed early only for services that a request type reaches

Cause: the way in refused lookups for the pressure of any service that the document lets theirs call, and answers carried the pressure of all services that any request had met. The cash office has only important requests, so a few drops there raised its level past low, and lookups that never call it were refused with 217. Change: a running call collects the pressure of the calls that it made, its answer carries that, and the way in learns for each request type which services it reaches.

--- a/executor/executor.go
+++ b/executor/executor.go
@@ -86,10 +86,10 @@
 	e.mu.Lock()
 	delete(e.running, id)
 	e.mu.Unlock()
-	unspent, childTime := e.Calls.Close(run)
-	res.Answer.Unspent = unspent
+	ended := e.Calls.Close(run)
+	res.Answer.Unspent, res.Answer.Pressure = ended.Unspent, ended.Pressure
 	s := sample(res, e.Clock.Now()-start)
-	s.ChildTime = childTime
+	s.ChildTime = ended.ChildTime
 	e.finish(id, s)
 	return e.answer(res.Answer)
 }
@@ -159,14 +159,12 @@
 	return s
 }
 
-// answer adds the current pressure.
+// answer adds the current pressure of the own upstream, before that of the services that the call reached.
 func (e *Executor) answer(a hornbeamcroft.Answer) hornbeamcroft.Answer {
 	e.mu.Lock()
 	p := e.Admission.Pressure(e.Clock.Now())
 	e.mu.Unlock()
-	if p.Importance > 0 || p.Threshold < hornbeamcroft.ThresholdAll {
-		a.Pressure = append(a.Pressure, p)
-	}
+	a.Pressure = append([]hornbeamcroft.Pressure{p}, a.Pressure...)
 	return a
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	members   map[string]hornbeamcroft.Member
 	byService map[string][]hornbeamcroft.Member
 	pressure  propagator.Propagator
+	// paths are the services below that calls of a request type reach.
+	paths map[string][]string
 }
 
 // Update sets the members that calls may be sent to.
@@ -363,6 +365,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.pressure.Observe(now, call.Service, a.Pressure)
+	f.learnPath(call, a.Pressure)
 	if call.Idempotent {
 		f.balancer(call.Service).Finish(now, target, took, outcome(a))
 	}
@@ -393,7 +396,7 @@
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := f.pressure.Admit(now, randSource{}, below(doc, call.Service), call.Importance, admitter.Hash(call.Request))
+	v := f.pressure.Admit(now, randSource{}, append([]string{call.Service}, f.paths[call.Service+"/"+call.Type]...), call.Importance, admitter.Hash(call.Request))
 	if v.Admitted {
 		return hornbeamcroft.Answer{}, false
 	}
@@ -404,22 +407,23 @@
 	return hornbeamcroft.Answer{Code: code, RetryAfter: v.RetryAfter}, true
 }
 
-// below returns the service and all services that its calls can reach.
-func below(doc *hornbeamcroft.Document, service string) []string {
-	list := []string{service}
-	for i := 0; i < len(list); i++ {
-		for _, s := range doc.Services[list[i]].Calls {
-			if !slices.Contains(list, s) {
-				list = append(list, s)
-			}
+// maxPaths bounds the request types whose services are remembered.
+const maxPaths = 4096
+
+// learnPath notes the services that calls of the type reach. Only these can shed a request of the type: the document
+// says which services a service may call, but not for which request types. The lock is held.
+func (f *Forwarder) learnPath(call hornbeamcroft.Call, pressure []hornbeamcroft.Pressure) {
+	name := call.Service + "/" + call.Type
+	path := f.paths[name]
+	for _, p := range pressure {
+		if p.Service != call.Service && !slices.Contains(path, p.Service) && len(path) < propagator.MaxEntries {
+			path = append(path, p.Service)
 		}
 	}
-	return list
-}
-
-// Pressure returns the pressure that answers carry upwards, with the own service's level first.
-func (f *Forwarder) Pressure(own hornbeamcroft.Pressure) []hornbeamcroft.Pressure {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.pressure.Export(f.Clock.Now(), own)
+	if f.paths == nil {
+		f.paths = make(map[string][]string)
+	}
+	if _, ok := f.paths[name]; ok || len(f.paths) < maxPaths {
+		f.paths[name] = path
+	}
 }
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -57,11 +57,13 @@
 		defer v.Calls.Leave(parents[0])
 	} else {
 		v.Calls.ChildStarted(parents)
-		defer v.Calls.ChildEnded(parents)
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), call.Remaining)
 	defer cancel()
 	a := v.Forward(ctx, parents, call)
+	if !outside {
+		v.Calls.ChildEnded(parents, a.Pressure)
+	}
 	if outside && v.OnAnswer != nil {
 		v.OnAnswer(call, a, v.Clock.Now()-start)
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -7,6 +7,7 @@
 	"encoding/binary"
 	"encoding/hex"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -38,6 +39,8 @@
 	children   int
 	childSince time.Duration
 	childTime  time.Duration
+	// pressure is that of the services that child calls reached.
+	pressure []hornbeamcroft.Pressure
 }
 
 // Registrar holds the running calls. It is safe for concurrent use.
@@ -109,8 +112,18 @@
 	return &run
 }
 
-// Close ends the record. It returns the unspent retry budget and the time in which child calls were in progress.
-func (g *Registrar) Close(r *Running) (unspent int, childTime time.Duration) {
+// Ended is what a call leaves behind.
+type Ended struct {
+	// Unspent is the retry budget that was not used.
+	Unspent int
+	// ChildTime is the time in which child calls were in progress.
+	ChildTime time.Duration
+	// Pressure is that of the services below that the call reached.
+	Pressure []hornbeamcroft.Pressure
+}
+
+// Close ends the record.
+func (g *Registrar) Close(r *Running) Ended {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if r.children > 0 {
@@ -120,7 +133,7 @@
 	if id := TraceID(r.Trace); id != "" {
 		g.removeTrace(id, r)
 	}
-	return g.retrier.Close(r.ID), r.childTime
+	return Ended{Unspent: g.retrier.Close(r.ID), ChildTime: r.childTime, Pressure: r.pressure}
 }
 
 func (g *Registrar) removeTrace(id string, r *Running) {
@@ -199,11 +212,12 @@
 	}
 }
 
-// ChildEnded ends a child call.
-func (g *Registrar) ChildEnded(parents []*Running) {
+// ChildEnded ends a child call with the pressure that its answer carried.
+func (g *Registrar) ChildEnded(parents []*Running, pressure []hornbeamcroft.Pressure) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, p := range parents {
+		p.addPressure(pressure)
 		p.children--
 		if p.children == 0 {
 			p.childTime += g.Clock.Now() - p.childSince
@@ -211,6 +225,21 @@
 	}
 }
 
+// maxPressure bounds the entries that one call collects; an answer carries at most 8.
+const maxPressure = 8
+
+func (r *Running) addPressure(list []hornbeamcroft.Pressure) {
+	for _, p := range list {
+		i := slices.IndexFunc(r.pressure, func(q hornbeamcroft.Pressure) bool { return q.Service == p.Service })
+		switch {
+		case i >= 0:
+			r.pressure[i] = p
+		case len(r.pressure) < maxPressure-1:
+			r.pressure = append(r.pressure, p)
+		}
+	}
+}
+
 // Decide says whether the call of the attempt may be repeated. A free repeat is counted at once.
 func (g *Registrar) Decide(rnd hornbeamcroft.Rand, a retrier.Attempt, c retrier.Child, f retrier.Failure) retrier.Verdict {
 	g.mu.Lock()
--- a/server/server.go
+++ b/server/server.go
@@ -258,7 +258,9 @@
 	} else {
 		a = s.executeOnce(ctx, call)
 	}
-	a.Pressure = s.forwarder.Pressure(s.executor.Pressure())
+	if len(a.Pressure) == 0 {
+		a.Pressure = []hornbeamcroft.Pressure{s.executor.Pressure()}
+	}
 	return a
 }
 
