admitter: bound the wait by at least two service times

Cause: with a slow upstream the wait of 100 ms ended before a slot became free. Change: the bound of the wait is max(queue-time, 2 x median service time).

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -16,6 +16,9 @@
 	// minQueue is the least bound of the queue in entries. At a few slots, one limit's worth of entries is less than the
 	// usual burst of arrivals, and the wait is bounded by time anyway.
 	minQueue = 32
+	// queueServiceTimes is the least bound of the wait in service times. A wait far below the service time of a slow
+	// upstream empties the queue between two calls that end, and its slots stay idle.
+	queueServiceTimes = 2
 	// aloneWait is the longest wait for an isolated run; no other call starts meanwhile.
 	aloneWait = time.Second
 	// levelRetryAfter is the mean Retry-After of a request shed by the level.
@@ -173,6 +176,7 @@
 }
 
 func (a *Admitter) expire(now time.Duration, ds []hornbeamcroft.Decision) []hornbeamcroft.Decision {
+	a.queue.MaxWait = max(a.QueueTime, queueServiceTimes*a.limiter.Median(now))
 	a.expired = a.queue.Expire(now, a.expired[:0])
 	a.level.w.dropped += len(a.expired)
 	for _, e := range a.expired {
