receiver, limiter: do not say 'not run' of a resend without a document; least limit of 4

It answers 308 now unless the caller says that it is the first send.

The limit never goes below 4, or the slots if there are fewer.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -27,6 +27,9 @@
 	// helpedFactor is the decrease of the service time that a lowered limit must bring. If it brings less, the calls are
 	// not slowed by one another, and the long-term minimum moves to the present service time at once by half.
 	helpedFactor = 0.9
+	// leastLimit is never gone below, or the slots if there are fewer. With so few calls one more or less changes the
+	// throughput by a quarter, and a limit halved by noise wastes half of the upstream.
+	leastLimit = 4
 	// leastTime is the least service time in seconds, so that ratios are defined.
 	leastTime = 1e-6
 	// riseTime is the time constant with which the long-term minimum follows a lasting rise of the service time.
@@ -72,10 +75,13 @@
 	return min(max(int(l.limit), 1), max(l.Ceiling, 1))
 }
 
+// least is the lower bound of the limit.
+func (l *Limiter) least() float64 { return float64(min(max(l.Ceiling, 1), leastLimit)) }
+
 func (l *Limiter) init() {
 	if l.limit == 0 {
 		// A start at the slots would take the service time under contention for the long-term minimum.
-		l.limit = math.Ceil(math.Sqrt(float64(max(l.Ceiling, 1))))
+		l.limit = math.Max(l.least(), math.Ceil(math.Sqrt(float64(max(l.Ceiling, 1)))))
 	}
 }
 
@@ -177,7 +183,7 @@
 	}
 	l.mark(gradient)
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
-	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
+	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(l.least(), l.limit*gradient+math.Sqrt(l.limit)))
 }
 
 // mark remembers where a series of decreases began. Steps of less than clearDecrease add up to a clear one.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -49,7 +49,7 @@
 	start := v.Clock.Now()
 	call, parents, code := v.parse(r, service, requestType)
 	if code != 0 {
-		v.write(w, call, hornbeamcroft.Answer{Code: code, RetryAfter: time.Second})
+		v.write(w, call, hornbeamcroft.Answer{Code: v.refusal(r, call, code), RetryAfter: time.Second})
 		return
 	}
 	outside := call.Depth == 1
@@ -70,6 +70,17 @@
 	v.write(w, call, a)
 }
 
+// refusal corrects the claim of a refusal by this node: for a resend that may be non-idempotent, "not run" cannot be said
+// of its key. Without a document the node does not know the request type.
+func (v *Receiver) refusal(r *http.Request, call hornbeamcroft.Call, code hornbeamcroft.Code) hornbeamcroft.Code {
+	resend := r.Header.Get(dispatcher.HeaderIdempotencyKey) != "" && r.Header.Get(HeaderAttempt) != "1"
+	repeatable := call.Idempotent && code != hornbeamcroft.CodeNoDocument
+	if resend && !repeatable && code < hornbeamcroft.CodeOutcomeUnknown {
+		return hornbeamcroft.CodeEarlierSendUnknown
+	}
+	return code
+}
+
 // parse builds the call. A code other than zero refuses it.
 func (v *Receiver) parse(r *http.Request, service, requestType string,
 ) (hornbeamcroft.Call, []*registrar.Running, hornbeamcroft.Code) {
