limiter: judge a series of small decreases as one

Cause: below 20 calls the limit falls by less than 20 % in a window, so the decreases were never judged. Change: decreases in a row add up until they are clear.

--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -47,8 +47,9 @@
 	// base is the long-term minimum of the window means, short the smoothed mean and mean that of the last window, all
 	// in seconds.
 	base, short, mean float64
-	// lowered is the window mean at a clear decrease in the last window, zero if there was none.
-	lowered float64
+	// markLimit and markMean are the limit and the window mean where the present series of decreases began; zero if there
+	// is none.
+	markLimit, markMean float64
 	// settled is when the calls that began before that decrease have ended; samples before it do not show its effect.
 	settled    time.Duration
 	median     float64
@@ -140,7 +141,7 @@
 		l.learn(l.w.sum/float64(l.w.n), age)
 	}
 	l.adapt()
-	if l.lowered > 0 {
+	if l.lowered() {
 		l.settled = now + time.Duration(l.short*float64(time.Second))
 	}
 	l.w = window{start: now}
@@ -174,18 +175,31 @@
 		// A limit that is not used says nothing about a higher one.
 		return
 	}
-	old := l.limit
+	l.mark(gradient)
 	// The square root lets a small limit grow and keeps at least 4 calls in flight at the least gradient.
-	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, old*gradient+math.Sqrt(old)))
-	if l.limit <= clearDecrease*old {
-		l.lowered = l.mean
+	l.limit = math.Min(float64(max(l.Ceiling, 1)), math.Max(1, l.limit*gradient+math.Sqrt(l.limit)))
+}
+
+// mark remembers where a series of decreases began. Steps of less than clearDecrease add up to a clear one.
+func (l *Limiter) mark(gradient float64) {
+	switch {
+	case gradient == 1:
+		l.markLimit = 0
+	case l.markLimit == 0:
+		l.markLimit, l.markMean = l.limit, l.mean
 	}
 }
 
-// judge raises the long-term minimum if the last clear decrease of the limit did not shorten the service time.
+// lowered reports whether the limit has clearly fallen in the present series of decreases.
+func (l *Limiter) lowered() bool { return l.limit <= clearDecrease*l.markLimit }
+
+// judge raises the long-term minimum if a clear decrease of the limit did not shorten the service time.
 func (l *Limiter) judge() {
-	if l.lowered > 0 && l.mean > helpedFactor*l.lowered {
-		l.base = math.Max(l.base, (l.base+l.short)/2)
+	if !l.lowered() {
+		return
+	}
+	if l.mean > helpedFactor*l.markMean {
+		l.base = math.Max(l.base, (l.base+l.mean)/2)
 	}
-	l.lowered = 0
+	l.markLimit = 0
 }
