--- a/cmd/hornbeam-standin/bench/node.go
+++ b/cmd/hornbeam-standin/bench/node.go
@@ -137,7 +137,15 @@
 	}
 	_, _ = fmt.Fprintln(cmd.Root().Writer, h.line())
 	_, _ = fmt.Fprintln(cmd.Root().Writer, nodeTable(points))
-	return writeNodes(cmd.String("out"), h, points)
+	if err := writeNodes(cmd.String("out"), h, points); err != nil {
+		return err
+	}
+	for _, p := range points {
+		if p.Error != "" {
+			return errors.New("bench node: some points were not measured")
+		}
+	}
+	return nil
 }
 
 func writeNodes(dir string, h Header, points map[shape]Point) error {
