--- a/cmd/hornbeamctl/report.go
+++ b/cmd/hornbeamctl/report.go
@@ -1,101 +1,134 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
+	"os"
+	"slices"
+	"time"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"hornbeamcroft"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/sloreporter"
+	"hornbeamcroft/sloreporter/plotter"
 )
 
 // collected is what report knows before it is rendered.
 type collected struct {
 	Revision uint64 `json:"revision"`
-	// Objectives are those of the accepted document, by "service/type".
-	Objectives map[string]objectiveJSON `json:"objectives"`
 	// Counts are the answers to GET /slo by address.
 	Counts map[string]json.RawMessage `json:"counts"`
 	// Missing are the reasons by address of the nodes that did not answer.
 	Missing map[string]string `json:"missing"`
 }
 
-// objectiveJSON is an objective of the accepted document. Durations are text with a unit.
-type objectiveJSON struct {
-	Answered    float64 `json:"answered"`
-	Within      string  `json:"within,omitempty"`
-	WithinShare float64 `json:"within-share,omitempty"`
-	Period      string  `json:"period"`
-}
-
-// renderReport writes the report as text. Package sloreporter replaces it.
-var renderReport = func(w io.Writer, c collected) error {
-	t := newTable(w, "node", "counts")
-	for address, counts := range c.Counts {
-		t.AppendRow([]any{address, string(counts)})
-	}
-	for address, reason := range c.Missing {
-		t.AppendRow([]any{address, "missing: " + reason})
-	}
-	t.Render()
-	return nil
-}
-
 func reportCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "report",
-		Usage: "collect the service-level counts of all nodes",
-		Description: "Asks all nodes for their counts. Nodes that do not answer are named; the exit status is then 8.\n\n" +
-			"Example: hornbeamctl --settings ctl.ini --json report",
+		Usage: "show error budgets and burn rates of all objectives",
+		Description: "Asks all nodes for their counts. Time that nobody counted is shown as a gap and counts against the budget.\n" +
+			"Nodes that do not answer are named; the exit status is then 8.\n\n" +
+			"Example: hornbeamctl --settings ctl.ini report --html burn.html",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "html", Usage: "write a self-contained page with plots to this `FILE`, too"},
+		},
 		Action: report,
 	}
 }
 
+// build makes the report from what was collected. Counts that are malformed make their node a missing one.
+func build(c *collected, objectives map[string]hornbeamcroft.Objective) sloreporter.Report {
+	in := sloreporter.Input{Wall: time.Now()}
+	for _, address := range slices.Sorted(maps.Keys(c.Counts)) {
+		var counts []sloreporter.Counts
+		err := json.Unmarshal(c.Counts[address], &counts)
+		for _, n := range counts {
+			if err == nil {
+				err = n.Check()
+			}
+		}
+		if err != nil {
+			c.Missing[address] = err.Error()
+			delete(c.Counts, address)
+			continue
+		}
+		in.Counts = append(in.Counts, counts...)
+		name := address
+		if len(counts) > 0 {
+			name = counts[0].Node
+		}
+		in.Nodes = append(in.Nodes, name)
+	}
+	in.Nodes = append(in.Nodes, slices.Sorted(maps.Keys(c.Missing))...)
+	for _, name := range slices.Sorted(maps.Keys(objectives)) {
+		in.Objectives = append(in.Objectives, objectives[name])
+	}
+	return sloreporter.Build(in)
+}
+
 func report(ctx context.Context, cmd *cli.Command) error {
 	ctx, cancel := context.WithTimeout(ctx, cmd.Duration("timeout"))
 	defer cancel()
-	c, err := collect(ctx, cmd)
+	c, objectives, err := collect(ctx, cmd)
 	if err != nil {
 		return err
 	}
-	if err := emit(cmd, c, func(w io.Writer) { err = renderReport(w, c) }); err != nil {
+	r := build(&c, objectives)
+	if err := emit(cmd, r, func(w io.Writer) { err = r.WriteText(w) }); err != nil {
 		return err
 	}
 	if err != nil {
 		return err
 	}
+	if file := cmd.String("html"); file != "" {
+		if err := writePage(file, r); err != nil {
+			return err
+		}
+	}
 	if len(c.Missing) > 0 {
 		return fail(hornbeamcroft.CodeNodeUnreachable, errors.Errorf("%d nodes", len(c.Missing)))
 	}
 	return nil
 }
 
+// writePage writes the report as a page.
+func writePage(file string, r sloreporter.Report) error {
+	var page bytes.Buffer
+	if err := (plotter.Plotter{}).WriteHTML(&page, r); err != nil {
+		return err
+	}
+	if err := os.WriteFile(file, page.Bytes(), 0o600); err != nil {
+		return errors.Wrap(err, "report")
+	}
+	return nil
+}
+
 // collect asks the store for the objectives and the nodes for their counts.
-func collect(ctx context.Context, cmd *cli.Command) (collected, error) {
-	c := collected{Objectives: map[string]objectiveJSON{}, Counts: map[string]json.RawMessage{}, Missing: map[string]string{}}
+func collect(ctx context.Context, cmd *cli.Command) (collected, map[string]hornbeamcroft.Objective, error) {
+	c := collected{Counts: map[string]json.RawMessage{}, Missing: map[string]string{}}
 	s, err := loadSettings(cmd)
 	if err != nil {
-		return c, err
+		return c, nil, err
 	}
 	if len(s.nodes) == 0 {
-		return c, usage("no nodes: set --nodes or [nodes] addresses in the settings")
+		return c, nil, usage("no nodes: set --nodes or [nodes] addresses in the settings")
 	}
 	_, stored, err := fetch(ctx, cmd)
 	if err != nil {
-		return c, err
+		return c, nil, err
 	}
 	doc, err := parser.Parse(stored)
 	if err != nil {
-		return c, fail(hornbeamcroft.CodeInvalid, err)
+		return c, nil, fail(hornbeamcroft.CodeInvalid, err)
 	}
 	c.Revision = doc.Revision
-	for name, o := range doc.Objectives {
-		c.Objectives[name] = objectiveOf(o)
-	}
 	for _, a := range s.collector().Ask(ctx, http.MethodGet, "/slo") {
 		switch {
 		case a.Err != nil:
@@ -106,13 +139,5 @@
 			c.Counts[a.Address] = a.Body
 		}
 	}
-	return c, nil
-}
-
-func objectiveOf(o hornbeamcroft.Objective) objectiveJSON {
-	j := objectiveJSON{Answered: o.Answered, WithinShare: o.WithinShare, Period: parser.FormatDuration(o.Period)}
-	if o.Within > 0 {
-		j.Within = parser.FormatDuration(o.Within)
-	}
-	return j
+	return c, doc.Objectives, nil
 }
--- a/cmd/hornbeamctl/script_test.go
+++ b/cmd/hornbeamctl/script_test.go
@@ -1,19 +1,22 @@
 package main
 
 import (
+	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"hornbeamcroft"
 	"hornbeamcroft/cmd/hornbeam-standin/platform"
+
+	"hornbeamcroft/sloreporter"
 )
 
 func TestMain(m *testing.M) {
@@ -73,18 +76,38 @@
 		_, _ = fmt.Fprintf(w, `{"name":%q,"service":"cash","zone":"brest","state":"serving","document-revision":%d,"diverged":%t,
 			"members":[{"name":"cash-1"},{"name":"lost-1","service":"cash","zone":"vannes"}]}`, name, revision.Load(), diverged.Load())
 	})
-	authorized := func(w http.ResponseWriter, r *http.Request) {
-		if r.Header.Get("Authorization") != "Bearer secret" {
-			http.Error(w, "unauthorized", http.StatusUnauthorized)
-			return
+	authorized := func(answer []byte) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			if r.Header.Get("Authorization") != "Bearer secret" {
+				http.Error(w, "unauthorized", http.StatusUnauthorized)
+				return
+			}
+			_, _ = w.Write(answer)
 		}
-		_, _ = io.WriteString(w, `{"started-at":1}`)
 	}
-	mux.HandleFunc("POST /drain", authorized)
-	mux.HandleFunc("GET /slo", authorized)
+	mux.HandleFunc("POST /drain", authorized([]byte(`{"started-at":1}`)))
+	mux.HandleFunc("GET /slo", authorized(countsOf(name)))
 	return mux
 }
 
+// countsOf returns the counts of a node with three good deposits and a bad one.
+func countsOf(name string) []byte {
+	now := time.Now()
+	r := sloreporter.New(now, name, 1)
+	if err := r.Register(now, "cash", "deposit"); err != nil {
+		panic(err)
+	}
+	for range 3 {
+		r.Record(now, "cash", "deposit", sloreporter.OutcomeGood)
+	}
+	r.Record(now, "cash", "deposit", sloreporter.OutcomeBad)
+	data, err := json.Marshal(r.Snapshot(now))
+	if err != nil {
+		panic(err)
+	}
+	return data
+}
+
 // control calls a control endpoint of the store.
 func control(ts *testscript.TestScript, method, path, body string) {
 	r, err := http.NewRequest(method, ts.Value("store").(string)+"/control/"+path, strings.NewReader(body))
