randomizer: share the process's randomness; remove dead code; do not cache test results

Found in the read-through. The forwarder and the server each had the same source of randomness; both use the package randomizer now.

--- a/Makefile
+++ b/Makefile
@@ -10,8 +10,9 @@
 build:
 	go build -o bin/ ./cmd/hornbeam-node ./cmd/hornbeam-standin ./cmd/hornbeamctl
 
+# Results are not cached: the proofs build the node as a program, which the cache of test results does not see.
 test:
-	go test -race $(PACKAGES)
+	go test -race -count=1 $(PACKAGES)
 
 format:
 	go -C tools tool gofumpt -w ..
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -63,9 +63,7 @@
 	OnMessage func(l *Link, t framer.Type, payload []byte) error
 	// OnUp is called when the handshake of a link is done.
 	OnUp func(l *Link)
-	// OnDown is called once when a link has ended.
-	OnDown func(l *Link)
-	Log    *log.Logger
+	Log  *log.Logger
 
 	// Counts for metrics.
 	Opened, Silent, LateAnswers atomic.Int64
@@ -194,22 +192,6 @@
 	return nil
 }
 
-// Forget closes the link to an address that is no longer needed.
-func (c *Connector) Forget(address string) {
-	c.mu.Lock()
-	d := c.outbound[address]
-	delete(c.outbound, address)
-	c.mu.Unlock()
-	if d == nil {
-		return
-	}
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.link != nil {
-		d.link.Close(errors.New("no longer needed"))
-	}
-}
-
 func (c *Connector) dial(ctx context.Context, address string) (*Link, error) {
 	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
 	defer cancel()
@@ -308,7 +290,4 @@
 	c.mu.Lock()
 	delete(c.links, l)
 	c.mu.Unlock()
-	if c.OnDown != nil {
-		c.OnDown(l)
-	}
 }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -82,11 +82,6 @@
 	d.service = httpc.NewServiceWithClient(clientName, d.client)
 }
 
-// CloseIdle closes connections that carry no call.
-func (d *Dispatcher) CloseIdle() {
-	d.client.CloseIdleConnections()
-}
-
 // Probe reports whether the upstream accepts connections.
 func (d *Dispatcher) Probe(ctx context.Context) bool {
 	conn, err := (&net.Dialer{Timeout: connectTimeout}).DialContext(ctx, "tcp", d.Address)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -17,6 +16,7 @@
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/propagator"
+	"hornbeamcroft/randomizer"
 	"hornbeamcroft/registrar"
 	"hornbeamcroft/retrier"
 )
@@ -45,8 +45,6 @@
 	Incarnation uint64
 	Calls       *registrar.Registrar
 	Links       *connector.Connector
-	// Document returns the accepted document, or nil.
-	Document func() *hornbeamcroft.Document
 	// Local runs a call at the own upstream.
 	Local func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
 	// Home returns the home of a non-idempotent call's key.
@@ -184,7 +182,7 @@
 			}
 			continue
 		}
-		v := f.Calls.Decide(randSource{}, attempt, child, retrier.Failure{
+		v := f.Calls.Decide(randomizer.Randomizer{}, attempt, child, retrier.Failure{
 			Code: answer.Code, Claim: answer.Code.Claim(), Idempotent: call.Idempotent, RetryAfter: answer.RetryAfter,
 		})
 		if v.Retry && v.Free {
@@ -245,13 +243,6 @@
 	}
 }
 
-// randSource is the process-wide source of randomness, which is safe for concurrent use.
-type randSource struct{}
-
-func (randSource) Uint64() uint64   { return rand.Uint64() }
-func (randSource) IntN(n int) int   { return rand.IntN(n) }
-func (randSource) Float64() float64 { return rand.Float64() }
-
 // send sends the call to one target. It returns the target's name, and whether any byte of the call was sent.
 func (f *Forwarder) send(ctx context.Context, call hornbeamcroft.Call, home string, excluded []string,
 ) (answer hornbeamcroft.Answer, target string, sent bool) {
@@ -285,9 +276,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	b := f.balancer(call.Service)
-	name, ok := b.Pick(now, randSource{}, func(name string) bool { return slices.Contains(excluded, name) })
+	name, ok := b.Pick(now, randomizer.Randomizer{}, func(name string) bool { return slices.Contains(excluded, name) })
 	if !ok && len(excluded) > 0 {
-		name, ok = b.Pick(now, randSource{}, nil)
+		name, ok = b.Pick(now, randomizer.Randomizer{}, nil)
 	}
 	if !ok {
 		return Target{Code: hornbeamcroft.CodeNoUpstream}
@@ -389,14 +380,13 @@
 
 // shed refuses an idempotent request at its entry if a service below would shed it.
 func (f *Forwarder) shed(call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
-	doc := f.Document()
-	if !f.ShedEarly || !call.Idempotent || call.Depth != 1 || doc == nil {
+	if !f.ShedEarly || !call.Idempotent || call.Depth != 1 {
 		return hornbeamcroft.Answer{}, false
 	}
 	now := f.Clock.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	v := f.pressure.Admit(now, randSource{}, append([]string{call.Service}, f.paths[call.Service+"/"+call.Type]...), call.Importance, admitter.Hash(call.Request))
+	v := f.pressure.Admit(now, randomizer.Randomizer{}, append([]string{call.Service}, f.paths[call.Service+"/"+call.Type]...), call.Importance, admitter.Hash(call.Request))
 	if v.Admitted {
 		return hornbeamcroft.Answer{}, false
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -22,7 +22,6 @@
 	sends := 0
 	f := &Forwarder{
 		Clock: fixedClock{}, Name: "a", Calls: registrar.New(fixedClock{}, 0),
-		Document: func() *hornbeamcroft.Document { return nil },
 		Local: func(context.Context, hornbeamcroft.Call) hornbeamcroft.Answer {
 			code := answers[min(sends, len(answers)-1)]
 			sends++
--- a/server/document.go
+++ b/server/document.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -13,6 +12,7 @@
 	"hornbeamcroft/follower"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/randomizer"
 	"hornbeamcroft/signer"
 )
 
@@ -48,18 +48,11 @@
 		OnRead:  d.onRead,
 		OnWatch: d.onWatch,
 		OnError: func(err error) { s.Log.Debug().Err(err).Msg("distributor: store cannot be followed") },
-		Rand:    random{},
+		Rand:    randomizer.Randomizer{},
 	}
 	return d
 }
 
-// random is the process-wide source of randomness, which is safe for concurrent use.
-type random struct{}
-
-func (random) Uint64() uint64   { return rand.Uint64() }
-func (random) IntN(n int) int   { return rand.IntN(n) }
-func (random) Float64() float64 { return rand.Float64() }
-
 // run follows the store while this node is a relay, until ctx ends. A node asks its peers first: a store that was
 // restored from an old copy would give it an older document than theirs.
 func (d *documents) run(ctx context.Context) {
--- a/server/server.go
+++ b/server/server.go
@@ -161,7 +161,6 @@
 		Incarnation: s.incarnation,
 		Calls:       s.calls,
 		Links:       s.links,
-		Document:    s.document.Load,
 		Local:       s.execute,
 		Home:        s.home,
 		Lookup:      s.target,
@@ -174,7 +173,7 @@
 		Document:  s.document.Load,
 		Draining:  s.drain.refuses,
 		Forward:   s.forwarder.Forward,
-		DeriveKey: deriveKey,
+		DeriveKey: deduper.DeriveKey,
 		OnAnswer:  s.onAnswer,
 	}
 	return nil
@@ -296,11 +295,6 @@
 	return s.members.receive(l, t, payload)
 }
 
-// deriveKey returns the key of a child call that brings none.
-func deriveKey(parent, service, requestType string, body []byte) string {
-	return deduper.DeriveKey(parent, service, requestType, body)
-}
-
 // onAnswer counts a finished request of an outside caller.
 func (s *Server) onAnswer(call hornbeamcroft.Call, a hornbeamcroft.Answer, took time.Duration) {
 	s.metrics.answered(call, a, took)
