--- a/arbiter/arbiter.go
+++ b/arbiter/arbiter.go
@@ -11,6 +11,7 @@
 	"hornbeamcroft/deduper"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/owner"
+	"hornbeamcroft/recaller"
 )
 
 const (
@@ -29,9 +30,8 @@
 	Clock   hornbeamcroft.Clock
 	Owner   *owner.Owner
 	Deduper *deduper.Deduper
-	Calls   *deduper.Calls
-	// Incarnation is the node's.
-	Incarnation uint64
+	// Recaller holds the outcomes of calls; the arbiter lets its time pass.
+	Recaller *recaller.Recaller
 	// Send sends a message to a member; loss is allowed.
 	Send func(to string, t framer.Type, message any)
 	// Read reads the epoch of the service, from the store or through a relay. It returns the entry and its age.
@@ -44,7 +44,6 @@
 	mu      sync.Mutex
 	ctx     context.Context
 	joined  map[string][]chan hornbeamcroft.Answer
-	queries map[deduper.CallID][]chan struct{}
 	changed chan struct{}
 	ticked  time.Duration
 	// exported is the epoch whose records were sent completely at least once.
@@ -71,7 +70,7 @@
 			if now-a.ticked >= dedupeTick {
 				a.ticked = now
 				a.Deduper.Tick(now)
-				a.Calls.Tick(now)
+				a.Recaller.Tick()
 			}
 			return a.Owner.Tick(now, wall())
 		})
--- a/arbiter/handover.go
+++ b/arbiter/handover.go
@@ -40,7 +40,7 @@
 func (a *Arbiter) marker() deduper.Marker {
 	horizon, untimed := a.Owner.Horizon(a.Clock.Now(), wall())
 	return deduper.Marker{
-		Epoch: a.Owner.Epoch().Number, Incarnation: a.Incarnation, Horizon: horizon, UntimedOld: untimed,
+		Epoch: a.Owner.Epoch().Number, Incarnation: a.Recaller.Calls.Incarnation, Horizon: horizon, UntimedOld: untimed,
 	}
 }
 
--- a/arbiter/run.go
+++ b/arbiter/run.go
@@ -8,7 +8,6 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/deduper"
-	"hornbeamcroft/framer"
 	"hornbeamcroft/owner"
 )
 
@@ -123,65 +122,3 @@
 	a.sendLate(key)
 	return final
 }
-
-// Begin records the arrival of a call frame. If the result is false, the frame is a repeat or is fenced, and the answer
-// is final.
-func (a *Arbiter) Begin(ctx context.Context, id deduper.CallID, remaining time.Duration) (hornbeamcroft.Answer, bool) {
-	a.mu.Lock()
-	now := a.Clock.Now()
-	status, answer := a.Calls.Begin(now, id, now+remaining)
-	a.mu.Unlock()
-	switch status {
-	case deduper.CallNew:
-		return hornbeamcroft.Answer{}, true
-	case deduper.CallRunning:
-		return a.await(ctx, id), false
-	case deduper.CallAnswered:
-		return answer, false
-	}
-	return hornbeamcroft.Answer{Code: status.Code()}, false
-}
-
-// End records the outcome of a call that Begin reported as new.
-func (a *Arbiter) End(id deduper.CallID, answer hornbeamcroft.Answer) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.Calls.Finish(a.Clock.Now(), id, answer)
-	for _, ch := range a.queries[id] {
-		close(ch)
-	}
-	delete(a.queries, id)
-}
-
-// Outcome answers an outcome query; it waits while the call runs.
-func (a *Arbiter) Outcome(ctx context.Context, q framer.OutcomeQuery) hornbeamcroft.Answer {
-	return a.await(ctx, deduper.CallID{Sender: q.Sender, Incarnation: q.Incarnation, ID: q.ID})
-}
-
-func (a *Arbiter) await(ctx context.Context, id deduper.CallID) hornbeamcroft.Answer {
-	for {
-		a.mu.Lock()
-		status, answer := a.Calls.Query(a.Clock.Now(), id, a.Incarnation)
-		if status != deduper.CallRunning {
-			a.mu.Unlock()
-			if status == deduper.CallAnswered {
-				return answer
-			}
-			if status == deduper.CallFenced {
-				return hornbeamcroft.Answer{Code: hornbeamcroft.CodeConfirmedNotRun}
-			}
-			return hornbeamcroft.Answer{Code: status.Code()}
-		}
-		ch := make(chan struct{})
-		if a.queries == nil {
-			a.queries = make(map[deduper.CallID][]chan struct{})
-		}
-		a.queries[id] = append(a.queries[id], ch)
-		a.mu.Unlock()
-		select {
-		case <-ch:
-		case <-ctx.Done():
-			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeStillRunning}
-		}
-	}
-}
--- a/call.go
+++ b/call.go
@@ -42,6 +42,15 @@
 	// ReceivedAt is the ingress node's wall-clock time of receipt in Unix milliseconds. The home compares it with the
 	// time of an earlier refusal of the key.
 	ReceivedAt int64 `cbor:"18,keyasint,omitempty"`
+	// Attempt is the id of the caller's attempt, which the upstream gets and repeats in its answer.
+	Attempt string `cbor:"19,keyasint,omitempty"`
+	// Message is the HTTP request of a call that is passed on as it came; nil for calls of the own interface.
+	Message *Message `cbor:"20,keyasint,omitempty"`
+	// Origin is the service beside whose upstream the call began.
+	Origin string `cbor:"21,keyasint,omitempty"`
+	// Objective is the time left, when the call was sent, in which the answer to the whole request has its full value.
+	// It is negative if that time has passed.
+	Objective time.Duration `cbor:"22,keyasint,omitempty"`
 }
 
 // maxDepthOnWire bounds the depth field of frames from outside; the document's max-depth is checked separately.
@@ -67,6 +76,11 @@
 	if c.RetryBudget < 0 || c.RetryBudget > 1000 {
 		return errors.Errorf("call: retry budget %d: allowed are 0 to 1000", c.RetryBudget)
 	}
+	if c.Message != nil {
+		if err := c.Message.Check(); err != nil {
+			return errors.Wrap(err, "call")
+		}
+	}
 	if c.BodyLength < len(c.Body) {
 		return errors.Errorf("call: body length %d is less than the %d bytes present", c.BodyLength, len(c.Body))
 	}
@@ -106,6 +120,12 @@
 	ServiceTime time.Duration `cbor:"10,keyasint,omitempty"`
 	// Home names the home of the key if the call was sent to another node.
 	Home string `cbor:"11,keyasint,omitempty"`
+	// Header holds the end-to-end header fields of the upstream's answer to a Message.
+	Header []Field `cbor:"12,keyasint,omitempty"`
+	// Load is that of the upstream that the call was sent to; nil if its node does not report it.
+	Load *Load `cbor:"13,keyasint,omitempty"`
+	// Reach counts the calls that the run made to further services, at most MaxReach entries.
+	Reach []Reach `cbor:"14,keyasint,omitempty"`
 }
 
 // Check reports whether the answer is well formed.
@@ -119,6 +139,14 @@
 	if a.Unspent < 0 || a.RetryAfter < 0 || len(a.Pressure) > 8 {
 		return errors.New("answer: negative unspent or retry-after, or more than 8 pressure entries")
 	}
+	if len(a.Reach) > MaxReach {
+		return errors.Errorf("answer: %d services reached: allowed are %d", len(a.Reach), MaxReach)
+	}
+	if a.Load != nil {
+		if err := a.Load.Check(); err != nil {
+			return errors.Wrap(err, "answer")
+		}
+	}
 	if a.BodyLength < len(a.Body) {
 		return errors.Errorf("answer: body length %d is less than the %d bytes present", a.BodyLength, len(a.Body))
 	}
--- a/deduper/calls.go
+++ b/deduper/calls.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// keepCall is how long the outcome of a call is kept after its deadline.
-	keepCall        = 30 * time.Second
+	// defaultKeepCall is how long the outcome of a call is kept after its deadline.
+	defaultKeepCall = 30 * time.Second
 	defaultMaxCalls = 50_000
 	sweepInterval   = time.Second
-	// senderIdle is longer than the longest deadline plus keepCall, so no outcome of an idle sender is still asked for.
+	// senderIdle is longer than the longest deadline plus the time for which outcomes are kept, so no outcome of an idle sender is still asked for.
 	senderIdle = 2 * time.Hour
 )
 
@@ -62,6 +62,8 @@
 	Incarnation uint64
 	// MaxCalls bounds the entries; zero means 50,000.
 	MaxCalls int
+	// Keep is how long the outcome of a call is kept after its deadline; zero means 30 s.
+	Keep time.Duration
 
 	senders map[string]*sender
 	entries int
@@ -99,7 +101,7 @@
 		return CallRefused, hornbeamcroft.Answer{}
 	}
 	c.entries++
-	s.calls[id.ID] = &call{status: CallRunning, keep: max(now, deadline) + keepCall}
+	s.calls[id.ID] = &call{status: CallRunning, keep: max(now, deadline) + c.keepTime()}
 	return CallNew, hornbeamcroft.Answer{}
 }
 
@@ -110,7 +112,7 @@
 		return // the sender was restarted and will not ask
 	}
 	if e := s.calls[id.ID]; e != nil && e.status == CallRunning {
-		e.status, e.answer, e.keep = CallAnswered, a, max(e.keep, now+keepCall)
+		e.status, e.answer, e.keep = CallAnswered, a, max(e.keep, now+c.keepTime())
 	}
 }
 
@@ -159,6 +161,13 @@
 	return s, true
 }
 
+func (c *Calls) keepTime() time.Duration {
+	if c.Keep > 0 {
+		return c.Keep
+	}
+	return defaultKeepCall
+}
+
 func (c *Calls) room() bool {
 	limit := c.MaxCalls
 	if limit == 0 {
--- a/member.go
+++ b/member.go
@@ -43,6 +43,10 @@
 	State    MemberState `cbor:"7,keyasint" json:"state"`
 	// ColdFor is the number of milliseconds since the upstream started, capped; peers use it for slow start.
 	ColdFor uint32 `cbor:"8,keyasint,omitempty" json:"cold-for,omitempty"`
+	// Slots is the number of requests that the upstream runs at once; zero if the member does not announce it.
+	Slots int `cbor:"9,keyasint,omitempty" json:"slots,omitempty"`
+	// Instance is the id of the upstream's present start; empty if the member does not announce it.
+	Instance string `cbor:"10,keyasint,omitempty" json:"instance,omitempty"`
 }
 
 // maxNameLength bounds names from outside, in bytes.
--- /dev/null
+++ b/placer/placer.go
@@ -0,0 +1,211 @@
+// Package placer picks the host on which a call of one service runs, by what the nodes beside the upstreams report of
+// their load and what this node has sent since.
+package placer
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamcroft"
+)
+
+const (
+	// reportTime is how long a reported load counts. An older one says less than the node's own outstanding calls.
+	reportTime = time.Second
+	// zoneShare is the part of the time left that a queue in the own zone may cost more than one in another zone. The way
+	// through another zone is paid for by the byte, and time that is not needed has no value.
+	zoneShare = 0.1
+	// leastZoneCost keeps calls in their zone when little time is left.
+	leastZoneCost = 2 * time.Millisecond
+	// failingCost is the part of the time left that an upstream which fails every call costs.
+	failingCost = 0.5
+	// downTime is how long a member that could not be reached is avoided.
+	downTime = 500 * time.Millisecond
+	// compareAll is the number of candidates up to which all are compared. Among more, two random ones are: with all of
+	// them every sender would choose the same member until its next report.
+	compareAll = 3
+	// unknownHold is the time for which a call holds a slot of an upstream that has reported none.
+	unknownHold = 20 * time.Millisecond
+)
+
+// Choice is what a call needs.
+type Choice struct {
+	// Slack is the time left until the answer loses value; it may be negative.
+	Slack time.Duration
+	// Exclude skips a member; it may be nil.
+	Exclude func(name string) bool
+}
+
+// Placer places the calls of one service. It is not safe for concurrent use.
+type Placer struct {
+	// Zone is the availability zone of the node.
+	Zone string
+
+	members []*member
+	byName  map[string]*member
+	// local and remote are the candidates of the current pick.
+	local, remote []*member
+}
+
+type member struct {
+	hornbeamcroft.Member
+	linked bool
+	load   hornbeamcroft.Load
+	// reportedAt is when load arrived; zero if none did.
+	reportedAt time.Duration
+	// sent counts the calls sent since load arrived, outstanding those without an answer.
+	sent, outstanding int
+	downUntil         time.Duration
+}
+
+// Update sets the members of the service.
+func (p *Placer) Update(members []hornbeamcroft.Member) {
+	old := p.byName
+	p.byName = make(map[string]*member, len(members))
+	p.members = p.members[:0]
+	for _, m := range members {
+		e := old[m.Name]
+		if e == nil || e.Incarnation != m.Incarnation {
+			e = &member{linked: e != nil && e.linked}
+		}
+		e.Member = m
+		p.byName[m.Name] = e
+		p.members = append(p.members, e)
+	}
+	slices.SortFunc(p.members, func(a, b *member) int { return strings.Compare(a.Name, b.Name) })
+}
+
+// Link tells whether a link with the member is open.
+func (p *Placer) Link(name string, open bool) {
+	if m := p.byName[name]; m != nil {
+		m.linked = open
+		if open {
+			m.downUntil = 0
+		}
+	}
+}
+
+// Down tells that the member could not be reached.
+func (p *Placer) Down(now time.Duration, name string) {
+	if m := p.byName[name]; m != nil {
+		m.downUntil = now + downTime
+	}
+}
+
+// Report takes the load that a member reported.
+func (p *Placer) Report(now time.Duration, name string, l hornbeamcroft.Load) {
+	if m := p.byName[name]; m != nil {
+		m.load, m.reportedAt, m.sent = l, max(now, 1), 0
+	}
+}
+
+// Start records that a call is sent to the member.
+func (p *Placer) Start(name string) {
+	if m := p.byName[name]; m != nil {
+		m.sent++
+		m.outstanding++
+	}
+}
+
+// Finish records that a call to the member has ended.
+func (p *Placer) Finish(name string) {
+	if m := p.byName[name]; m != nil {
+		m.outstanding = max(0, m.outstanding-1)
+	}
+}
+
+// Len returns the number of members that take calls.
+func (p *Placer) Len() int {
+	n := 0
+	for _, m := range p.members {
+		if m.State == hornbeamcroft.MemberServing {
+			n++
+		}
+	}
+	return n
+}
+
+// Pick returns the member to which the next call is sent, or false if there is none.
+func (p *Placer) Pick(now time.Duration, rnd hornbeamcroft.Rand, c Choice) (hornbeamcroft.Member, bool) {
+	p.collect(now, c, func(m *member) bool { return m.linked })
+	if len(p.local)+len(p.remote) == 0 {
+		p.collect(now, c, func(*member) bool { return true })
+	}
+	local, lc := best(now, rnd, p.local, c)
+	remote, rc := best(now, rnd, p.remote, c)
+	switch {
+	case local == nil && remote == nil:
+		return hornbeamcroft.Member{}, false
+	case remote == nil || (local != nil && lc <= rc+zoneCost(c)):
+		return local.Member, true
+	}
+	return remote.Member, true
+}
+
+func zoneCost(c Choice) time.Duration {
+	return max(leastZoneCost, time.Duration(float64(c.Slack)*zoneShare))
+}
+
+func (p *Placer) collect(now time.Duration, c Choice, allow func(*member) bool) {
+	p.local, p.remote = p.local[:0], p.remote[:0]
+	for _, m := range p.members {
+		if m.State != hornbeamcroft.MemberServing || now < m.downUntil || !allow(m) {
+			continue
+		}
+		if c.Exclude != nil && c.Exclude(m.Name) {
+			continue
+		}
+		if m.Zone == p.Zone {
+			p.local = append(p.local, m)
+		} else {
+			p.remote = append(p.remote, m)
+		}
+	}
+}
+
+// best returns the candidate with the least cost, and the cost.
+func best(now time.Duration, rnd hornbeamcroft.Rand, ms []*member, c Choice) (*member, time.Duration) {
+	if len(ms) > compareAll {
+		i, j := rnd.IntN(len(ms)), rnd.IntN(len(ms)-1)
+		if j >= i {
+			j++
+		}
+		ms[0], ms[1] = ms[i], ms[j]
+		ms = ms[:2]
+	}
+	var found *member
+	var least time.Duration
+	for _, m := range ms {
+		if cost := m.cost(now, c); found == nil || cost < least {
+			found, least = m, cost
+		}
+	}
+	return found, least
+}
+
+// cost is the expected time until the member has run a call, with a penalty for one that fails calls.
+func (m *member) cost(now time.Duration, c Choice) time.Duration {
+	hold := m.load.Hold
+	if hold <= 0 {
+		hold = unknownHold
+	}
+	failing := float64(m.load.Failing) / 1000
+	penalty := time.Duration(failing * failingCost * float64(max(c.Slack, hold)))
+	return m.wait(now, hold) + hold + penalty
+}
+
+// wait is the expected time until the member has a free slot.
+func (m *member) wait(now, hold time.Duration) time.Duration {
+	busy := m.outstanding
+	limit := m.Slots
+	if m.reportedAt > 0 && now-m.reportedAt < reportTime {
+		busy = max(busy, m.load.Running+m.load.Waiting+m.sent)
+		limit = m.load.Limit
+	}
+	limit = max(limit, 1)
+	if busy < limit {
+		return 0
+	}
+	return hold * time.Duration(busy-limit+1) / time.Duration(limit)
+}
--- a/policy.go
+++ b/policy.go
@@ -42,6 +42,9 @@
 	Deadline time.Duration
 	// Alone asks for an isolated run: nothing else runs at the upstream meanwhile.
 	Alone bool
+	// Objective is the time on the monotonic clock of the node until which the answer to the whole request has its full
+	// value; zero if the request has no objective.
+	Objective time.Duration
 }
 
 // Decision is the end of a ticket's wait.
@@ -64,6 +67,8 @@
 	ChildTime time.Duration
 	// Overloaded is true if the upstream refused or timed out.
 	Overloaded bool
+	// Failed is true if the upstream ran the call and failed, or broke off its answer.
+	Failed bool
 	// Ignore is true if the sample tells nothing about the upstream, for example a cancelled call.
 	Ignore bool
 }
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,221 @@
+// Package scheduler decides which calls run at one upstream, and when. Calls that fit into the free slots run at once.
+// The others wait in the order of the latest time at which they can start and still meet their objective, with a lead
+// for important requests and for calls of requests that run already.
+package scheduler
+
+import (
+	"container/heap"
+	"time"
+
+	"hornbeamcroft"
+)
+
+var _ hornbeamcroft.Admitter = (*Scheduler)(nil)
+
+const (
+	// usableShare is the part of the slots that is used. Upstreams slow down when they are nearly full, and probes and
+	// new connections take a slot for a moment.
+	usableShare = 0.95
+	// importanceLead is the time by which a call is preferred to one of the next lower importance.
+	importanceLead = 150 * time.Millisecond
+	// innerLead is the time by which a call of a running request is preferred to the start of a new one: turning it away
+	// wastes the work above it.
+	innerLead = 100 * time.Millisecond
+	// noObjective is the time within which a call without an objective should run.
+	noObjective = time.Second
+	// shrinkFactor lowers the limit when the upstream refuses a call although the limit holds, and growStep raises it
+	// again with each call that runs well.
+	shrinkFactor = 0.9
+	growStep     = 0.02
+	// holdGain is the weight of one call in the smoothed time for which a call holds a slot.
+	holdGain = 0.05
+	// failGain is the weight of one call in the share of failed calls.
+	failGain = 0.05
+	// maxWaiting bounds the calls that wait.
+	maxWaiting = 4096
+)
+
+// Scheduler is the admission of one upstream. It is not safe for concurrent use.
+type Scheduler struct {
+	// Service is named in the pressure.
+	Service string
+	// Slots is the number of calls that the upstream runs at once; at least 1.
+	Slots int
+
+	// limit is the number of calls that may run; zero until the first call.
+	limit   float64
+	queue   queue
+	running map[uint64]runner
+	// hold is the smoothed time in seconds for which a call holds a slot, failing the smoothed share of failed calls.
+	hold, failing float64
+	level         level
+}
+
+// runner is a call at the upstream.
+type runner struct {
+	ticket  hornbeamcroft.Ticket
+	started time.Duration
+}
+
+// Limit returns the number of calls that may run at once.
+func (s *Scheduler) Limit() int {
+	most := max(1, int(float64(s.Slots)*usableShare))
+	if s.limit == 0 || int(s.limit) > most {
+		s.limit = float64(most)
+	}
+	return max(1, int(s.limit))
+}
+
+// Arrive offers a call.
+func (s *Scheduler) Arrive(now time.Duration, t hornbeamcroft.Ticket) []hornbeamcroft.Decision {
+	if s.running == nil {
+		s.running = make(map[uint64]runner)
+	}
+	s.level.arrive(now, s, t)
+	if code := s.hopeless(now, t); code != 0 {
+		return []hornbeamcroft.Decision{{ID: t.ID, Code: code}}
+	}
+	heap.Push(&s.queue, entry{ticket: t, arrived: now, key: key(now, t)})
+	ds := s.dispatch(now, nil)
+	if len(s.queue.entries) > maxWaiting {
+		e := s.queue.last()
+		heap.Remove(&s.queue, e)
+		ds = append(ds, hornbeamcroft.Decision{ID: s.queue.removed.ticket.ID, Code: hornbeamcroft.CodeOverloaded})
+	}
+	return ds
+}
+
+// hopeless returns the reason why the call is refused at once, or zero. The start of a new request is refused if the
+// calls before it leave no time for its objective. A call of a running request waits as long as its deadline allows.
+func (s *Scheduler) hopeless(now time.Duration, t hornbeamcroft.Ticket) hornbeamcroft.Code {
+	hold := s.holdTime()
+	if now+hold/2 >= t.Deadline {
+		return hornbeamcroft.CodeDeadlineTooShort
+	}
+	limit := s.Limit()
+	if len(s.running) < limit {
+		return 0
+	}
+	ahead := s.queue.before(key(now, t))
+	start := now + hold*time.Duration(ahead+1)/time.Duration(limit)
+	switch {
+	case start+hold/2 >= t.Deadline:
+		return hornbeamcroft.CodeOverloaded
+	case t.Depth == 1 && t.Objective > 0 && start+hold >= t.Objective && now+hold < t.Objective:
+		return hornbeamcroft.CodeOverloaded
+	}
+	return 0
+}
+
+// key orders waiting calls: the lower key starts first.
+func key(now time.Duration, t hornbeamcroft.Ticket) time.Duration {
+	k := t.Objective
+	if k == 0 {
+		k = now + noObjective
+	}
+	k = min(k, t.Deadline)
+	k -= time.Duration(t.Importance) * importanceLead
+	if t.Depth > 1 {
+		k -= innerLead
+	}
+	return k
+}
+
+// Finish ends a call that was admitted.
+func (s *Scheduler) Finish(now time.Duration, id uint64, p hornbeamcroft.Sample) []hornbeamcroft.Decision {
+	r, ok := s.running[id]
+	if !ok {
+		return nil
+	}
+	delete(s.running, id)
+	s.level.finish(now, s, r.ticket.Importance, now-r.started)
+	s.learn(p)
+	return s.dispatch(now, nil)
+}
+
+func (s *Scheduler) learn(p hornbeamcroft.Sample) {
+	if p.Ignore {
+		return
+	}
+	if p.Overloaded {
+		s.failing += (1 - s.failing) * failGain
+		if s.limit > 1 {
+			s.limit = max(1, min(s.limit, float64(len(s.running)+1))*shrinkFactor)
+		}
+		return
+	}
+	failed := 0.0
+	if p.Failed {
+		failed = 1
+	}
+	s.failing += (failed - s.failing) * failGain
+	s.limit += growStep
+	if p.ServiceTime <= 0 || p.Failed {
+		return
+	}
+	if s.hold == 0 {
+		s.hold = p.ServiceTime.Seconds()
+		return
+	}
+	s.hold += (p.ServiceTime.Seconds() - s.hold) * holdGain
+}
+
+func (s *Scheduler) holdTime() time.Duration { return time.Duration(s.hold * float64(time.Second)) }
+
+// Cancel withdraws a waiting call.
+func (s *Scheduler) Cancel(now time.Duration, id uint64) []hornbeamcroft.Decision {
+	if i := s.queue.find(id); i >= 0 {
+		heap.Remove(&s.queue, i)
+	}
+	return s.dispatch(now, nil)
+}
+
+// Tick lets time pass.
+func (s *Scheduler) Tick(now time.Duration) []hornbeamcroft.Decision {
+	s.level.advance(now, s)
+	return s.dispatch(now, nil)
+}
+
+// Flush refuses all waiting calls, because the upstream takes no more.
+func (s *Scheduler) Flush(code hornbeamcroft.Code) []hornbeamcroft.Decision {
+	var ds []hornbeamcroft.Decision
+	for _, e := range s.queue.entries {
+		ds = append(ds, hornbeamcroft.Decision{ID: e.ticket.ID, Code: code})
+	}
+	s.queue.entries = nil
+	return ds
+}
+
+// dispatch starts what fits and drops what can no longer be finished; it appends the decisions to ds.
+func (s *Scheduler) dispatch(now time.Duration, ds []hornbeamcroft.Decision) []hornbeamcroft.Decision {
+	hold := s.holdTime()
+	for len(s.queue.entries) > 0 {
+		e := s.queue.entries[0]
+		late := now+hold/2 >= e.ticket.Deadline
+		if !late && len(s.running) >= s.Limit() {
+			break
+		}
+		heap.Pop(&s.queue)
+		if late {
+			ds = append(ds, hornbeamcroft.Decision{ID: e.ticket.ID, Code: hornbeamcroft.CodeQueueExpired})
+			continue
+		}
+		s.running[e.ticket.ID] = runner{ticket: e.ticket, started: now}
+		ds = append(ds, hornbeamcroft.Decision{ID: e.ticket.ID, Admitted: true})
+	}
+	return ds
+}
+
+// Pressure returns the admission level that answers carry.
+func (s *Scheduler) Pressure(now time.Duration) hornbeamcroft.Pressure {
+	s.level.advance(now, s)
+	return s.level.pressure(s.Service)
+}
+
+// Load returns what senders need to place their calls.
+func (s *Scheduler) Load() hornbeamcroft.Load {
+	return hornbeamcroft.Load{
+		Running: len(s.running), Waiting: len(s.queue.entries), Limit: s.Limit(), Hold: s.holdTime(),
+		Failing: int(s.failing * 1000),
+	}
+}
--- a/server/home.go
+++ b/server/home.go
@@ -12,19 +12,21 @@
 	"hornbeamcroft/forwarder"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/owner"
+	"hornbeamcroft/recaller"
 )
 
 func (s *Server) buildArbiter() {
 	n := s.Settings.Node
 	s.arbiter = &arbiter.Arbiter{
-		Clock:       s.clock,
-		Owner:       &owner.Owner{Self: n.Name, Service: n.Service, Incarnation: s.incarnation},
-		Deduper:     &deduper.Deduper{},
-		Calls:       &deduper.Calls{Incarnation: s.incarnation},
-		Incarnation: s.incarnation,
-		Send:        s.members.sendTo,
-		Read:        s.epochs.Read,
-		Store:       s.Store,
+		Clock:   s.clock,
+		Owner:   &owner.Owner{Self: n.Name, Service: n.Service, Incarnation: s.incarnation},
+		Deduper: &deduper.Deduper{},
+		Recaller: &recaller.Recaller{
+			Clock: s.clock, Calls: &deduper.Calls{Incarnation: s.incarnation},
+		},
+		Send:  s.members.sendTo,
+		Read:  s.epochs.Read,
+		Store: s.Store,
 		OnAdopted: func(e owner.Epoch) {
 			s.Log.Info().Uint64("epoch", e.Number).Strs("roster", e.Roster).Msg("owner: epoch adopted")
 		},
@@ -70,11 +72,11 @@
 // onRemoteOnce runs a non-idempotent call of another node and keeps its outcome for queries after a lost link.
 func (s *Server) onRemoteOnce(ctx context.Context, peer framer.Hello, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	id := deduper.CallID{Sender: peer.Name, Incarnation: peer.Incarnation, ID: call.ID}
-	if a, isNew := s.arbiter.Begin(ctx, id, call.Remaining); !isNew {
+	if a, isNew := s.arbiter.Recaller.Begin(ctx, id, call.Remaining); !isNew {
 		return a
 	}
 	a := s.execute(ctx, call)
-	s.arbiter.End(id, a)
+	s.arbiter.Recaller.End(id, a)
 	return a
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -268,7 +268,7 @@
 	if s.arbiter == nil {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
 	}
-	return s.arbiter.Outcome(ctx, q)
+	return s.arbiter.Recaller.Outcome(ctx, q)
 }
 
 // onMessage passes a control frame to the part that handles it.
