--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"runtime"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"hornbeamcroft"
+)
+
+// Parameters of the latency histograms: the samples that one keeps, and how fast old ones lose weight.
+const (
+	reservoirSize  = 512
+	reservoirDecay = 0.015
+)
+
+// metricSet holds the counters and histograms of the node.
+type metricSet struct {
+	registry metrics.Registry
+}
+
+func newMetricSet() *metricSet { return &metricSet{registry: metrics.NewRegistry()} }
+
+// request counts a request that entered here.
+func (m *metricSet) request(route, service string, code hornbeamcroft.Code, took time.Duration) {
+	m.count("requests/" + route + "/" + service + "/" + strconv.Itoa(int(code)))
+	m.latency("request-us/"+route, took)
+}
+
+// run counts a call at the own upstream.
+func (m *metricSet) run(code hornbeamcroft.Code, waited, held time.Duration) {
+	m.count("runs/" + strconv.Itoa(int(code)))
+	m.latency("run-wait-us", waited)
+	m.latency("run-hold-us", held)
+}
+
+func (m *metricSet) count(name string) { metrics.GetOrRegisterCounter(name, m.registry).Inc(1) }
+
+func (m *metricSet) latency(name string, d time.Duration) {
+	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(reservoirSize, reservoirDecay))
+	})
+	h.(metrics.Histogram).Update(d.Microseconds())
+}
+
+func (m *metricSet) gauge(name string, v int64) {
+	metrics.GetOrRegisterGauge(name, m.registry).Update(v)
+}
+
+// collect reads the values that other parts keep.
+func (a *Agent) collect() {
+	m := a.metrics
+	l := a.runner.Load()
+	m.gauge("upstream/running", int64(l.Running))
+	m.gauge("upstream/waiting", int64(l.Waiting))
+	m.gauge("upstream/limit", int64(l.Limit))
+	m.gauge("upstream/hold-us", l.Hold.Microseconds())
+	m.gauge("upstream/failing-thousandths", int64(l.Failing))
+	open, idle := a.exchanger.Counts()
+	m.gauge("upstream/connections-open", int64(open))
+	m.gauge("upstream/connections-idle", int64(idle))
+	m.gauge("upstream/connections-opened", a.exchanger.Opened.Load())
+	m.gauge("links/open", int64(a.links.Count()))
+	m.gauge("links/opened", a.links.Opened.Load())
+	m.gauge("links/silent", a.links.Silent.Load())
+	m.gauge("links/late-answers", a.links.LateAnswers.Load())
+	m.gauge("links/bytes-in", a.links.BytesIn.Load())
+	m.gauge("links/bytes-out", a.links.BytesOut.Load())
+	m.gauge("way-in/in-flight", int64(a.wayIn.InFlight()))
+	m.gauge("way-in/body-bytes", a.bodies.Load())
+	m.gauge("process/goroutines", int64(runtime.NumGoroutine()))
+	if r := a.routes.Load(); r != nil {
+		m.gauge("routes/version", r.table.Version)
+		m.gauge("routes/age-ms", time.Since(r.since).Milliseconds())
+	}
+	a.membersMu.Lock()
+	m.gauge("members/known", int64(len(a.locator.Members())))
+	a.membersMu.Unlock()
+	for service, left := range a.courier.RepeatsLeft() {
+		m.gauge("repeats-left/"+service, int64(left))
+	}
+	for kind, n := range a.recorder.Omitted() {
+		m.gauge("log/omitted/"+kind, n)
+	}
+	a.collectStore()
+}
+
+func (a *Agent) collectStore() {
+	for name, s := range map[string]*[7]int64{"store": a.store.Calls.Snapshot(), "records": a.records.Calls.Snapshot()} {
+		for i, kind := range [...]string{"reads", "stale-reads", "watches", "writes", "leases", "renewals", "failures"} {
+			a.metrics.gauge("store/"+name+"/"+kind, s[i])
+		}
+	}
+}
+
+// writeMetrics writes all metrics as lines of name and value; histograms are in microseconds.
+func (a *Agent) writeMetrics(w io.Writer) {
+	a.collect()
+	a.metrics.registry.Each(func(name string, v any) {
+		switch m := v.(type) {
+		case metrics.Counter:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Count())
+		case metrics.Gauge:
+			_, _ = fmt.Fprintf(w, "%s %d\n", name, m.Value())
+		case metrics.Histogram:
+			s := m.Snapshot()
+			q := s.Percentiles([]float64{0.5, 0.9, 0.99})
+			_, _ = fmt.Fprintf(w, "%s count=%d p50=%.0f p90=%.0f p99=%.0f max=%d\n", name, s.Count(), q[0], q[1], q[2], s.Max())
+		}
+	})
+}
--- a/code.go
+++ b/code.go
@@ -86,6 +86,8 @@
 	CodeBodyTooLarge       Code = 406
 	CodeKeyReused          Code = 407
 	CodeUnauthorized       Code = 408
+	CodeHeaderTooLarge     Code = 409
+	CodeNoRoute            Code = 410
 )
 
 // Results of operators' commands.
@@ -154,6 +156,8 @@
 	{CodeBodyTooLarge, "body-too-large", 413, "The body is larger than allowed."},
 	{CodeKeyReused, "key-reused", 422, "The key was used before with different content."},
 	{CodeUnauthorized, "unauthorized", 401, "The credential is missing or wrong."},
+	{CodeHeaderTooLarge, "header-too-large", 431, "The header is larger than allowed."},
+	{CodeNoRoute, "no-route", 404, "No route of the configuration matches host and path."},
 	{CodeAccepted, "accepted", 0, "The change is accepted."},
 	{CodeInvalid, "invalid", 1, "The document is invalid; nothing was written."},
 	{CodeConflict, "conflict", 3, "Another change of the same section was accepted first; nothing was written."},
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -8,6 +8,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,10 +23,11 @@
 
 // Timing of links.
 const (
-	// silenceLimit closes a link that has delivered nothing for this long with a ping outstanding.
-	silenceLimit = 1500 * time.Millisecond
-	// pingInterval applies while calls are in flight.
-	pingInterval = 500 * time.Millisecond
+	// defaultSilence closes a link that has delivered nothing for this long with a ping outstanding.
+	defaultSilence = 1500 * time.Millisecond
+	// pingsInSilence is the number of pings sent in the time after which a link counts as silent, while calls are in
+	// flight.
+	pingsInSilence = 3
 	// idlePingInterval applies to links without calls in flight; an idle link delays no call.
 	idlePingInterval = 5 * time.Second
 	// handshakeTimeout bounds dialing and the exchange of nonces and hellos.
@@ -63,6 +65,10 @@
 	OnMessage func(l *Link, t framer.Type, payload []byte) error
 	// OnUp is called when the handshake of a link is done.
 	OnUp func(l *Link)
+	// OnDown is called when a link has ended; it may be nil.
+	OnDown func(l *Link)
+	// Silence closes a link that has delivered nothing for this long with a ping outstanding; 1.5 s if zero.
+	Silence time.Duration
 	Log  *log.Logger
 
 	// Counts for metrics.
@@ -73,6 +79,7 @@
 	mu       sync.Mutex
 	outbound map[string]*dialState
 	links    map[*Link]struct{}
+	peers    map[string][]*Link
 	inbound  int
 	closed   bool
 }
@@ -92,6 +99,13 @@
 	CheckOrigin:     func(r *http.Request) bool { return r.Header.Get("Origin") == "" },
 }
 
+func (c *Connector) silence() time.Duration {
+	if c.Silence > 0 {
+		return c.Silence
+	}
+	return defaultSilence
+}
+
 // Run checks links for silence until ctx ends, then closes all links.
 func (c *Connector) Run(ctx context.Context) {
 	t := time.NewTicker(checkInterval)
@@ -102,14 +116,15 @@
 			c.closeAll()
 			return
 		case now := <-t.C:
-			for _, l := range c.all() {
+			for _, l := range c.Open() {
 				l.checkSilence(now)
 			}
 		}
 	}
 }
 
-func (c *Connector) all() []*Link {
+// Open returns the open links.
+func (c *Connector) Open() []*Link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	list := make([]*Link, 0, len(c.links))
@@ -130,7 +145,7 @@
 	c.mu.Lock()
 	c.closed = true
 	c.mu.Unlock()
-	for _, l := range c.all() {
+	for _, l := range c.Open() {
 		l.Close(errors.New("node stops"))
 	}
 }
@@ -184,8 +199,8 @@
 func (c *Connector) Peer(name string) *Link {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for l := range c.links {
-		if l.Peer.Name == name && !l.Ended() {
+	for _, l := range c.peers[name] {
+		if !l.Ended() {
 			return l
 		}
 	}
@@ -259,7 +274,7 @@
 		conn:     conn,
 		waiting:  make(map[uint64]chan hornbeamcroft.Answer),
 		partials: make(map[partialKey]*partial),
-		cancels:  make(map[uint64]context.CancelFunc),
+		cancels:  make(map[uint64]served),
 		credit:   make(chan struct{}, peer.Credit),
 		done:     make(chan struct{}),
 	}
@@ -270,9 +285,11 @@
 	c.mu.Lock()
 	if c.links == nil {
 		c.links = make(map[*Link]struct{})
+		c.peers = make(map[string][]*Link)
 	}
 	closed := c.closed
 	c.links[l] = struct{}{}
+	c.peers[peer.Name] = append(c.peers[peer.Name], l)
 	c.mu.Unlock()
 	c.Opened.Add(1)
 	go l.read()
@@ -289,5 +306,13 @@
 func (c *Connector) remove(l *Link) {
 	c.mu.Lock()
 	delete(c.links, l)
+	name := l.Peer.Name
+	c.peers[name] = slices.DeleteFunc(c.peers[name], func(other *Link) bool { return other == l })
+	if len(c.peers[name]) == 0 {
+		delete(c.peers, name)
+	}
 	c.mu.Unlock()
+	if c.OnDown != nil {
+		c.OnDown(l)
+	}
 }
--- a/connector/link.go
+++ b/connector/link.go
@@ -35,7 +35,7 @@
 	mu       sync.Mutex
 	waiting  map[uint64]chan hornbeamcroft.Answer
 	partials map[partialKey]*partial
-	cancels  map[uint64]context.CancelFunc
+	cancels  map[uint64]served
 	err      error
 
 	credit   chan struct{}
@@ -45,6 +45,12 @@
 	lastPing atomic.Int64
 }
 
+// served is a call of the peer that is running here.
+type served struct {
+	cancel     context.CancelFunc
+	idempotent bool
+}
+
 // partialKey identifies a body that is being received.
 type partialKey struct {
 	id     uint64
@@ -64,6 +70,13 @@
 	return l.ended.Load()
 }
 
+// Err returns why the link ended, or nil while it is open.
+func (l *Link) Err() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.err
+}
+
 // Close ends the link. Calls in flight fail with ErrLinkLost.
 func (l *Link) Close(reason error) {
 	if l.ended.Swap(true) {
@@ -74,10 +87,22 @@
 	l.mu.Unlock()
 	_ = l.conn.Close()
 	close(l.done)
+	l.cancelIdempotent()
 	l.c.Log.Debug().Str("peer", l.Peer.Name).Err(reason).Msg("connector: link closed")
 	l.c.remove(l)
 }
 
+// cancelIdempotent ends the running calls that the peer will repeat elsewhere. It asks for the outcome of the others.
+func (l *Link) cancelIdempotent() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.cancels {
+		if s.idempotent {
+			s.cancel()
+		}
+	}
+}
+
 // Send writes one frame.
 func (l *Link) Send(t framer.Type, v any) error {
 	frame, err := framer.Encode(t, v)
@@ -206,14 +231,14 @@
 func (l *Link) checkSilence(now time.Time) {
 	last := time.Unix(0, l.lastRead.Load())
 	pinged := time.Unix(0, l.lastPing.Load())
-	if pinged.After(last) && now.Sub(last) > silenceLimit {
+	if pinged.After(last) && now.Sub(last) > l.c.silence() {
 		l.c.Silent.Add(1)
 		l.Close(errors.New("silent for too long"))
 		return
 	}
 	interval := idlePingInterval
 	if l.inFlight() > 0 {
-		interval = pingInterval
+		interval = l.c.silence() / pingsInSilence
 	}
 	if now.Sub(pinged) < interval || now.Sub(last) < interval/2 {
 		return
--- a/connector/read.go
+++ b/connector/read.go
@@ -164,8 +164,11 @@
 func (l *Link) serve(call hornbeamcroft.Call) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Remaining)
 	l.mu.Lock()
-	l.cancels[call.ID] = cancel
+	l.cancels[call.ID] = served{cancel: cancel, idempotent: call.Idempotent}
 	l.mu.Unlock()
+	if call.Idempotent && l.Ended() {
+		cancel()
+	}
 	go func() {
 		defer func() {
 			l.mu.Lock()
@@ -181,10 +184,10 @@
 
 func (l *Link) cancel(id uint64) {
 	l.mu.Lock()
-	cancel := l.cancels[id]
+	s, ok := l.cancels[id]
 	l.mu.Unlock()
-	if cancel != nil {
-		cancel()
+	if ok {
+		s.cancel()
 	}
 }
 
--- /dev/null
+++ b/courier/courier.go
@@ -0,0 +1,256 @@
+// Package courier takes a request from the way in to an upstream and brings its answer back. It picks the host, sends the
+// call over a link or runs it at the own upstream, asks for the outcome when a link is lost, and sends the call again
+// where that is safe and within the allowance of repeats.
+package courier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/connector"
+	"hornbeamcroft/placer"
+	"hornbeamcroft/rationer"
+	"hornbeamcroft/throttler"
+)
+
+const (
+	// maxMoves bounds the sends after refusals that cost the upstream nothing: a host that drains, is full or is gone.
+	maxMoves = 4
+	// noHostRetry is when a request may come back for which no host is known.
+	noHostRetry = 500 * time.Millisecond
+	// prewarm is the number of hosts of a service to which links are opened at its first call.
+	prewarm = 8
+)
+
+// Record tells what became of a request, for the log.
+type Record struct {
+	Call  hornbeamcroft.Call
+	Route hornbeamcroft.Route
+	Code  hornbeamcroft.Code
+	// Status is the upstream's, if it answered.
+	Status int
+	// Hosts are those that the call was sent to, in order.
+	Hosts []string
+	// Codes are the answers of Hosts.
+	Codes []hornbeamcroft.Code
+	// Service is the one whose level refused the request; empty if none did.
+	Service string
+	// Returning is true if the request was refused here before.
+	Returning bool
+	Took      time.Duration
+}
+
+// Courier delivers calls. Set the exported fields before the first Deliver. It is safe for concurrent use.
+type Courier struct {
+	Clock       hornbeamcroft.Clock
+	Rand        hornbeamcroft.Rand
+	Name        string
+	Zone        string
+	Incarnation uint64
+	Links       *connector.Connector
+	// Local runs a call at the own upstream.
+	Local func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
+	// Dial opens a link in the background.
+	Dial func(m hornbeamcroft.Member)
+	// Rationer holds the allowance of repeats.
+	Rationer *rationer.Rationer
+	// OnEnd takes a record of each request.
+	OnEnd func(r Record)
+
+	nextID atomic.Uint64
+
+	mu        sync.Mutex
+	throttler throttler.Throttler
+	placers   map[string]*placer.Placer
+	members   map[string]hornbeamcroft.Member
+	byService map[string][]hornbeamcroft.Member
+}
+
+// Update sets the known members.
+func (c *Courier) Update(members []hornbeamcroft.Member) {
+	byName := make(map[string]hornbeamcroft.Member, len(members))
+	byService := make(map[string][]hornbeamcroft.Member)
+	for _, m := range members {
+		byName[m.Name] = m
+		if m.Service != "" {
+			byService[m.Service] = append(byService[m.Service], m)
+		}
+	}
+	c.mu.Lock()
+	c.members, c.byService = byName, byService
+	c.Rationer.Nodes = max(c.Rationer.Nodes, len(members))
+	var dial []hornbeamcroft.Member
+	for service, p := range c.placers {
+		dial = append(dial, c.refresh(service, p)...)
+	}
+	c.mu.Unlock()
+	c.dialAll(dial)
+}
+
+// refresh passes the members to a placer and returns those to which links are wanted. The lock is held.
+func (c *Courier) refresh(service string, p *placer.Placer) []hornbeamcroft.Member {
+	members := c.byService[service]
+	p.Update(members)
+	var wanted []hornbeamcroft.Member
+	for _, m := range members {
+		linked := m.Name == c.Name || c.Links.Peer(m.Name) != nil
+		p.Link(m.Name, linked)
+		if !linked && m.State == hornbeamcroft.MemberServing {
+			wanted = append(wanted, m)
+		}
+	}
+	// The own zone comes first; the order of the others differs between nodes, so that not all link to the same hosts.
+	slices.SortStableFunc(wanted, func(a, b hornbeamcroft.Member) int {
+		return boolRank(a.Zone != c.Zone) - boolRank(b.Zone != c.Zone)
+	})
+	return wanted[:min(len(wanted), prewarm)]
+}
+
+func boolRank(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (c *Courier) dialAll(members []hornbeamcroft.Member) {
+	for _, m := range members {
+		c.Dial(m)
+	}
+}
+
+// placer returns the placer of the service. The lock is held; it is released while links are opened.
+func (c *Courier) placer(service string) *placer.Placer {
+	p := c.placers[service]
+	if p != nil {
+		return p
+	}
+	if c.placers == nil {
+		c.placers = make(map[string]*placer.Placer)
+	}
+	p = &placer.Placer{Zone: c.Zone}
+	c.placers[service] = p
+	wanted := c.refresh(service, p)
+	go c.dialAll(wanted)
+	return p
+}
+
+// Linked tells that a link with a member was opened or that the last one has ended.
+func (c *Courier) Linked(name string, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.placers[c.members[name].Service]; p != nil {
+		p.Link(name, open)
+	}
+}
+
+// Report takes the load that a member reported by itself.
+func (c *Courier) Report(name string, l hornbeamcroft.Load) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if p := c.placers[c.members[name].Service]; p != nil {
+		p.Report(c.Clock.Now(), name, l)
+	}
+}
+
+// Levels returns the levels of the services that a run reached.
+func (c *Courier) Levels(reach []hornbeamcroft.Reach) []hornbeamcroft.Pressure {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.throttler.Levels(c.Clock.Now(), reach)
+}
+
+// Deliver sends the call and returns the final answer.
+func (c *Courier) Deliver(ctx context.Context, call hornbeamcroft.Call, route hornbeamcroft.Route) hornbeamcroft.Answer {
+	d := delivery{c: c, route: route, rec: Record{Call: call, Route: route}, start: c.Clock.Now()}
+	a := d.run(ctx, call)
+	d.rec.Code, d.rec.Status, d.rec.Took = a.Code, a.Status, c.Clock.Now()-d.start
+	c.OnEnd(d.rec)
+	return a
+}
+
+// admit decides whether a request of a caller starts.
+func (c *Courier) admit(call hornbeamcroft.Call) throttler.Verdict {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	c.Rationer.Request(now, call.Service)
+	if call.Depth > 1 {
+		return throttler.Verdict{Admitted: true}
+	}
+	return c.throttler.Admit(now, c.Rand, throttleRequest(call))
+}
+
+func throttleRequest(call hornbeamcroft.Call) throttler.Request {
+	return throttler.Request{
+		Route: call.Type, Service: call.Service, Importance: call.Importance, Fingerprint: call.Fingerprint,
+	}
+}
+
+// retryAfter remembers a request of a caller that found no room, and returns when it may come back.
+func (c *Courier) retryAfter(call hornbeamcroft.Call) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.throttler.Refused(c.Clock.Now(), c.Rand, throttleRequest(call))
+}
+
+// pick chooses the host of the next send and counts it.
+func (c *Courier) pick(call hornbeamcroft.Call, tried []string) (hornbeamcroft.Member, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p := c.placer(call.Service)
+	m, ok := p.Pick(c.Clock.Now(), c.Rand, placer.Choice{
+		Slack: call.Objective, Exclude: func(name string) bool { return slices.Contains(tried, name) },
+	})
+	if ok {
+		p.Start(m.Name)
+	}
+	return m, ok
+}
+
+// learn takes what an answer tells about the host and the services that the call reached.
+func (c *Courier) learn(call hornbeamcroft.Call, host string, a hornbeamcroft.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.Clock.Now()
+	p := c.placer(call.Service)
+	p.Finish(host)
+	if a.Load != nil {
+		p.Report(now, host, *a.Load)
+	}
+	if len(a.Pressure) > 0 {
+		c.throttler.Observe(now, call.Type, call.Service, a)
+	}
+}
+
+func (c *Courier) down(service, host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.placer(service).Down(c.Clock.Now(), host)
+}
+
+// allowRepeat reports whether a repeat of the call is within the allowance of its service and of those below.
+func (c *Courier) allowRepeat(call hornbeamcroft.Call) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	weight := map[string]float64{call.Service: 1}
+	for service, calls := range c.throttler.Reach(call.Type) {
+		weight[service] += calls
+	}
+	return c.Rationer.Allow(c.Clock.Now(), weight)
+}
+
+// RepeatsLeft returns the repeats that this node may still send to each service.
+func (c *Courier) RepeatsLeft() map[string]float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	left := make(map[string]float64, len(c.placers))
+	for service := range c.placers {
+		left[service] = c.Rationer.Left(c.Clock.Now(), service)
+	}
+	return left
+}
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -15,7 +15,7 @@
 
 const (
 	// connectTime bounds a new connection to the upstream, which is on the same host.
-	connectTime = time.Second
+	connectTime = 300 * time.Millisecond
 	// idleMargin is how much sooner than the upstream the node closes a connection without requests.
 	idleMargin = time.Second
 	// defaultIdle is how long a connection without requests is kept if the upstream names no time.
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -42,6 +42,10 @@
 	TypeCleared
 	TypeTurn
 	TypeSLOCounts
+	TypeNotice
+	TypeRoutes
+	TypeRoutesQuery
+	TypeCrash
 
 	typeEnd
 )
@@ -197,7 +201,7 @@
 		return 0, nil, errors.Errorf("frame type %d is unknown", frame[0])
 	}
 	limit := MaxFrame
-	if t == TypeDocumentWhole {
+	if t == TypeDocumentWhole || t == TypeRoutes {
 		limit = MaxDocumentFrame
 	}
 	if len(frame) > limit {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -111,7 +111,7 @@
 		return Settings{}, errors.Wrap(err, "settings")
 	}
 	c := checker{file: file}
-	c.checkUnknown()
+	c.checkUnknown(Keys)
 	s := Settings{
 		Node: NodeSettings{
 			Name:            c.text("node", "name", true),
@@ -158,10 +158,10 @@
 	c.errs = append(c.errs, errors.Errorf("[%s] %s = %q: allowed: %s", section, key, value, allowed))
 }
 
-func (c *checker) checkUnknown() {
+func (c *checker) checkUnknown(keys []Key) {
 	for _, section := range c.file.Sections() {
 		for _, key := range section.Keys() {
-			known := slices.ContainsFunc(Keys, func(k Key) bool {
+			known := slices.ContainsFunc(keys, func(k Key) bool {
 				return k.Section == section.Name() && k.Name == key.Name()
 			})
 			if !known {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -69,6 +69,14 @@
 	l.settle(now, e)
 }
 
+// Introduce takes what another member knows of a member. It is kept as one whose record has disappeared: until the store
+// or a link speaks for it, or it is forgotten.
+func (l *Locator) Introduce(now time.Duration, m hornbeamcroft.Member) {
+	e := l.entry(m.Name)
+	l.merge(e, m)
+	l.settle(now, e)
+}
+
 // Unlink takes the news that no link with the member is open any more.
 func (l *Locator) Unlink(now time.Duration, name string) {
 	if e := l.entries[name]; e != nil {
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -25,6 +25,17 @@
 	return Logger{l}
 }
 
+// queuedLines is the number of lines that wait for a slow reader; more are dropped, so that a full pipe blocks nothing.
+const queuedLines = 4096
+
+// NewAsync returns a logger like New that never blocks, and a function that writes the lines that still wait.
+func NewAsync(w io.Writer, level string) (Logger, func()) {
+	async := &log.AsyncWriter{Writer: &log.IOWriter{Writer: w}, ChannelSize: queuedLines, DiscardOnFull: true}
+	l := New(w, level)
+	l.Writer = async
+	return l, func() { _ = async.Close() }
+}
+
 // bridge passes go-zero's lines on.
 type bridge struct {
 	l *log.Logger
--- a/message.go
+++ b/message.go
@@ -32,6 +32,16 @@
 	return nil
 }
 
+// Incoming is a request as it entered at a node.
+type Incoming struct {
+	// Attempt is the id of the caller's attempt.
+	Attempt string
+	Message Message
+	Body    []byte
+	// Remaining is how long the caller waits; zero if it did not say so.
+	Remaining time.Duration
+}
+
 // Load is what the node beside an upstream reports of it, so that senders can place their calls.
 type Load struct {
 	// Running and Waiting are the calls at the upstream and those that wait for it; at least 0.
--- /dev/null
+++ b/runner/runner.go
@@ -0,0 +1,381 @@
+// Package runner runs calls at the upstream beside the node. It is the one authority on that upstream: it admits calls to
+// its slots, knows which of them run, and says what became of each.
+package runner
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/exchanger"
+	"hornbeamcroft/observer"
+	"hornbeamcroft/scheduler"
+	"hornbeamcroft/tracer"
+)
+
+const (
+	// tickInterval is how often waiting calls are reconsidered.
+	tickInterval = 10 * time.Millisecond
+	// busyRetry is when a call that found no room may be tried again.
+	busyRetry = 300 * time.Millisecond
+)
+
+// Record tells what became of a call, for the log.
+type Record struct {
+	Call hornbeamcroft.Call
+	Code hornbeamcroft.Code
+	// Instance is the upstream's start that the call went to; empty if it went to none.
+	Instance string
+	Outcome  exchanger.Outcome
+	Status   int
+	// Waited is the time until a slot was free, Held the time at the upstream.
+	Waited, Held time.Duration
+	Load         hornbeamcroft.Load
+	Err          error
+}
+
+// Runner runs calls at one upstream. Set the exported fields before the first Run. It is safe for concurrent use.
+type Runner struct {
+	Clock     hornbeamcroft.Clock
+	Service   string
+	Exchanger *exchanger.Exchanger
+	// Request returns the HTTP request of a call for the expected instance.
+	Request func(call hornbeamcroft.Call, instance string, remaining time.Duration) exchanger.Request
+	// Refuses reports whether a call is refused because it crashes upstreams; it may be nil.
+	Refuses func(fingerprint uint64) bool
+	// OnCrash takes the calls that ran when the upstream crashed, OnCleared a call that ran to its end.
+	OnCrash   func(running []uint64)
+	OnCleared func(fingerprint uint64)
+	// OnGone is told that the expected instance no longer answers at its address; another one may.
+	OnGone func(instance, other string)
+	// OnEnd takes a record of each call.
+	OnEnd func(r Record)
+	// Levels returns the levels of the services that a run reached.
+	Levels func(reach []hornbeamcroft.Reach) []hornbeamcroft.Pressure
+
+	mu        sync.Mutex
+	scheduler scheduler.Scheduler
+	tracer    tracer.Tracer
+	upstream  observer.Upstream
+	nextID    uint64
+	waiting   map[uint64]chan hornbeamcroft.Decision
+	running   map[uint64]uint64
+	ticking   bool
+	// down is true from the first report of a crash until a call gets an answer again.
+	down bool
+}
+
+// SetUpstream takes the state of the upstream. Calls that wait are refused as not run if it takes no more.
+func (r *Runner) SetUpstream(u observer.Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	restarted := u.Instance != r.upstream.Instance || u.Born != r.upstream.Born
+	r.upstream = u
+	r.scheduler.Service = r.Service
+	r.scheduler.Slots = u.Slots
+	if restarted {
+		r.down = false
+	}
+	if !u.Usable() {
+		r.spread(r.scheduler.Flush(hornbeamcroft.CodeDraining))
+	}
+}
+
+// Upstream returns the state that was set last.
+func (r *Runner) Upstream() observer.Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.upstream
+}
+
+// Load returns the load of the upstream.
+func (r *Runner) Load() hornbeamcroft.Load {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.load()
+}
+
+// load returns the load of the upstream. The lock is held.
+func (r *Runner) load() hornbeamcroft.Load {
+	l := r.scheduler.Load()
+	if !r.upstream.Usable() || r.down {
+		l.Limit = 0
+	}
+	return l
+}
+
+// Running returns the number of calls at the upstream.
+func (r *Runner) Running() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running)
+}
+
+// Parent returns the running call whose id the given id extends.
+func (r *Runner) Parent(attempt string) (tracer.Run, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	p := r.tracer.Parent(attempt)
+	if p == nil {
+		return tracer.Run{}, false
+	}
+	return *p, true
+}
+
+// Called counts a call that a running one made, with the calls below it.
+func (r *Runner) Called(attempt, service string, below []hornbeamcroft.Reach) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p := r.tracer.Parent(attempt); p != nil {
+		r.tracer.Called(p, service, below)
+	}
+}
+
+// Run runs the call and returns its answer.
+func (r *Runner) Run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	arrived := r.Clock.Now()
+	rec := Record{Call: call}
+	a := r.run(ctx, &rec)
+	rec.Code, rec.Status = a.Code, a.Status
+	if rec.Held == 0 {
+		rec.Waited = r.Clock.Now() - arrived
+	}
+	r.mu.Lock()
+	l := r.load()
+	own := r.scheduler.Pressure(r.Clock.Now())
+	r.mu.Unlock()
+	rec.Load = l
+	a.Load = &l
+	a.Pressure = append([]hornbeamcroft.Pressure{own}, r.Levels(a.Reach)...)
+	r.OnEnd(rec)
+	return a
+}
+
+func (r *Runner) run(ctx context.Context, rec *Record) hornbeamcroft.Answer {
+	call := rec.Call
+	start := r.Clock.Now()
+	deadline := start + call.Remaining
+	if call.Service != r.Service {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamNotRegistered}
+	}
+	if r.Refuses != nil && r.Refuses(call.Fingerprint) {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodePoisonRefused, RetryAfter: busyRetry}
+	}
+	id, d := r.admit(ctx, call, start)
+	if !d.Admitted {
+		return hornbeamcroft.Answer{Code: d.Code, RetryAfter: busyRetry}
+	}
+	started := r.Clock.Now()
+	rec.Waited = started - start
+	instance, run := r.open(id, call, start)
+	rec.Instance = instance
+	if run == nil {
+		r.finish(id, hornbeamcroft.Sample{Ignore: true})
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
+	}
+	res := r.Exchanger.Exchange(ctx, r.Request(call, instance, deadline-started))
+	rec.Held = r.Clock.Now() - started
+	rec.Outcome, rec.Err = res.Outcome, res.Err
+	if res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent {
+		r.checkCrash(ctx, instance)
+	}
+	reach := r.close(id, run, call, res)
+	r.finish(id, sample(res, rec.Held))
+	if res.Outcome == exchanger.OutcomeWrongInstance {
+		r.OnGone(instance, res.Instance)
+	}
+	a := answer(ctx, res)
+	a.Reach = reach
+	return a
+}
+
+// admit waits until the call may start.
+func (r *Runner) admit(ctx context.Context, call hornbeamcroft.Call, now time.Duration) (uint64, hornbeamcroft.Decision) {
+	ch := make(chan hornbeamcroft.Decision, 1)
+	r.mu.Lock()
+	r.nextID++
+	id := r.nextID
+	if code := r.closed(); code != 0 {
+		r.mu.Unlock()
+		return id, hornbeamcroft.Decision{Code: code}
+	}
+	if r.waiting == nil {
+		r.waiting = make(map[uint64]chan hornbeamcroft.Decision)
+		r.running = make(map[uint64]uint64)
+	}
+	r.waiting[id] = ch
+	t := hornbeamcroft.Ticket{
+		ID: id, Importance: call.Importance, Depth: call.Depth, Deadline: now + call.Remaining,
+	}
+	if call.Objective != 0 {
+		t.Objective = max(now+call.Objective, 1)
+	}
+	r.spread(r.scheduler.Arrive(now, t))
+	r.startTicking()
+	r.mu.Unlock()
+	select {
+	case d := <-ch:
+		return id, d
+	case <-ctx.Done():
+		return id, r.withdraw(id, ch)
+	}
+}
+
+// closed returns why the upstream takes no calls, or zero. The lock is held.
+func (r *Runner) closed() hornbeamcroft.Code {
+	switch {
+	case r.upstream.Instance == "":
+		return hornbeamcroft.CodeUpstreamNotRegistered
+	case !r.upstream.Usable():
+		return hornbeamcroft.CodeDraining
+	}
+	return 0
+}
+
+// withdraw cancels a waiting call. If it was admitted meanwhile, the slot is given back.
+func (r *Runner) withdraw(id uint64, ch chan hornbeamcroft.Decision) hornbeamcroft.Decision {
+	r.mu.Lock()
+	delete(r.waiting, id)
+	r.spread(r.scheduler.Cancel(r.Clock.Now(), id))
+	r.mu.Unlock()
+	select {
+	case d := <-ch:
+		if d.Admitted {
+			r.finish(id, hornbeamcroft.Sample{Ignore: true})
+		}
+	default:
+	}
+	return hornbeamcroft.Decision{ID: id, Code: hornbeamcroft.CodeCancelledBeforeStart}
+}
+
+func (r *Runner) finish(id uint64, s hornbeamcroft.Sample) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spread(r.scheduler.Finish(r.Clock.Now(), id, s))
+}
+
+// open records that the call starts. It returns no run if the upstream has stopped to take calls meanwhile.
+func (r *Runner) open(id uint64, call hornbeamcroft.Call, arrived time.Duration) (string, *tracer.Run) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed() != 0 {
+		return r.upstream.Instance, nil
+	}
+	r.running[id] = call.Fingerprint
+	return r.upstream.Instance, r.tracer.Open(tracer.Run{
+		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
+		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
+	})
+}
+
+func (r *Runner) close(id uint64, run *tracer.Run, call hornbeamcroft.Call, res exchanger.Result) []hornbeamcroft.Reach {
+	r.mu.Lock()
+	delete(r.running, id)
+	reach := r.tracer.Close(run)
+	if res.Outcome == exchanger.OutcomeAnswered {
+		r.down = false
+	}
+	r.mu.Unlock()
+	if res.Outcome == exchanger.OutcomeAnswered && r.OnCleared != nil {
+		r.OnCleared(call.Fingerprint)
+	}
+	return reach
+}
+
+// checkCrash tells a broken connection from a crash: after a crash nothing listens. The report of a crash is complete
+// before the answer of any call that ran there, so that a repeat does not overtake it.
+func (r *Runner) checkCrash(ctx context.Context, instance string) {
+	r.mu.Lock()
+	known := r.down
+	r.mu.Unlock()
+	if known || r.Exchanger.Alive(context.WithoutCancel(ctx)) {
+		return
+	}
+	r.mu.Lock()
+	if r.down || r.upstream.Instance != instance {
+		r.mu.Unlock()
+		return
+	}
+	r.down = true
+	running := make([]uint64, 0, len(r.running))
+	for _, f := range r.running {
+		running = append(running, f)
+	}
+	r.mu.Unlock()
+	r.OnCrash(running)
+}
+
+// spread hands decisions to their calls. The lock is held.
+func (r *Runner) spread(ds []hornbeamcroft.Decision) {
+	for _, d := range ds {
+		if ch := r.waiting[d.ID]; ch != nil {
+			delete(r.waiting, d.ID)
+			ch <- d
+		}
+	}
+}
+
+// startTicking runs a ticker for as long as calls wait. The lock is held.
+func (r *Runner) startTicking() {
+	if r.ticking || len(r.waiting) == 0 {
+		return
+	}
+	r.ticking = true
+	go func() {
+		t := time.NewTicker(tickInterval)
+		defer t.Stop()
+		for range t.C {
+			if !r.tick() {
+				return
+			}
+		}
+	}()
+}
+
+func (r *Runner) tick() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.spread(r.scheduler.Tick(r.Clock.Now()))
+	r.ticking = len(r.waiting) > 0
+	return r.ticking
+}
+
+func sample(res exchanger.Result, held time.Duration) hornbeamcroft.Sample {
+	s := hornbeamcroft.Sample{ServiceTime: held}
+	switch res.Outcome {
+	case exchanger.OutcomeAnswered:
+		s.Failed = res.Status >= 500
+	case exchanger.OutcomeNotRun:
+		s.Overloaded = true
+	case exchanger.OutcomeLost, exchanger.OutcomeSpoilt:
+		s.Failed = true
+	default:
+		s.Ignore = true
+	}
+	return s
+}
+
+// answer states what became of the call.
+func answer(ctx context.Context, res exchanger.Result) hornbeamcroft.Answer {
+	switch res.Outcome {
+	case exchanger.OutcomeAnswered:
+		return hornbeamcroft.Answer{
+			Code: hornbeamcroft.CodeAnswered, Status: res.Status, Header: res.Header, Body: res.Body,
+		}
+	case exchanger.OutcomeNotSent:
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamUnreachable, RetryAfter: busyRetry}
+	case exchanger.OutcomeNotRun:
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamRefused, RetryAfter: busyRetry}
+	case exchanger.OutcomeWrongInstance:
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamNotRegistered, RetryAfter: busyRetry}
+	case exchanger.OutcomeSpoilt:
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}
+	case exchanger.OutcomeEnded:
+		if context.Cause(ctx) == context.DeadlineExceeded {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlinePassed}
+		}
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeCallerGone}
+	}
+	return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
+}
--- a/server/listen.go
+++ b/server/listen.go
@@ -1,93 +1,29 @@
 package server
 
 import (
-	"context"
 	"crypto/subtle"
 	"net"
 	"net/http"
 	"net/http/pprof"
-	"strconv"
 	"strings"
-	"time"
 
-	"github.com/go-faster/errors"
-	"github.com/zeromicro/go-zero/core/proc"
-	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 	"github.com/zeromicro/go-zero/rest/pathvar"
 
 	"hornbeamcroft/drainer"
-	"hornbeamcroft/loader"
+	"hornbeamcroft/listener"
 )
 
-// readHeaderTimeout bounds the time in which a connection must send the header of a request.
-const readHeaderTimeout = 5 * time.Second
-
-// maxHeaderBytes bounds the header of a request.
-const maxHeaderBytes = 16 << 10
-
-// stopFunc stops a listener, waiting for requests in flight until ctx ends.
-type stopFunc func(ctx context.Context)
-
-// newRest returns a rest server on the address with all middlewares off: the shedder, the breaker and the timeout would
-// take admission decisions a second time, and the log writes a line for each request.
-func newRest(name, address string, sec loader.SecuritySettings, opts ...rest.RunOption) (*rest.Server, error) {
-	host, portText, err := net.SplitHostPort(address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	port, err := strconv.Atoi(portText)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	return rest.NewServer(rest.RestConf{
-		ServiceConf: service.ServiceConf{
-			Name: name, Mode: service.ProMode,
-			// go-zero ends the process by itself some time after a signal; a planned stop may take longer.
-			Shutdown: proc.ShutdownConf{WrapUpTime: time.Hour, WaitTime: 2 * time.Hour},
+func (s *Server) listenPublic(ends chan<- error) (listener.StopFunc, error) {
+	sec := s.Settings.Security
+	return listener.Listener{
+		Name: "hornbeam-node", Address: s.Settings.Node.Listen, CertFile: sec.TLSCert, KeyFile: sec.TLSKey,
+		TLS: s.acceptTLS,
+		Routes: []rest.Route{
+			{Method: http.MethodPost, Path: "/call/:service/:type", Handler: s.serveCall},
+			{Method: http.MethodGet, Path: "/link", Handler: s.acceptLink},
 		},
-		Host: host, Port: port, CertFile: sec.TLSCert, KeyFile: sec.TLSKey, Middlewares: rest.MiddlewaresConf{},
-	}, opts...)
-}
-
-// start serves until the returned function is called. A failure to listen goes to ends.
-func start(server *rest.Server, address string, ends chan<- error) (stopFunc, error) {
-	// The rest server panics if it cannot listen; this check gives a readable error.
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, errors.Wrap(err, "listen")
-	}
-	_ = l.Close()
-	ready := make(chan *http.Server, 1)
-	go func() {
-		defer func() {
-			if p := recover(); p != nil {
-				ends <- errors.Errorf("listen on %s: %v", address, p)
-			}
-		}()
-		server.StartWithOpts(func(hs *http.Server) {
-			hs.ReadHeaderTimeout = readHeaderTimeout
-			hs.MaxHeaderBytes = maxHeaderBytes
-			ready <- hs
-		})
-	}()
-	hs := <-ready
-	return func(ctx context.Context) { _ = hs.Shutdown(ctx) }, nil
-}
-
-func (s *Server) listenPublic(ends chan<- error) (stopFunc, error) {
-	address := s.Settings.Node.Listen
-	var opts []rest.RunOption
-	if s.acceptTLS != nil {
-		opts = append(opts, rest.WithTLSConfig(s.acceptTLS))
-	}
-	server, err := newRest("hornbeam-node", address, s.Settings.Security, opts...)
-	if err != nil {
-		return nil, err
-	}
-	server.AddRoute(rest.Route{Method: http.MethodPost, Path: "/call/:service/:type", Handler: s.serveCall})
-	server.AddRoute(rest.Route{Method: http.MethodGet, Path: "/link", Handler: s.acceptLink})
-	return start(server, address, ends)
+	}.Open(ends)
 }
 
 func (s *Server) serveCall(w http.ResponseWriter, r *http.Request) {
@@ -102,25 +38,22 @@
 	s.receiver.Serve(w, r, vars["service"], vars["type"])
 }
 
-func (s *Server) listenOperators(ends chan<- error) (stopFunc, error) {
-	address := s.Settings.Node.OperatorsListen
-	server, err := newRest("hornbeam-node-operators", address, loader.SecuritySettings{})
-	if err != nil {
-		return nil, err
-	}
-	server.AddRoutes([]rest.Route{
+func (s *Server) listenOperators(ends chan<- error) (listener.StopFunc, error) {
+	routes := []rest.Route{
 		{Method: http.MethodGet, Path: "/", Handler: s.openOnLoopback(s.serveStatusPage)},
 		{Method: http.MethodGet, Path: "/status", Handler: s.openOnLoopback(s.serveStatus)},
 		{Method: http.MethodGet, Path: "/metrics", Handler: s.authorized(s.serveMetrics)},
 		{Method: http.MethodGet, Path: "/slo", Handler: s.authorized(s.serveSLO)},
 		{Method: http.MethodPost, Path: "/drain", Handler: s.authorized(s.serveDrain)},
-	})
+	}
 	for _, name := range []string{"profile", "heap", "goroutine", "trace"} {
-		server.AddRoute(rest.Route{
+		routes = append(routes, rest.Route{
 			Method: http.MethodGet, Path: "/debug/pprof/" + name, Handler: s.authorized(profile(name)),
 		})
 	}
-	return start(server, address, ends)
+	return listener.Listener{
+		Name: "hornbeam-node-operators", Address: s.Settings.Node.OperatorsListen, Routes: routes,
+	}.Open(ends)
 }
 
 // profile returns the handler of a runtime profile.
--- a/store.go
+++ b/store.go
@@ -13,6 +13,8 @@
 	ErrStoreUnreachable = errors.New("store unreachable")
 	// ErrLeaseNotFound means that the lease expired or was revoked.
 	ErrLeaseNotFound = errors.New("lease not found")
+	// ErrHistoryGone means that a watch asked for changes that the store no longer keeps; the keys must be listed again.
+	ErrHistoryGone = errors.New("store no longer keeps these changes")
 )
 
 // LeaseID identifies a lease of the store. Zero means no lease.
@@ -78,6 +80,13 @@
 	Watch(ctx context.Context, prefix string, fromRevision int64, fn func(Event)) error
 }
 
+// StaleLister is a Store that can list keys from a copy that is seconds old, at a lower price. A watch from the revision
+// of the list on delivers what it missed.
+type StaleLister interface {
+	// ListStale returns all entries with the prefix, ordered by key, and the store's revision of the copy.
+	ListStale(ctx context.Context, prefix string) ([]Entry, int64, error)
+}
+
 // Clock is the source of monotonic time. The zero of Now is arbitrary; values of different processes do not compare.
 type Clock interface {
 	Now() time.Duration
