--- a/connector/connector.go
+++ b/connector/connector.go
@@ -69,7 +69,7 @@
 	OnDown func(l *Link)
 	// Silence closes a link that has delivered nothing for this long with a ping outstanding; 1.5 s if zero.
 	Silence time.Duration
-	Log  *log.Logger
+	Log     *log.Logger
 
 	// Counts for metrics.
 	Opened, Silent, LateAnswers atomic.Int64
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -277,4 +277,3 @@
 	}
 	return defaultIdle
 }
-
