--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -42,8 +42,10 @@
 	// Slots is the number of calls that the upstream runs at once; at least 1.
 	Slots int
 
-	// limit is the number of calls that may run; zero until the first call.
-	limit   float64
+	// limit is the number of calls that may run, and limitSlots the slots that it was set for.
+	limit      float64
+	limitSlots int
+
 	queue   queue
 	running map[uint64]runner
 	// hold is the smoothed time in seconds for which a call holds a slot, failing the smoothed share of failed calls.
@@ -60,8 +62,8 @@
 // Limit returns the number of calls that may run at once.
 func (s *Scheduler) Limit() int {
 	most := max(1, int(float64(s.Slots)*usableShare))
-	if s.limit == 0 || int(s.limit) > most {
-		s.limit = float64(most)
+	if s.limitSlots != s.Slots || s.limit > float64(most) {
+		s.limit, s.limitSlots = float64(most), s.Slots
 	}
 	return max(1, int(s.limit))
 }
