agent: start watches anew in turn

Cause: when the store drops its history, a waiting watch hears nothing and ends only when it is asked again (seen at 6.8 s for a change at 1.1 s). Ruled out: a lost event, a list that is behind. Change: the watch of the configuration is held for 0.6 s x nodes, that of the records for 5 s; peers tell of a newer configuration.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -46,6 +47,13 @@
 	keepOutcomes = 3 * time.Second
 	// recordsPause is the wait between two looks at changed records of the store.
 	recordsPause = 300 * time.Millisecond
+	// routesCheck is the time in which, among all nodes, one looks for a configuration that its watch has missed.
+	routesCheck = 600 * time.Millisecond
+	// recordsCheck is the time after which a node looks for records that its watch has missed.
+	recordsCheck = 5 * time.Second
+	// minWatch and maxWatch bound the time of a watch of the configuration.
+	minWatch = time.Second
+	maxWatch = 18 * time.Second
 )
 
 // Agent is one node. Set the exported fields before Run.
@@ -162,9 +170,9 @@
 	a.metrics = newMetricSet()
 	a.recorder = &recorder.Recorder{Log: a.Log.Logger}
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
-	a.store = &platform.Store{Address: a.Settings.Store.Address}
+	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchTime: a.routesWatch}
 	a.store.Open()
-	a.records = &platform.Store{Address: a.Settings.Store.Address, WatchPause: recordsPause}
+	a.records = &platform.Store{Address: a.Settings.Store.Address, WatchPause: recordsPause, WatchTime: recordsWatch}
 	a.records.Open()
 	a.exchanger = &exchanger.Exchanger{Address: cfg.Upstream, Names: platform.Names(), MaxBody: maxAnswerBody}
 	a.recaller = &recaller.Recaller{
@@ -241,16 +249,35 @@
 	records := &subscriber.Subscriber{
 		Store: a.records, Prefix: keyPrefix, StaleFirst: true, Rand: randomizer.Randomizer{},
 		OnList: a.onRecords, OnEvent: a.onRecord, OnLost: a.onStoreLost("members"), OnFound: a.onStoreFound("members"),
+		OnCut: a.onWatchCut("members"),
 	}
 	go records.Run(ctx)
 	routes := &subscriber.Subscriber{
 		Store: a.store, Prefix: platform.KeyRoutes, Rand: randomizer.Randomizer{},
 		OnList: a.onRoutesList, OnEvent: a.onRoutesEvent,
-		OnLost: a.onStoreLost("routes"), OnFound: a.onStoreFound("routes"),
+		OnLost: a.onStoreLost("routes"), OnFound: a.onStoreFound("routes"), OnCut: a.onWatchCut("routes"),
 	}
 	routes.Run(ctx)
 }
 
+// routesWatch returns how long the next watch of the configuration is held. A watch may go deaf when the store drops its
+// history. Among all nodes one starts anew about each routesCheck, and tells the others what it finds.
+func (a *Agent) routesWatch() time.Duration {
+	a.membersMu.Lock()
+	nodes := len(a.locator.Members())
+	a.membersMu.Unlock()
+	hold := min(max(time.Duration(nodes)*routesCheck, minWatch), maxWatch)
+	return jitter(hold)
+}
+
+// recordsWatch returns how long the next watch of the records is held.
+func recordsWatch() time.Duration { return jitter(recordsCheck) }
+
+// jitter spreads calls of different nodes: it returns 0.5 to 1.5 times d.
+func jitter(d time.Duration) time.Duration {
+	return d/2 + time.Duration(rand.Float64()*float64(d))
+}
+
 // onStoreLost logs the loss of the store by one of its users.
 func (a *Agent) onStoreLost(user string) func(error) {
 	return func(err error) {
@@ -270,6 +297,11 @@
 	}
 }
 
+// onWatchCut logs the end of a watch.
+func (a *Agent) onWatchCut(user string) func(error) {
+	return func(err error) { a.Log.Info().Str("user", user).Err(err).Msg("store: watch ended, keys are listed again") }
+}
+
 // monotonic is the process's monotonic clock.
 type monotonic struct{ start time.Time }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -31,6 +31,8 @@
 	// OnLost and OnFound are told when the store stops and starts to answer.
 	OnLost  func(err error)
 	OnFound func()
+	// OnCut takes the reason why a watch ended and the keys are listed again.
+	OnCut func(err error)
 
 	revision int64
 	lost     bool
@@ -53,8 +55,10 @@
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, hornbeamcroft.ErrHistoryGone):
+			s.OnCut(err)
 			relist = true
 		case err != nil:
+			s.OnCut(err)
 			// A waiting watch may be cut by the store. A list tells at once whether the store answers.
 			s.pause(ctx)
 			relist = true
