--- a/agent/agent.go
+++ b/agent/agent.go
@@ -51,9 +51,9 @@
 	routesCheck = 600 * time.Millisecond
 	// recordsCheck is the time after which a node looks for records that its watch has missed.
 	recordsCheck = 5 * time.Second
-	// minWatch and maxWatch bound the time of a watch of the configuration.
-	minWatch = time.Second
-	maxWatch = 18 * time.Second
+	// minWatch is the least time of a watch, and maxWatch the greatest mean; the store holds none for more than 30 s.
+	minWatch = 500 * time.Millisecond
+	maxWatch = 14 * time.Second
 )
 
 // Agent is one node. Set the exported fields before Run.
@@ -260,22 +260,22 @@
 	routes.Run(ctx)
 }
 
-// routesWatch returns how long the next watch of the configuration is held. A watch may go deaf when the store drops its
-// history. Among all nodes one starts anew about each routesCheck, and tells the others what it finds.
+// routesWatch returns how long the next watch of the configuration is held. A watch goes deaf when the store drops its
+// history, and all watches start together after a change. The times are spread so widely that among all nodes one starts
+// anew about each routesCheck, and tells the others what it finds.
 func (a *Agent) routesWatch() time.Duration {
 	a.membersMu.Lock()
 	nodes := len(a.locator.Members())
 	a.membersMu.Unlock()
-	hold := min(max(time.Duration(nodes)*routesCheck, minWatch), maxWatch)
-	return jitter(hold)
+	return spread(min(time.Duration(nodes)*routesCheck, maxWatch))
 }
 
 // recordsWatch returns how long the next watch of the records is held.
-func recordsWatch() time.Duration { return jitter(recordsCheck) }
+func recordsWatch() time.Duration { return spread(recordsCheck) }
 
-// jitter spreads calls of different nodes: it returns 0.5 to 1.5 times d.
-func jitter(d time.Duration) time.Duration {
-	return d/2 + time.Duration(rand.Float64()*float64(d))
+// spread returns a time between minWatch and twice the mean.
+func spread(mean time.Duration) time.Duration {
+	return minWatch + time.Duration(rand.Float64()*float64(2*mean))
 }
 
 // onStoreLost logs the loss of the store by one of its users.
