scheduler, placer: count the first level that is not wholly admitted; place by wait; let failures fade

Cause: an unused lowest importance made every level read as 'all admitted'; refusals of a failing upstream shrank its limit to 1; a failed child was blamed on its parent's upstream, which then got no calls and no new judgement.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -299,7 +299,9 @@
 
 // onWatchCut logs the end of a watch.
 func (a *Agent) onWatchCut(user string) func(error) {
-	return func(err error) { a.Log.Info().Str("user", user).Err(err).Msg("store: watch ended, keys are listed again") }
+	return func(err error) {
+		a.Log.Info().Str("user", user).Err(err).Msg("store: watch ended, keys are listed again")
+	}
 }
 
 // monotonic is the process's monotonic clock.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -13,11 +13,14 @@
 const (
 	// reportTime is how long a reported load counts. An older one says less than the node's own outstanding calls.
 	reportTime = time.Second
-	// zoneShare is the part of the time left that a queue in the own zone may cost more than one in another zone. The way
-	// through another zone is paid for by the byte, and time that is not needed has no value.
-	zoneShare = 0.1
-	// leastZoneCost keeps calls in their zone when little time is left.
-	leastZoneCost = 2 * time.Millisecond
+	// holdShare is the part of the time left that holdMargin times the usual time at the upstream may take. What stays
+	// below costs nothing: an answer that is sooner than needed is worth no more.
+	holdShare  = 0.8
+	holdMargin = 2
+	// zoneShare is the part of the time left that must be won by leaving the zone, and zoneTime a least time. The way to
+	// another zone is paid for by the byte.
+	zoneShare = 0.05
+	zoneTime  = 3 * time.Millisecond
 	// failingCost is the part of the time left that an upstream which fails every call costs.
 	failingCost = 0.5
 	// downTime is how long a member that could not be reached is avoided.
@@ -27,6 +30,8 @@
 	compareAll = 3
 	// unknownHold is the time for which a call holds a slot of an upstream that has reported none.
 	unknownHold = 20 * time.Millisecond
+	// leastSlack is the time left that is assumed for a call whose objective has passed.
+	leastSlack = 20 * time.Millisecond
 )
 
 // Choice is what a call needs.
@@ -132,21 +137,19 @@
 	if len(p.local)+len(p.remote) == 0 {
 		p.collect(now, c, func(*member) bool { return true })
 	}
-	local, lc := best(now, rnd, p.local, c)
-	remote, rc := best(now, rnd, p.remote, c)
+	c.Slack = max(c.Slack, leastSlack)
+	local, here := best(now, rnd, p.local, c)
+	remote, there := best(now, rnd, p.remote, c)
+	there.time += zoneTime + time.Duration(zoneShare*float64(c.Slack))
 	switch {
 	case local == nil && remote == nil:
 		return hornbeamcroft.Member{}, false
-	case remote == nil || (local != nil && lc <= rc+zoneCost(c)):
+	case remote == nil || (local != nil && here.time <= there.time):
 		return local.Member, true
 	}
 	return remote.Member, true
 }
 
-func zoneCost(c Choice) time.Duration {
-	return max(leastZoneCost, time.Duration(float64(c.Slack)*zoneShare))
-}
-
 func (p *Placer) collect(now time.Duration, c Choice, allow func(*member) bool) {
 	p.local, p.remote = p.local[:0], p.remote[:0]
 	for _, m := range p.members {
@@ -164,8 +167,22 @@
 	}
 }
 
+// cost is what a candidate costs: the time beyond what the call can spare, and among equals the share of its slots that
+// are taken.
+type cost struct {
+	time time.Duration
+	busy float64
+}
+
+func (c cost) less(other cost) bool {
+	if c.time != other.time {
+		return c.time < other.time
+	}
+	return c.busy < other.busy
+}
+
 // best returns the candidate with the least cost, and the cost.
-func best(now time.Duration, rnd hornbeamcroft.Rand, ms []*member, c Choice) (*member, time.Duration) {
+func best(now time.Duration, rnd hornbeamcroft.Rand, ms []*member, c Choice) (*member, cost) {
 	if len(ms) > compareAll {
 		i, j := rnd.IntN(len(ms)), rnd.IntN(len(ms)-1)
 		if j >= i {
@@ -175,35 +192,41 @@
 		ms = ms[:2]
 	}
 	var found *member
-	var least time.Duration
+	var least cost
 	for _, m := range ms {
-		if cost := m.cost(now, c); found == nil || cost < least {
+		if cost := m.cost(now, c); found == nil || cost.less(least) {
 			found, least = m, cost
 		}
 	}
 	return found, least
 }
 
-// cost is the expected time until the member has run a call, with a penalty for one that fails calls.
-func (m *member) cost(now time.Duration, c Choice) time.Duration {
+// cost returns what the member costs for a call.
+func (m *member) cost(now time.Duration, c Choice) cost {
 	hold := m.load.Hold
 	if hold <= 0 {
 		hold = unknownHold
 	}
-	failing := float64(m.load.Failing) / 1000
-	penalty := time.Duration(failing * failingCost * float64(max(c.Slack, hold)))
-	return m.wait(now, hold) + hold + penalty
+	busy, limit := m.use(now)
+	slack := float64(c.Slack)
+	over := float64(wait(busy, limit, hold))
+	over += max(0, holdMargin*float64(hold)-holdShare*slack)
+	over += float64(m.load.Failing) / 1000 * failingCost * slack
+	return cost{time: time.Duration(over), busy: float64(busy) / float64(limit)}
 }
 
-// wait is the expected time until the member has a free slot.
-func (m *member) wait(now, hold time.Duration) time.Duration {
-	busy := m.outstanding
-	limit := m.Slots
+// use returns the calls that the member has, and how many may run at once.
+func (m *member) use(now time.Duration) (busy, limit int) {
+	busy, limit = m.outstanding, m.Slots
 	if m.reportedAt > 0 && now-m.reportedAt < reportTime {
 		busy = max(busy, m.load.Running+m.load.Waiting+m.sent)
 		limit = m.load.Limit
 	}
-	limit = max(limit, 1)
+	return busy, max(limit, 1)
+}
+
+// wait is the expected time until a slot is free.
+func wait(busy, limit int, hold time.Duration) time.Duration {
 	if busy < limit {
 		return 0
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -98,7 +98,7 @@
 
 // load returns the load of the upstream. The lock is held.
 func (r *Runner) load() hornbeamcroft.Load {
-	l := r.scheduler.Load()
+	l := r.scheduler.Load(r.Clock.Now())
 	if !r.upstream.Usable() || r.down {
 		l.Limit = 0
 	}
@@ -181,7 +181,7 @@
 		r.checkCrash(ctx, instance)
 	}
 	reach := r.close(id, run, call, res)
-	r.finish(id, sample(res, rec.Held))
+	r.finish(id, sample(res, rec.Held, len(reach) > 0))
 	if res.Outcome == exchanger.OutcomeWrongInstance {
 		r.OnGone(instance, res.Instance)
 	}
@@ -341,11 +341,12 @@
 	return r.ticking
 }
 
-func sample(res exchanger.Result, held time.Duration) hornbeamcroft.Sample {
+// sample tells the scheduler how a call ended. The failure of a run that made calls is most likely one of those.
+func sample(res exchanger.Result, held time.Duration, called bool) hornbeamcroft.Sample {
 	s := hornbeamcroft.Sample{ServiceTime: held}
 	switch res.Outcome {
 	case exchanger.OutcomeAnswered:
-		s.Failed = res.Status >= 500
+		s.Failed = res.Status >= 500 && !called
 	case exchanger.OutcomeNotRun:
 		s.Overloaded = true
 	case exchanger.OutcomeLost, exchanger.OutcomeSpoilt:
--- a/scheduler/level.go
+++ b/scheduler/level.go
@@ -101,16 +101,16 @@
 	l.offered[i] += (seen - l.offered[i]) * offeredGain
 }
 
-// pressure returns the least important level of which a part is admitted. Critical requests are left to the queue.
+// pressure returns the most important level of which not all is admitted; what is less important is shed.
 func (l *level) pressure(service string) hornbeamcroft.Pressure {
-	p := hornbeamcroft.Pressure{Service: service, Threshold: hornbeamcroft.ThresholdAll}
-	for i := range hornbeamcroft.ImportanceCritical {
-		p.Importance = i
-		if l.share[i] > 0 {
-			p.Threshold = uint32(math.Round(math.Min(1, l.share[i]) * hornbeamcroft.ThresholdAll))
-			return p
+	for i := hornbeamcroft.ImportanceCritical; ; i-- {
+		if share := l.share[i]; l.ready && share < 1 {
+			return hornbeamcroft.Pressure{
+				Service: service, Importance: i, Threshold: uint32(math.Round(share * hornbeamcroft.ThresholdAll)),
+			}
+		}
+		if i == 0 {
+			return hornbeamcroft.Pressure{Service: service, Threshold: hornbeamcroft.ThresholdAll}
 		}
 	}
-	p.Importance, p.Threshold = hornbeamcroft.ImportanceCritical, hornbeamcroft.ThresholdAll
-	return p
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -5,6 +5,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"time"
 
 	"hornbeamcroft"
@@ -23,14 +24,12 @@
 	innerLead = 100 * time.Millisecond
 	// noObjective is the time within which a call without an objective should run.
 	noObjective = time.Second
-	// shrinkFactor lowers the limit when the upstream refuses a call although the limit holds, and growStep raises it
-	// again with each call that runs well.
-	shrinkFactor = 0.9
-	growStep     = 0.02
 	// holdGain is the weight of one call in the smoothed time for which a call holds a slot.
 	holdGain = 0.05
-	// failGain is the weight of one call in the share of failed calls.
-	failGain = 0.05
+	// failGain is the weight of one call in the share of failed calls, and failHalfLife the time in which the share halves
+	// without calls: an upstream that is avoided for its failures would otherwise be avoided for ever.
+	failGain     = 0.05
+	failHalfLife = 2 * time.Second
 	// maxWaiting bounds the calls that wait.
 	maxWaiting = 4096
 )
@@ -42,15 +41,13 @@
 	// Slots is the number of calls that the upstream runs at once; at least 1.
 	Slots int
 
-	// limit is the number of calls that may run, and limitSlots the slots that it was set for.
-	limit      float64
-	limitSlots int
-
 	queue   queue
 	running map[uint64]runner
 	// hold is the smoothed time in seconds for which a call holds a slot, failing the smoothed share of failed calls.
 	hold, failing float64
-	level         level
+	// judgedAt is the time of failing.
+	judgedAt time.Duration
+	level    level
 }
 
 // runner is a call at the upstream.
@@ -59,14 +56,9 @@
 	started time.Duration
 }
 
-// Limit returns the number of calls that may run at once.
-func (s *Scheduler) Limit() int {
-	most := max(1, int(float64(s.Slots)*usableShare))
-	if s.limitSlots != s.Slots || s.limit > float64(most) {
-		s.limit, s.limitSlots = float64(most), s.Slots
-	}
-	return max(1, int(s.limit))
-}
+// Limit returns the number of calls that may run at once. It does not fall when the upstream refuses calls: this node is
+// its only sender, so a refusal within the slots is a fault of the upstream and no sign of a lack of room.
+func (s *Scheduler) Limit() int { return max(1, int(float64(s.Slots)*usableShare)) }
 
 // Arrive offers a call.
 func (s *Scheduler) Arrive(now time.Duration, t hornbeamcroft.Ticket) []hornbeamcroft.Decision {
@@ -131,28 +123,22 @@
 	}
 	delete(s.running, id)
 	s.level.finish(now, s, r.ticket.Importance, now-r.started)
-	s.learn(p)
+	s.learn(now, p)
 	return s.dispatch(now, nil)
 }
 
-func (s *Scheduler) learn(p hornbeamcroft.Sample) {
+func (s *Scheduler) learn(now time.Duration, p hornbeamcroft.Sample) {
 	if p.Ignore {
 		return
 	}
-	if p.Overloaded {
-		s.failing += (1 - s.failing) * failGain
-		if s.limit > 1 {
-			s.limit = max(1, min(s.limit, float64(len(s.running)+1))*shrinkFactor)
-		}
-		return
-	}
 	failed := 0.0
-	if p.Failed {
+	if p.Failed || p.Overloaded {
 		failed = 1
 	}
+	s.failing = s.failingAt(now)
 	s.failing += (failed - s.failing) * failGain
-	s.limit += growStep
-	if p.ServiceTime <= 0 || p.Failed {
+	s.judgedAt = now
+	if p.ServiceTime <= 0 || failed > 0 {
 		return
 	}
 	if s.hold == 0 {
@@ -162,6 +148,11 @@
 	s.hold += (p.ServiceTime.Seconds() - s.hold) * holdGain
 }
 
+// failingAt returns the share of failed calls, which fades while there are none.
+func (s *Scheduler) failingAt(now time.Duration) float64 {
+	return s.failing * math.Exp2(-float64(now-s.judgedAt)/float64(failHalfLife))
+}
+
 func (s *Scheduler) holdTime() time.Duration { return time.Duration(s.hold * float64(time.Second)) }
 
 // Cancel withdraws a waiting call.
@@ -215,9 +206,9 @@
 }
 
 // Load returns what senders need to place their calls.
-func (s *Scheduler) Load() hornbeamcroft.Load {
+func (s *Scheduler) Load(now time.Duration) hornbeamcroft.Load {
 	return hornbeamcroft.Load{
 		Running: len(s.running), Waiting: len(s.queue.entries), Limit: s.Limit(), Hold: s.holdTime(),
-		Failing: int(s.failing * 1000),
+		Failing: int(s.failingAt(now) * 1000),
 	}
 }
