--- a/agent/calls.go
+++ b/agent/calls.go
@@ -94,6 +94,7 @@
 	call.Request = parent.Root
 	call.Importance = parent.Importance
 	call.Depth = parent.Depth + 1
+	call.Repeat = parent.Repeat
 	call.Remaining = min(call.Remaining, parent.Deadline-now)
 	call.Objective = min(call.Objective, (parent.Objective-now)/childShare)
 }
--- a/call.go
+++ b/call.go
@@ -51,6 +51,9 @@
 	// Objective is the time left, when the call was sent, in which the answer to the whole request has its full value.
 	// It is negative if that time has passed.
 	Objective time.Duration `cbor:"22,keyasint,omitempty"`
+	// Repeat is true if an earlier send of the call, or of one above it, may have run. The calls of a repeated run are
+	// repeats themselves.
+	Repeat bool `cbor:"23,keyasint,omitempty"`
 }
 
 // maxDepthOnWire bounds the depth field of frames from outside; the document's max-depth is checked separately.
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/admitter"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/placer"
 	"hornbeamcroft/rationer"
@@ -178,7 +179,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	c.Rationer.Request(now, call.Service)
+	if !call.Repeat {
+		c.Rationer.Request(now, call.Service)
+	}
 	if call.Depth > 1 {
 		return throttler.Verdict{Admitted: true}
 	}
@@ -241,7 +244,10 @@
 	for service, calls := range c.throttler.Reach(call.Type) {
 		weight[service] += calls
 	}
-	return c.Rationer.Allow(c.Clock.Now(), weight)
+	return c.Rationer.Allow(c.Clock.Now(), rationer.Repeat{
+		Weight: weight, Single: call.Depth == 1 && len(weight) == 1, Importance: call.Importance,
+		Hash: admitter.Hash(call.Request),
+	})
 }
 
 // RepeatsLeft returns the repeats that this node may still send to each service.
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -48,6 +48,7 @@
 		d.tried = append(d.tried, m.Name)
 		if mayHaveRun {
 			d.runs++
+			call.Repeat = true
 		}
 		if !d.again(ctx, call, a, moves) {
 			return d.conclude(call, a)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -266,6 +266,7 @@
 	return r.upstream.Instance, r.tracer.Open(tracer.Run{
 		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
+		Repeat: call.Repeat,
 	})
 }
 
