hornbeam-node: keep catching SIGHUP during a planned stop

Ruled out: own exits, go-zero's shutdown, memory. Also: rest routes in place of a not-found handler, which wrote a second header and a log line for each call.

--- a/agent/listen.go
+++ b/agent/listen.go
@@ -25,8 +25,8 @@
 			Name: "links", Address: cfg.Links,
 			Routes: []rest.Route{{Method: http.MethodGet, Path: "/link", Handler: a.links.Accept}},
 		},
-		{Name: "announcements", Address: cfg.Announcements, Fallback: announcements},
-		{Name: "readiness", Address: cfg.Readiness, Fallback: platform.Readiness(a.ready)},
+		{Name: "announcements", Address: cfg.Announcements, Routes: announcements.Routes()},
+		{Name: "readiness", Address: cfg.Readiness, Routes: platform.ReadinessRoutes(a.ready)},
 		{
 			Name: "metrics", Address: cfg.Metrics,
 			Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics}},
--- a/cmd/hornbeam-node/agent.go
+++ b/cmd/hornbeam-node/agent.go
@@ -75,7 +75,7 @@
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
 	go func() {
-		defer signal.Stop(hup)
+		// The signal stays caught after ctx has ended: it may come during a planned stop, and would end the process.
 		last, _ := os.ReadFile(path)
 		t := time.NewTicker(settingsLook)
 		defer t.Stop()
--- /dev/null
+++ b/cmd/hornbeam-node/agent_test.go
@@ -0,0 +1,91 @@
+package main
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// freePort returns a port that nothing listens on.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+// settings returns the settings of an agent whose store cannot be reached.
+func settings(t *testing.T) string {
+	t.Helper()
+	var b strings.Builder
+	b.WriteString("[agent]\nname = a\nservice = s\nzone = z\nmemory-mb = 200\nbounds = graceS=6\n")
+	for _, key := range []string{"way-in", "links", "announcements", "readiness", "metrics", "upstream"} {
+		fmt.Fprintf(&b, "%s = 127.0.0.1:%d\n", key, freePort(t))
+	}
+	fmt.Fprintf(&b, "[platform-store]\naddress = 127.0.0.1:%d\n", freePort(t))
+	return b.String()
+}
+
+// build returns the path of the program.
+func build(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "hornbeam-node")
+	if out, err := exec.Command("go", "build", "-o", program, ".").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// TestHangupDuringStop guards against a process that is ended by SIGHUP, which also tells of changed settings, while it
+// carries out a planned stop.
+func TestHangupDuringStop(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "agent.ini")
+	is.NoErr(os.WriteFile(path, []byte(settings(t)), 0o600))
+	var out bytes.Buffer
+	cmd := exec.Command(build(t), "agent", "--settings", path)
+	cmd.Stdout, cmd.Stderr = &out, &out
+	is.NoErr(cmd.Start())
+	time.Sleep(500 * time.Millisecond)
+	is.NoErr(cmd.Process.Signal(syscall.SIGTERM))
+	for range 5 {
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(cmd.Process.Signal(syscall.SIGHUP))
+	}
+	if err := cmd.Wait(); err != nil {
+		t.Fatalf("ended with %v\n%s", err, out.String())
+	}
+	is.True(strings.Contains(out.String(), "agent: stopped"))
+}
+
+// TestWrongSettings guards against a wrong settings file that does not give one clear line and the exit status 2.
+func TestWrongSettings(t *testing.T) {
+	is := is.New(t)
+	path := filepath.Join(t.TempDir(), "agent.ini")
+	is.NoErr(os.WriteFile(path, []byte(strings.Replace(settings(t), "zone = z", "zone =\ncolour = red", 1)), 0o600))
+	out, err := exec.Command(build(t), "agent", "--settings", path).CombinedOutput()
+	var exit *exec.ExitError
+	is.True(err != nil)
+	is.True(asExit(err, &exit))
+	is.Equal(exit.ExitCode(), 2)
+	is.True(strings.Contains(string(out), "[agent] zone"))
+	is.True(strings.Contains(string(out), "[agent] colour: unknown key"))
+}
+
+func asExit(err error, target **exec.ExitError) bool {
+	e, ok := err.(*exec.ExitError)
+	*target = e
+	return ok
+}
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -35,8 +35,6 @@
 	KeyFile  string
 	TLS      *tls.Config
 	Routes   []rest.Route
-	// Fallback handles what no route matches; nil for 404.
-	Fallback http.Handler
 }
 
 // Open serves until the returned function is called. A failure to listen later goes to ends.
@@ -83,9 +81,6 @@
 	if l.TLS != nil {
 		opts = append(opts, rest.WithTLSConfig(l.TLS))
 	}
-	if l.Fallback != nil {
-		opts = append(opts, rest.WithNotFoundHandler(l.Fallback), rest.WithNotAllowedHandler(l.Fallback))
-	}
 	server, err := rest.NewServer(rest.RestConf{
 		ServiceConf: service.ServiceConf{
 			Name: l.Name, Mode: service.ProMode,
