--- a/agent/agent.go
+++ b/agent/agent.go
@@ -30,6 +30,7 @@
 	"hornbeamcroft/recorder"
 	"hornbeamcroft/router"
 	"hornbeamcroft/runner"
+	"hornbeamcroft/sender"
 	"hornbeamcroft/subscriber"
 	"hornbeamcroft/suspecter"
 )
@@ -191,14 +192,14 @@
 	}
 	a.runner = &runner.Runner{
 		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
-		Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared, OnGone: a.onGone, OnEnd: a.recordRun,
+		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared, OnGone: a.onGone, OnEnd: a.recordRun,
 	}
+	send := &sender.Sender{Name: cfg.Name, Incarnation: a.incarnation, Links: a.links}
 	a.courier = &courier.Courier{
-		Clock: a.clock, Rand: randomizer.Randomizer{}, Name: cfg.Name, Zone: cfg.Zone, Incarnation: a.incarnation,
-		Links: a.links, Local: a.runner.Run, Dial: a.dial, OnEnd: a.recordRequest,
-		Rationer: &rationer.Rationer{
-			Ratio: a.Bounds.RetryRatio, Slack: a.Bounds.RetrySlack, Window: a.Bounds.RetryWindow, Nodes: 1,
-		},
+		Clock: a.clock, Rand: randomizer.Randomizer{}, Name: cfg.Name, Zone: cfg.Zone,
+		Local: a.runner.Run, Remote: send.Send, Linked: func(name string) bool { return a.links.Peer(name) != nil },
+		Dial: a.dial, OnEnd: a.recordRequest,
+		Rationer: a.newRationer(rationer.SenderShare),
 	}
 	a.runner.Levels = a.courier.Levels
 	a.enroller = &enroller.Enroller{
@@ -209,6 +210,12 @@
 	}
 }
 
+func (a *Agent) newRationer(share float64) *rationer.Rationer {
+	return &rationer.Rationer{
+		Ratio: a.Bounds.RetryRatio, Slack: a.Bounds.RetrySlack, Window: a.Bounds.RetryWindow, Share: share, Nodes: 1,
+	}
+}
+
 // listen opens all addresses.
 func (a *Agent) listen(ends chan error) error {
 	fail := func(err error) { ends <- err }
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -13,12 +13,8 @@
 	"hornbeamcroft/framer"
 	"hornbeamcroft/platform"
 	"hornbeamcroft/suspecter"
-	"hornbeamcroft/tracer"
 )
 
-// childShare is the part of the time left for a whole request that one call of it may wait; a run makes several calls.
-const childShare = 2
-
 // newWayIn returns the handler of requests.
 func (a *Agent) newWayIn() *platform.WayIn {
 	return &platform.WayIn{
@@ -59,10 +55,8 @@
 		return answer
 	}
 	call := a.newCall(in, route, service)
-	parent, inner := a.runner.Parent(in.Attempt)
-	if inner {
-		a.inherit(&call, parent)
-	} else {
+	inner := a.runner.Inherit(&call)
+	if !inner {
 		a.outside.Add(1)
 		defer a.outside.Add(-1)
 	}
@@ -91,17 +85,6 @@
 	}
 }
 
-// inherit makes the call a child of the request that runs at the own upstream.
-func (a *Agent) inherit(call *hornbeamcroft.Call, parent tracer.Run) {
-	now := a.clock.Now()
-	call.Request = parent.Root
-	call.Importance = parent.Importance
-	call.Depth = parent.Depth + 1
-	call.Repeat = parent.Repeat
-	call.Remaining = min(call.Remaining, parent.Deadline-now)
-	call.Objective = min(call.Objective, (parent.Objective-now)/childShare)
-}
-
 // maxRootID bounds the id by which a whole request is known, in bytes.
 const maxRootID = 128
 
--- a/agent/members.go
+++ b/agent/members.go
@@ -98,6 +98,13 @@
 	members := a.locator.Members()
 	a.membersMu.Unlock()
 	a.courier.Update(members)
+	hosts := 0
+	for _, m := range members {
+		if m.Service == a.Settings.Agent.Service {
+			hosts++
+		}
+	}
+	a.runner.SetHosts(hosts)
 }
 
 func (a *Agent) tickMembers() {
@@ -121,7 +128,7 @@
 			Uint64("incarnation", n.Member.Incarnation).Uint64("sequence", n.Member.Sequence).Msg("members: heard over a link")
 	}
 	a.publishMembers()
-	a.courier.Linked(n.Member.Name, !l.Ended())
+	a.courier.SetLinked(n.Member.Name, !l.Ended())
 	a.courier.Report(n.Member.Name, n.Load)
 	a.compareRoutes(l, n.Routes)
 }
@@ -141,7 +148,7 @@
 	if a.links.Peer(l.Peer.Name) != nil {
 		return
 	}
-	a.courier.Linked(l.Peer.Name, false)
+	a.courier.SetLinked(l.Peer.Name, false)
 	a.membersMu.Lock()
 	a.locator.Unlink(a.clock.Now(), l.Peer.Name)
 	m, known := a.locator.Member(l.Peer.Name)
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -80,6 +80,7 @@
 	a.membersMu.Lock()
 	m.gauge("members/known", int64(len(a.locator.Members())))
 	a.membersMu.Unlock()
+	m.gauge("repeats-to-grant", int64(a.runner.RepeatsLeft()))
 	for service, left := range a.courier.RepeatsLeft() {
 		m.gauge("repeats-left/"+service, int64(left))
 	}
--- a/call.go
+++ b/call.go
@@ -54,6 +54,8 @@
 	// Repeat is true if an earlier send of the call, or of one above it, may have run. The calls of a repeated run are
 	// repeats themselves.
 	Repeat bool `cbor:"23,keyasint,omitempty"`
+	// Sends is the number of earlier sends of the call that reached an upstream, whether it ran them or not.
+	Sends int `cbor:"24,keyasint,omitempty"`
 }
 
 // maxDepthOnWire bounds the depth field of frames from outside; the document's max-depth is checked separately.
@@ -129,6 +131,8 @@
 	Load *Load `cbor:"13,keyasint,omitempty"`
 	// Reach counts the calls that the run made to further services, at most MaxReach entries.
 	Reach []Reach `cbor:"14,keyasint,omitempty"`
+	// Again grants one repeat of the call: the node beside the upstream has taken it from the allowance of repeats.
+	Again bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Check reports whether the answer is well formed.
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -1,6 +1,5 @@
-// Package courier takes a request from the way in to an upstream and brings its answer back. It picks the host, sends the
-// call over a link or runs it at the own upstream, asks for the outcome when a link is lost, and sends the call again
-// where that is safe and within the allowance of repeats.
+// Package courier takes a request from the way in to an upstream and brings its answer back. It decides whether the
+// request starts, picks the host, and sends the call again where that is safe and within the allowance of repeats.
 package courier
 
 import (
@@ -12,15 +11,14 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/admitter"
-	"hornbeamcroft/connector"
 	"hornbeamcroft/placer"
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/throttler"
 )
 
 const (
-	// maxMoves bounds the sends after refusals that cost the upstream nothing: a host that drains, is full or is gone.
-	maxMoves = 4
+	// maxSends bounds the sends of one call, those included that a host refused before they reached its upstream.
+	maxSends = 8
 	// noHostRetry is when a request may come back for which no host is known.
 	noHostRetry = 500 * time.Millisecond
 	// prewarm is the number of hosts of a service to which links are opened at its first call.
@@ -47,14 +45,15 @@
 
 // Courier delivers calls. Set the exported fields before the first Deliver. It is safe for concurrent use.
 type Courier struct {
-	Clock       hornbeamcroft.Clock
-	Rand        hornbeamcroft.Rand
-	Name        string
-	Zone        string
-	Incarnation uint64
-	Links       *connector.Connector
-	// Local runs a call at the own upstream.
-	Local func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
+	Clock hornbeamcroft.Clock
+	Rand  hornbeamcroft.Rand
+	Name  string
+	Zone  string
+	// Local runs a call at the own upstream, Remote at that of another host.
+	Local  func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
+	Remote func(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) hornbeamcroft.Answer
+	// Linked reports whether a link to the named member is open.
+	Linked func(name string) bool
 	// Dial opens a link in the background.
 	Dial func(m hornbeamcroft.Member)
 	// Rationer holds the allowance of repeats.
@@ -98,7 +97,7 @@
 	p.Update(members)
 	var wanted []hornbeamcroft.Member
 	for _, m := range members {
-		linked := m.Name == c.Name || c.Links.Peer(m.Name) != nil
+		linked := m.Name == c.Name || c.Linked(m.Name)
 		p.Link(m.Name, linked)
 		if !linked && m.State == hornbeamcroft.MemberServing {
 			wanted = append(wanted, m)
@@ -140,8 +139,8 @@
 	return p
 }
 
-// Linked tells that a link with a member was opened or that the last one has ended.
-func (c *Courier) Linked(name string, open bool) {
+// SetLinked tells that a link with a member was opened or that the last one has ended.
+func (c *Courier) SetLinked(name string, open bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if p := c.placers[c.members[name].Service]; p != nil {
@@ -193,11 +192,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
-	if call.Repeat {
-		c.Rationer.Caused(now, call.Service)
-	} else {
-		c.Rationer.Request(now, call.Service)
-	}
+	c.Rationer.Request(now, call.Service)
 	if call.Depth > 1 {
 		return throttler.Verdict{Admitted: true}
 	}
@@ -248,14 +243,13 @@
 	c.placer(service).Down(c.Clock.Now(), host)
 }
 
-// allowRepeat reports whether a repeat of the call is within the allowance. It is told whether the first send may have
-// run.
-func (c *Courier) allowRepeat(call hornbeamcroft.Call, mayHaveRun bool) bool {
+// allowRepeat reports whether a repeat of a call that got no answer is within the allowance of this node.
+func (c *Courier) allowRepeat(call hornbeamcroft.Call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	calls := len(c.throttler.Reach(call.Type)) > 0
 	return c.Rationer.Allow(c.Clock.Now(), rationer.Repeat{
-		Service: call.Service, Subtree: calls && mayHaveRun, Depth: call.Depth, Single: call.Depth == 1 && !calls,
+		Service: call.Service, Subtree: calls, Depth: call.Depth, Single: call.Depth == 1 && !calls,
 		Importance: call.Importance, Hash: admitter.Hash(call.Request),
 	})
 }
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -5,16 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"hornbeamcroft"
-	"hornbeamcroft/connector"
-	"hornbeamcroft/framer"
 )
 
-// outcomePause is the wait between attempts to reach a node whose link was lost.
-const outcomePause = 50 * time.Millisecond
-
 // delivery is one request on its way.
 type delivery struct {
 	c     *Courier
@@ -41,20 +34,23 @@
 		}
 		return hornbeamcroft.Answer{Code: code, RetryAfter: v.RetryAfter}
 	}
-	for moves := 0; ; moves++ {
+	for {
 		m, ok := d.host(ctx, call)
 		if !ok {
 			return d.conclude(call, hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoUpstream, RetryAfter: noHostRetry})
 		}
-		a, mayHaveRun := d.send(ctx, m, call)
+		a := d.send(ctx, m, call)
 		d.c.learn(call, m.Name, a)
 		d.rec.Hosts, d.rec.Codes = append(d.rec.Hosts, m.Name), append(d.rec.Codes, a.Code)
 		d.tried = append(d.tried, m.Name)
-		if mayHaveRun {
+		if a.Code == hornbeamcroft.CodeUpstreamRefused || ran(a.Code) {
+			call.Sends++
+		}
+		if ran(a.Code) {
 			d.ranOn = append(d.ranOn, m.Name)
 			call.Repeat = true
 		}
-		if !d.again(ctx, call, a, moves) {
+		if !d.again(ctx, call, a) {
 			return d.conclude(call, a)
 		}
 	}
@@ -78,6 +74,11 @@
 	until := d.c.Clock.Now() + patience
 	for {
 		m, ok := d.c.pick(call, d.excluded)
+		if !ok && slices.Contains(d.rec.Codes, hornbeamcroft.CodeUpstreamRefused) && len(d.tried) > 0 {
+			// An upstream that refuses without reason may take the next send.
+			d.tried = nil
+			continue
+		}
 		if ok || d.refused() || d.c.Clock.Now() >= until || !sleep(ctx, hostPause) {
 			return m, ok
 		}
@@ -90,8 +91,8 @@
 }
 
 // again reports whether the call is sent once more after the answer.
-func (d *delivery) again(ctx context.Context, call hornbeamcroft.Call, a hornbeamcroft.Answer, moves int) bool {
-	if ctx.Err() != nil || moves >= maxMoves {
+func (d *delivery) again(ctx context.Context, call hornbeamcroft.Call, a hornbeamcroft.Answer) bool {
+	if ctx.Err() != nil || len(d.rec.Hosts) >= maxSends {
 		return false
 	}
 	switch a.Code {
@@ -101,17 +102,16 @@
 		// Nothing reached the upstream.
 		return true
 	case hornbeamcroft.CodeUpstreamRefused:
-		return d.c.allowRepeat(call, false)
-	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated:
-	case hornbeamcroft.CodeAnswered:
-		// A failure of a run that made calls is most likely one of those, and they were repeated already.
-		if a.Status < 500 || len(a.Reach) > 0 {
+		return a.Again
+	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated,
+		hornbeamcroft.CodeAnswered:
+		if !call.Idempotent || len(d.ranOn) >= maxRuns {
 			return false
 		}
-	default:
-		return false
+		// Without a load the answer is not from the node beside the upstream, which could have granted a repeat.
+		return a.Again || a.Load == nil && a.Code != hornbeamcroft.CodeAnswered && d.c.allowRepeat(call)
 	}
-	return call.Idempotent && len(d.ranOn) < maxRuns && d.c.allowRepeat(call, true)
+	return false
 }
 
 // excluded reports whether the next send does not go to the host.
@@ -148,77 +148,28 @@
 	return a
 }
 
-// send sends the call to the host. It reports whether the call may have run there.
-func (d *delivery) send(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+// send sends the call to the host, with the times that are left now.
+func (d *delivery) send(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	elapsed := d.c.Clock.Now() - d.start
 	call.Remaining -= elapsed
 	call.Objective -= elapsed
 	if call.Remaining <= 0 {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}, false
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}
 	}
 	call.ID = d.c.nextID.Add(1)
 	if m.Name == d.c.Name {
-		a := d.c.Local(ctx, call)
-		return a, ran(a.Code)
-	}
-	l := d.c.Links.Peer(m.Name)
-	if l == nil {
-		var err error
-		if l, err = d.c.Links.Link(ctx, m.Address); err != nil {
-			d.c.down(call.Service, m.Name)
-			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamUnreachable}, false
-		}
+		return d.c.Local(ctx, call)
 	}
-	a, err := l.Call(ctx, call)
-	switch {
-	case err == nil:
-		return a, ran(a.Code)
-	case errors.Is(err, connector.ErrNotSent):
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamUnreachable}, false
-	case errors.Is(err, connector.ErrLinkLost):
-		a := d.lost(ctx, m, call, l.Peer.Incarnation)
-		return a, ran(a.Code)
+	a := d.c.Remote(ctx, m, call)
+	if a.Code == hornbeamcroft.CodeUpstreamUnreachable && a.Load == nil {
+		d.c.down(call.Service, m.Name)
 	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}, true
+	return a
 }
 
 // ran reports whether a call with this answer may have run.
 func ran(c hornbeamcroft.Code) bool { return c.Claim() != hornbeamcroft.ClaimNotRun }
 
-func ended(ctx context.Context) hornbeamcroft.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return hornbeamcroft.CodeDeadlinePassed
-	}
-	return hornbeamcroft.CodeCallerGone
-}
-
-// lost settles a call whose link ended. An idempotent one is sent elsewhere; for another the node at the other end is
-// asked, until the deadline, what became of it. A node that was started anew does not know.
-func (d *delivery) lost(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call, incarnation uint64,
-) hornbeamcroft.Answer {
-	unknown := hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
-	if call.Idempotent {
-		return unknown
-	}
-	for sleep(ctx, outcomePause) {
-		l, err := d.c.Links.Link(ctx, m.Address)
-		if err != nil {
-			continue
-		}
-		if l.Peer.Name != m.Name || l.Peer.Incarnation != incarnation {
-			return unknown
-		}
-		deadline, _ := ctx.Deadline()
-		a, err := l.Outcome(ctx, framer.OutcomeQuery{
-			Sender: d.c.Name, Incarnation: d.c.Incarnation, ID: call.ID, Remaining: time.Until(deadline),
-		})
-		if err == nil {
-			return a
-		}
-	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -1,5 +1,6 @@
-// Package rationer bounds the repeats that all nodes together send to a service. Each node spends its own part of the
-// allowance, so that nodes need not ask each other.
+// Package rationer bounds the repeats that all nodes together send to a service. Most of the allowance is spent by the
+// nodes beside the upstreams: each sees all calls to its upstream, and so which of them a repeat helps most. The rest is
+// for senders whose call got no answer at all.
 package rationer
 
 import (
@@ -13,15 +14,22 @@
 	buckets = 10
 	// kept is the number of buckets that are remembered: those of the window and of the one before it.
 	kept = 2 * buckets
-	// safeShare is the part of the allowance that is spent. Nodes see requests and repeats at slightly different times,
-	// and an allowance that is exceeded breaks the bound for all.
-	safeShare = 0.8
-	// scarceShare is the part of the allowance below which repeats are kept for some requests, and the reserves are the
-	// parts that are left to those that come next: repeats of requests that make no further calls, which are worth most
-	// for each repeat, and before them those of critical requests.
-	scarceShare     = 0.5
-	singleReserve   = 0.1
-	criticalReserve = 0.25
+	// freeShare is the part of the allowance above which repeats are not paced: a burst of failures, as after a crash, is
+	// repeated at once.
+	freeShare = 0.7
+	// Repeats of requests that make no further calls are worth most for each repeat and are not paced. leastInner is the
+	// part of the allowance of one bucket that calls of which several must succeed get in any case, singleMargin what is
+	// kept for the others beyond what they wanted lately, and singleGain the weight of one bucket in that.
+	leastInner   = 0.1
+	singleMargin = 1.2
+	singleGain   = 0.5
+	// leastSubset is the least share of requests that get repeats when they are scarce; subsetStep and subsetFactor raise
+	// it in each bucket in which none was denied.
+	leastSubset  = 0.02
+	subsetStep   = 0.02
+	subsetFactor = 1.25
+	// criticalFactor is how much larger the subset of critical requests is.
+	criticalFactor = 4
 	// subtreeShare is the part of the allowance that goes to repeats of runs which make further calls, at each of the
 	// upper subtreeDepth levels. All calls of such a run are repeats at the services below, so that the sum over the
 	// levels must leave room for theirs.
@@ -29,6 +37,15 @@
 	subtreeDepth = 3
 )
 
+// The parts of the allowance. Their sum is below 1: nodes see requests and repeats at slightly different times, and an
+// allowance that is exceeded breaks the bound for all.
+const (
+	// UpstreamShare is spent by the nodes beside the upstreams.
+	UpstreamShare = 0.78
+	// SenderShare is spent by senders.
+	SenderShare = 0.12
+)
+
 // Rationer counts requests and repeats by service. It is not safe for concurrent use.
 type Rationer struct {
 	// Ratio is the number of repeats allowed for each request, 0 to 1.
@@ -37,6 +54,8 @@
 	Slack float64
 	// Window is the time over which requests and repeats are counted.
 	Window time.Duration
+	// Share is the part of the allowance that this Rationer spends; UpstreamShare or SenderShare.
+	Share float64
 	// Nodes is the number of nodes that share the slack; at least 1.
 	Nodes int
 
@@ -46,6 +65,11 @@
 type count struct {
 	at                int64
 	requests, repeats [kept]float64
+	// subset is the share of requests whose calls get repeats, granted and denied the repeats of such calls in the bucket.
+	subset          float64
+	granted, denied float64
+	// singles is the smoothed number of repeats in a bucket that single requests want, and single that of this bucket.
+	singles, single float64
 }
 
 // Request counts the first send of a request to the service.
@@ -70,8 +94,7 @@
 	// Single is true if the call is a whole request, and not one of several calls that must all succeed.
 	Single     bool
 	Importance hornbeamcroft.Importance
-	// Hash is the survival hash of the whole request. When repeats are scarce, some requests get all that they need and
-	// the others none: a request of which one call fails is lost, with all that was spent on it.
+	// Hash is the survival hash of the whole request.
 	Hash uint32
 }
 
@@ -80,7 +103,10 @@
 	c := r.count(now, q.Service)
 	allowance := r.allowance(c)
 	left := allowance - c.spent() - 1
-	if left < 0 || !q.due(left/allowance) {
+	if q.Single && !q.Subtree {
+		c.single++
+	}
+	if left < 0 || !c.due(q, left, allowance) {
 		return false
 	}
 	c.repeats[c.at%kept]++
@@ -88,19 +114,41 @@
 }
 
 // due reports whether the request is one of those that get repeats while the given part of the allowance is left.
-func (q Repeat) due(left float64) bool {
-	if q.Subtree {
-		return q.Depth <= subtreeDepth && left >= 1-subtreeShare
-	}
-	if q.Single || left >= scarceShare {
+func (c *count) due(q Repeat, left, allowance float64) bool {
+	switch {
+	case q.Subtree:
+		return q.Depth <= subtreeDepth && left >= (1-subtreeShare)*allowance
+	case q.Single || left >= freeShare*allowance:
 		return true
 	}
-	reserve := criticalReserve
+	subset := c.subset
 	if q.Importance == hornbeamcroft.ImportanceCritical {
-		reserve = singleReserve
+		subset = min(1, subset*criticalFactor)
+	}
+	if float64(q.Hash) >= subset*hornbeamcroft.ThresholdAll {
+		return false
+	}
+	quota := allowance / buckets
+	if c.granted >= max(leastInner*quota, quota-singleMargin*max(c.singles, c.single)) {
+		c.denied++
+		return false
+	}
+	c.granted++
+	return true
+}
+
+// turn begins a bucket. The subset follows what was asked for in the last one: some requests get all repeats that they
+// need and the others none, since a request of which one call fails is lost with all that was spent on it.
+func (c *count) turn() {
+	c.at++
+	c.requests[c.at%kept], c.repeats[c.at%kept] = 0, 0
+	if c.denied > 0 {
+		c.subset = max(leastSubset, c.subset*c.granted/(c.granted+c.denied))
+	} else {
+		c.subset = min(1, c.subset*subsetFactor+subsetStep)
 	}
-	share := (left - reserve) / (scarceShare - reserve)
-	return float64(q.Hash) < share*hornbeamcroft.ThresholdAll
+	c.singles += (c.single - c.singles) * singleGain
+	c.granted, c.denied, c.single = 0, 0, 0
 }
 
 // Left returns the repeats to the service that are still allowed.
@@ -110,7 +158,7 @@
 }
 
 func (r *Rationer) allowance(c *count) float64 {
-	return safeShare * (r.Ratio*c.demand() + r.Slack/float64(max(r.Nodes, 1)))
+	return r.Share * (r.Ratio*c.demand() + r.Slack/float64(max(r.Nodes, 1)))
 }
 
 // count returns the counts of the service with the buckets that left the window cleared.
@@ -121,12 +169,11 @@
 	at := int64(now / (max(r.Window, time.Second) / buckets))
 	c := r.services[service]
 	if c == nil {
-		c = &count{at: at}
+		c = &count{at: at, subset: 1}
 		r.services[service] = c
 	}
 	for steps := 0; c.at < at && steps < kept; steps++ {
-		c.at++
-		c.requests[c.at%kept], c.repeats[c.at%kept] = 0, 0
+		c.turn()
 	}
 	c.at = max(c.at, at)
 	return c
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -8,8 +8,10 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/admitter"
 	"hornbeamcroft/exchanger"
 	"hornbeamcroft/observer"
+	"hornbeamcroft/rationer"
 	"hornbeamcroft/scheduler"
 	"hornbeamcroft/tracer"
 )
@@ -35,11 +37,19 @@
 	Err          error
 }
 
+// Exchanger sends requests to the upstream. *exchanger.Exchanger implements it.
+type Exchanger interface {
+	Exchange(ctx context.Context, q exchanger.Request) exchanger.Result
+	// Alive reports whether the upstream accepts connections.
+	Alive(ctx context.Context) bool
+}
+
 // Runner runs calls at one upstream. Set the exported fields before the first Run. It is safe for concurrent use.
 type Runner struct {
-	Clock     hornbeamcroft.Clock
-	Service   string
-	Exchanger *exchanger.Exchanger
+	Clock   hornbeamcroft.Clock
+	Service string
+	// Exchanger speaks to the upstream.
+	Exchanger Exchanger
 	// Request returns the HTTP request of a call for the expected instance.
 	Request func(call hornbeamcroft.Call, instance string, remaining time.Duration) exchanger.Request
 	// Refuses reports whether a call is refused because it crashes upstreams; it may be nil.
@@ -51,6 +61,8 @@
 	OnGone func(instance, other string)
 	// OnEnd takes a record of each call.
 	OnEnd func(r Record)
+	// Rationer holds this node's part of the allowance of repeats.
+	Rationer *rationer.Rationer
 	// Levels returns the levels of the services that a run reached.
 	Levels func(reach []hornbeamcroft.Reach) []hornbeamcroft.Pressure
 
@@ -62,6 +74,8 @@
 	waiting   map[uint64]chan hornbeamcroft.Decision
 	running   map[uint64]uint64
 	ticking   bool
+	// calls are the routes whose runs make calls of their own.
+	calls map[string]bool
 	// down is true from the first report of a crash until a call gets an answer again.
 	down bool
 }
@@ -82,6 +96,20 @@
 	}
 }
 
+// SetHosts tells how many hosts the service has; they share what is allowed besides the share of the requests.
+func (r *Runner) SetHosts(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.Rationer.Nodes = max(n, 1)
+}
+
+// RepeatsLeft returns the repeats that this node may still grant.
+func (r *Runner) RepeatsLeft() float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.Rationer.Left(r.Clock.Now(), r.Service)
+}
+
 // Upstream returns the state that was set last.
 func (r *Runner) Upstream() observer.Upstream {
 	r.mu.Lock()
@@ -112,15 +140,25 @@
 	return len(r.running)
 }
 
-// Parent returns the running call whose id the given id extends.
-func (r *Runner) Parent(attempt string) (tracer.Run, bool) {
+// childShare is the part of the time left for a whole request that one call of it may wait; a run makes several calls.
+const childShare = 2
+
+// Inherit makes the call a child of the running call whose id it extends. It reports whether there is one.
+func (r *Runner) Inherit(call *hornbeamcroft.Call) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	p := r.tracer.Parent(attempt)
+	p := r.tracer.Parent(call.Attempt)
 	if p == nil {
-		return tracer.Run{}, false
+		return false
 	}
-	return *p, true
+	now := r.Clock.Now()
+	call.Request = p.Root
+	call.Importance = p.Importance
+	call.Depth = p.Depth + 1
+	call.Repeat = p.Repeat
+	call.Remaining = min(call.Remaining, p.Deadline-now)
+	call.Objective = min(call.Objective, (p.Objective-now)/childShare)
+	return true
 }
 
 // Called counts a call that a running one made, with the calls below it.
@@ -187,9 +225,38 @@
 	}
 	a := answer(ctx, res)
 	a.Reach = reach
+	a.Again = r.grant(call, a)
 	return a
 }
 
+// grant reports whether the call may be sent once more, and takes the repeat from the allowance.
+func (r *Runner) grant(call hornbeamcroft.Call, a hornbeamcroft.Answer) bool {
+	mayHaveRun := false
+	switch a.Code {
+	case hornbeamcroft.CodeUpstreamRefused:
+	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated:
+		mayHaveRun = true
+	case hornbeamcroft.CodeAnswered:
+		// A failure of a run that made calls is most likely one of those, and they were repeated already.
+		if a.Status < 500 || len(a.Reach) > 0 {
+			return false
+		}
+		mayHaveRun = true
+	default:
+		return false
+	}
+	if mayHaveRun && !call.Idempotent {
+		return false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	calls := r.calls[call.Type]
+	return r.Rationer.Allow(r.Clock.Now(), rationer.Repeat{
+		Service: call.Service, Subtree: calls && mayHaveRun, Depth: call.Depth, Single: call.Depth == 1 && !calls,
+		Importance: call.Importance, Hash: admitter.Hash(call.Request),
+	})
+}
+
 // admit waits until the call may start.
 func (r *Runner) admit(ctx context.Context, call hornbeamcroft.Call, now time.Duration) (uint64, hornbeamcroft.Decision) {
 	ch := make(chan hornbeamcroft.Decision, 1)
@@ -263,6 +330,12 @@
 		return r.upstream.Instance, nil
 	}
 	r.running[id] = call.Fingerprint
+	switch now := r.Clock.Now(); {
+	case call.Repeat && call.Sends == 0:
+		r.Rationer.Caused(now, r.Service)
+	case call.Sends == 0:
+		r.Rationer.Request(now, r.Service)
+	}
 	return r.upstream.Instance, r.tracer.Open(tracer.Run{
 		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
@@ -274,6 +347,9 @@
 	r.mu.Lock()
 	delete(r.running, id)
 	reach := r.tracer.Close(run)
+	if len(reach) > 0 {
+		r.noteCalls(call.Type)
+	}
 	if res.Outcome == exchanger.OutcomeAnswered {
 		r.down = false
 	}
@@ -284,6 +360,17 @@
 	return reach
 }
 
+// maxTypes bounds the routes that are remembered.
+const maxTypes = 4096
+
+// noteCalls remembers that runs of the route make calls of their own. The lock is held.
+func (r *Runner) noteCalls(route string) {
+	if r.calls == nil || len(r.calls) >= maxTypes {
+		r.calls = make(map[string]bool)
+	}
+	r.calls[route] = true
+}
+
 // checkCrash tells a broken connection from a crash: after a crash nothing listens. The report of a crash is complete
 // before the answer of any call that ran there, so that a repeat does not overtake it.
 func (r *Runner) checkCrash(ctx context.Context, instance string) {
