--- a/agent/agent.go
+++ b/agent/agent.go
@@ -46,12 +46,15 @@
 	linkSilence = 600 * time.Millisecond
 	// keepOutcomes is how long the outcome of a call is kept for a sender that lost its link.
 	keepOutcomes = 3 * time.Second
-	// recordsPause is the wait between two looks at changed records of the store.
-	recordsPause = 300 * time.Millisecond
+	// recordsPause is the wait between two looks at changed records of the store. Each costs a call of every node, and a
+	// record only introduces a node.
+	recordsPause = 1500 * time.Millisecond
 	// routesCheck is the time in which, among all nodes, one looks for a configuration that its watch has missed.
 	routesCheck = 600 * time.Millisecond
-	// recordsCheck is the time after which a node looks for records that its watch has missed.
-	recordsCheck = 5 * time.Second
+	// recordsCheck and recordsCheckNode give the mean time after which a node looks for records that its watch has missed:
+	// a least time, and a time for each node.
+	recordsCheck     = 5 * time.Second
+	recordsCheckNode = 200 * time.Millisecond
 	// minWatch is the least time of a watch, and maxWatch the greatest mean; the store holds none for more than 30 s.
 	minWatch = 500 * time.Millisecond
 	maxWatch = 14 * time.Second
@@ -179,7 +182,7 @@
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchTime: a.routesWatch}
 	a.store.Open()
-	a.records = &platform.Store{Address: a.Settings.Store.Address, WatchPause: recordsPause, WatchTime: recordsWatch}
+	a.records = &platform.Store{Address: a.Settings.Store.Address, WatchPause: recordsPause, WatchTime: a.recordsWatch}
 	a.records.Open()
 	a.exchanger = &exchanger.Exchanger{Address: cfg.Upstream, Names: platform.Names(), MaxBody: maxAnswerBody}
 	a.recaller = &recaller.Recaller{
@@ -277,14 +280,20 @@
 // history, and all watches start together after a change. The times are spread so widely that among all nodes one starts
 // anew about each routesCheck, and tells the others what it finds.
 func (a *Agent) routesWatch() time.Duration {
-	a.membersMu.Lock()
-	nodes := len(a.locator.Members())
-	a.membersMu.Unlock()
-	return spread(min(time.Duration(nodes)*routesCheck, maxWatch))
+	return spread(min(a.nodes()*routesCheck, maxWatch))
 }
 
 // recordsWatch returns how long the next watch of the records is held.
-func recordsWatch() time.Duration { return spread(recordsCheck) }
+func (a *Agent) recordsWatch() time.Duration {
+	return spread(min(max(a.nodes()*recordsCheckNode, recordsCheck), maxWatch))
+}
+
+// nodes returns the number of known nodes, as a factor.
+func (a *Agent) nodes() time.Duration {
+	a.membersMu.Lock()
+	defer a.membersMu.Unlock()
+	return time.Duration(len(a.locator.Members()))
+}
 
 // spread returns a time between minWatch and twice the mean.
 func spread(mean time.Duration) time.Duration {
--- a/agent/record.go
+++ b/agent/record.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -69,7 +70,7 @@
 	line := a.Log.Info().Str("id", r.Call.Attempt).Str("route", r.Call.Type).Str("instance", r.Instance).
 		Int("depth", r.Call.Depth).Str("importance", r.Call.Importance.String()).
 		Int64("waited-us", r.Waited.Microseconds()).Int("running", r.Load.Running).Int("waiting", r.Load.Waiting).
-		Int("limit", r.Load.Limit)
+		Int("limit", r.Load.Limit).Str("level", level(r.Level))
 	if r.Held > 0 {
 		line.Str("outcome", r.Outcome.String())
 	}
@@ -79,6 +80,12 @@
 	end(line, r.Code, r.Status, r.Held).Msg("runner: call")
 }
 
+// level returns the least important requests that are admitted, and the share of them.
+func level(p hornbeamcroft.Pressure) string {
+	share := float64(p.Threshold) / hornbeamcroft.ThresholdAll
+	return p.Importance.String() + " " + strconv.FormatFloat(share, 'f', 2, 64)
+}
+
 // recordRejected logs a request that was refused before its route was looked up.
 func (a *Agent) recordRejected(attempt string, answer hornbeamcroft.Answer, err error) {
 	a.metrics.count("requests/rejected/" + answer.Code.Info().Name)
--- a/call.go
+++ b/call.go
@@ -56,6 +56,9 @@
 	Repeat bool `cbor:"23,keyasint,omitempty"`
 	// Sends is the number of earlier sends of the call that reached an upstream, whether it ran them or not.
 	Sends int `cbor:"24,keyasint,omitempty"`
+	// Weight is the number of requests that this one stands for where the demand is estimated: the inverse of the
+	// probability with which its request was admitted. Zero means 1.
+	Weight float32 `cbor:"25,keyasint,omitempty"`
 }
 
 // maxDepthOnWire bounds the depth field of frames from outside; the document's max-depth is checked separately.
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -26,6 +26,9 @@
 func (d *delivery) run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	v := d.c.admit(call)
 	d.rec.Returning = v.Returning
+	if call.Depth == 1 {
+		call.Weight = v.Weight
+	}
 	if !v.Admitted {
 		d.rec.Service = v.Service
 		code := hornbeamcroft.CodeServicePressedBelow
--- a/message.go
+++ b/message.go
@@ -53,6 +53,11 @@
 	Hold time.Duration `cbor:"4,keyasint"`
 	// Failing is the recent share of calls that the upstream failed or refused, in thousandths.
 	Failing int `cbor:"5,keyasint,omitempty"`
+	// Room is the demand that the upstream can take, in hundredths of a slot.
+	Room int `cbor:"6,keyasint,omitempty"`
+	// Offered is the demand by importance in the same unit, requests included that were refused where they entered; it is
+	// nil or has ImportanceCount entries.
+	Offered []int `cbor:"7,keyasint,omitempty"`
 }
 
 // Check reports whether the load is well formed.
@@ -60,6 +65,9 @@
 	if l.Running < 0 || l.Waiting < 0 || l.Limit < 0 || l.Hold < 0 || l.Failing < 0 || l.Failing > 1000 {
 		return errors.Errorf("load: %+v: allowed are counts of at least 0 and a share of at most 1000", l)
 	}
+	if len(l.Offered) != 0 && len(l.Offered) != int(ImportanceCount) {
+		return errors.Errorf("load: %d levels of demand: allowed are none or %d", len(l.Offered), ImportanceCount)
+	}
 	return nil
 }
 
--- a/policy.go
+++ b/policy.go
@@ -40,6 +40,8 @@
 	Hash uint32
 	// Deadline is on the monotonic clock of the node.
 	Deadline time.Duration
+	// Weight is the number of requests that the ticket stands for where the demand is estimated; zero means 1.
+	Weight float32
 	// Alone asks for an isolated run: nothing else runs at the upstream meanwhile.
 	Alone bool
 	// Objective is the time on the monotonic clock of the node until which the answer to the whole request has its full
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -34,7 +34,9 @@
 	// Waited is the time until a slot was free, Held the time at the upstream.
 	Waited, Held time.Duration
 	Load         hornbeamcroft.Load
-	Err          error
+	// Level is the admission level of the upstream when the call ended.
+	Level hornbeamcroft.Pressure
+	Err   error
 }
 
 // Exchanger sends requests to the upstream. *exchanger.Exchanger implements it.
@@ -155,7 +157,7 @@
 	call.Request = p.Root
 	call.Importance = p.Importance
 	call.Depth = p.Depth + 1
-	call.Repeat = p.Repeat
+	call.Repeat, call.Weight = p.Repeat, p.Weight
 	call.Remaining = min(call.Remaining, p.Deadline-now)
 	call.Objective = min(call.Objective, (p.Objective-now)/childShare)
 	return true
@@ -183,9 +185,9 @@
 	l := r.load()
 	own := r.scheduler.Pressure(r.Clock.Now())
 	r.mu.Unlock()
-	rec.Load = l
+	rec.Load, rec.Level = l, own
 	a.Load = &l
-	a.Pressure = append([]hornbeamcroft.Pressure{own}, r.Levels(a.Reach)...)
+	a.Pressure = r.Levels(a.Reach)
 	r.OnEnd(rec)
 	return a
 }
@@ -274,6 +276,7 @@
 	r.waiting[id] = ch
 	t := hornbeamcroft.Ticket{
 		ID: id, Importance: call.Importance, Depth: call.Depth, Deadline: now + call.Remaining,
+		Weight: call.Weight,
 	}
 	if call.Objective != 0 {
 		t.Objective = max(now+call.Objective, 1)
@@ -339,7 +342,7 @@
 	return r.upstream.Instance, r.tracer.Open(tracer.Run{
 		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
-		Repeat: call.Repeat,
+		Repeat: call.Repeat, Weight: call.Weight,
 	})
 }
 
--- a/scheduler/level.go
+++ b/scheduler/level.go
@@ -18,34 +18,30 @@
 	drainTime = 500 * time.Millisecond
 	// offeredGain smooths the demand over a few windows.
 	offeredGain = 0.3
-	// shareGain follows the published share with the delay until senders apply it.
-	shareGain = 0.4
-	// leastKnownShare is the share admitted below which arrivals tell nothing about the demand; the last estimate then
-	// fades by fadeFactor each window, so that senders are let in again.
-	leastKnownShare = 0.05
-	fadeFactor      = 0.97
+	// slotUnit is the number of units of a reported demand in a slot.
+	slotUnit = 100
 	// maxIdleWindows bounds the work after a long time without calls.
 	maxIdleWindows = 100
 )
 
-// level computes the admission level of the upstream: how much of the demand of each importance it can take. The demand
-// is estimated from the calls that arrive and the share of requests that senders were told to admit.
+// level computes the admission level of the upstream: how much of the demand of each importance it can take. Each call
+// that arrives stands for the requests that were refused where it entered, so that the demand is known while most of it
+// is refused.
 type level struct {
 	start time.Duration
 	ready bool
-	// arrived counts the arrivals of the window.
-	arrived [hornbeamcroft.ImportanceCount]int
+	// arrived is the number of requests that the arrivals of the window stand for.
+	arrived [hornbeamcroft.ImportanceCount]float64
 	// hold is the smoothed slot time in seconds of a call.
 	hold [hornbeamcroft.ImportanceCount]float64
-	// offered is the demand in slots, the requests included that senders did not admit.
+	// offered is the demand and room what the upstream can take of it, in slots.
 	offered [hornbeamcroft.ImportanceCount]float64
-	// share is admitted now, applied the share that arriving calls have passed.
-	share, applied [hornbeamcroft.ImportanceCount]float64
+	room    float64
 }
 
 func (l *level) arrive(now time.Duration, s *Scheduler, t hornbeamcroft.Ticket) {
 	l.advance(now, s)
-	l.arrived[t.Importance]++
+	l.arrived[t.Importance] += math.Max(1, float64(t.Weight))
 }
 
 // finish learns the slot time of the calls of an importance.
@@ -61,10 +57,7 @@
 // advance closes the windows that ended by now.
 func (l *level) advance(now time.Duration, s *Scheduler) {
 	if !l.ready {
-		l.ready, l.start = true, now
-		for i := range l.share {
-			l.share[i], l.applied[i] = 1, 1
-		}
+		l.ready, l.start, l.room = true, now, float64(s.Limit())
 	}
 	for n := 0; now-l.start >= levelWindow; n++ {
 		if n == maxIdleWindows {
@@ -78,41 +71,19 @@
 
 func (l *level) closeWindow(s *Scheduler) {
 	for i := range l.offered {
-		l.estimate(i)
+		seen := l.arrived[i] * l.hold[i] / levelWindow.Seconds()
+		l.offered[i] += (seen - l.offered[i]) * offeredGain
 		l.arrived[i] = 0
-		l.applied[i] += (l.share[i] - l.applied[i]) * shareGain
 	}
 	backlog := float64(len(s.queue.entries)) * s.hold
-	room := float64(s.Limit())*targetUse - backlog/drainTime.Seconds()
-	for i := len(l.offered) - 1; i >= 0; i-- {
-		l.share[i] = 1
-		if l.offered[i] > room {
-			l.share[i] = math.Max(0, room/l.offered[i])
-		}
-		room = math.Max(0, room-l.offered[i])
-	}
+	l.room = math.Max(0, float64(s.Limit())*targetUse-backlog/drainTime.Seconds())
 }
 
-// estimate updates the demand of an importance by the arrivals of the window.
-func (l *level) estimate(i int) {
-	if l.applied[i] < leastKnownShare {
-		l.offered[i] *= fadeFactor
-		return
-	}
-	seen := float64(l.arrived[i]) * l.hold[i] / levelWindow.Seconds() / l.applied[i]
-	l.offered[i] += (seen - l.offered[i]) * offeredGain
-}
-
-// pressure returns the most important level of which not all is admitted; what is less important is shed.
-func (l *level) pressure(service string) hornbeamcroft.Pressure {
-	for i := hornbeamcroft.ImportanceCritical; ; i-- {
-		if share := l.share[i]; l.ready && share < 1 {
-			return hornbeamcroft.Pressure{
-				Service: service, Importance: i, Threshold: uint32(math.Round(share * hornbeamcroft.ThresholdAll)),
-			}
-		}
-		if i == 0 {
-			return hornbeamcroft.Pressure{Service: service, Threshold: hornbeamcroft.ThresholdAll}
-		}
+// report adds the demand to a load.
+func (l *level) report(load *hornbeamcroft.Load) {
+	load.Room = int(l.room * slotUnit)
+	load.Offered = make([]int, len(l.offered))
+	for i, v := range l.offered {
+		load.Offered[i] = int(v * slotUnit)
 	}
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/leveler"
 )
 
 var _ hornbeamcroft.Admitter = (*Scheduler)(nil)
@@ -17,8 +18,9 @@
 	// usableShare is the part of the slots that is used. Upstreams slow down when they are nearly full, and probes and
 	// new connections take a slot for a moment.
 	usableShare = 0.95
-	// importanceLead is the time by which a call is preferred to one of the next lower importance.
-	importanceLead = 150 * time.Millisecond
+	// importanceLead is the time by which a call is preferred to one of the next lower importance. It is longer than calls
+	// usually wait: with a shorter one, calls that the upstream has no room for wait until they go before important ones.
+	importanceLead = time.Second
 	// innerLead is the time by which a call of a running request is preferred to the start of a new one: turning it away
 	// wastes the work above it.
 	innerLead = 100 * time.Millisecond
@@ -222,14 +224,18 @@
 
 // Pressure returns the admission level that answers carry.
 func (s *Scheduler) Pressure(now time.Duration) hornbeamcroft.Pressure {
-	s.level.advance(now, s)
-	return s.level.pressure(s.Service)
+	var l leveler.Leveler
+	l.Add(s.Load(now))
+	return l.Pressure(s.Service)
 }
 
-// Load returns what senders need to place their calls.
+// Load returns what senders need to place their calls, and to decide which requests start.
 func (s *Scheduler) Load(now time.Duration) hornbeamcroft.Load {
-	return hornbeamcroft.Load{
+	s.level.advance(now, s)
+	l := hornbeamcroft.Load{
 		Running: len(s.running), Waiting: len(s.queue.entries), Limit: s.Limit(), Hold: s.holdTime(now),
 		Failing: int(s.failingAt(now) * 1000),
 	}
+	s.level.report(&l)
+	return l
 }
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -11,7 +11,6 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/admitter"
-	"hornbeamcroft/propagator"
 )
 
 const (
@@ -19,13 +18,18 @@
 	reachGain = 0.05
 	// leastReach is the number of calls below which a service is not counted as reached.
 	leastReach = 0.1
-	// maxRoutes and maxServices bound what answers can make a node remember.
+	// maxRoutes, maxViews and maxServices bound what answers can make a node remember.
 	maxRoutes   = 4096
+	maxViews    = 1024
 	maxServices = 64
 	// probeShare of the requests that would be refused starts, so that a lower level is noticed.
 	probeShare = 0.01
 	// returnTime is how long a refused request is remembered, so that its caller goes first when it comes back.
 	returnTime = 5 * time.Second
+	// maxLevels bounds the levels on one answer.
+	maxLevels = 8
+	// returningFactor is how much more likely a request is admitted that was refused before.
+	returningFactor = 2
 	// maxReturns bounds the refused requests that are remembered.
 	maxReturns = 16384
 	// leastRetry and retrySpread give the time after which a refused request may come back: long enough for the level to
@@ -37,6 +41,8 @@
 // Verdict says whether a request starts.
 type Verdict struct {
 	Admitted bool
+	// Weight is the number of requests that an admitted one stands for: the inverse of the probability to be admitted.
+	Weight float32
 	// Service is the one that would turn the request away.
 	Service string
 	// Returning is true if the request was refused here before.
@@ -56,9 +62,8 @@
 
 // Throttler holds the levels and what it learned about routes. It is not safe for concurrent use.
 type Throttler struct {
-	// views are the levels of services that this node calls itself, levels those that it hears of through others.
-	views  map[string]*view
-	levels propagator.Propagator
+	// views are what is known of the levels of services.
+	views map[string]*view
 	// reach is the number of calls to each service by route.
 	reach    map[string]map[string]float64
 	returns  map[uint64]time.Duration
@@ -77,36 +82,46 @@
 	_, returning := t.returns[q.Fingerprint]
 	hash := uint32(rnd.IntN(hornbeamcroft.ThresholdAll))
 	if returning {
-		// Of the requests of one importance, those that were refused before go first.
-		hash = 0
+		// Of the requests of one importance, those that were refused before have a better chance. They do not all pass:
+		// callers that come back at once would make the level useless.
+		hash /= returningFactor
 	}
-	service, pressed := t.pressed(now, q, hash)
-	if !pressed || rnd.Float64() < probeShare {
+	service, share := t.pressed(now, q, hash)
+	if service == "" || rnd.Float64() < probeShare {
 		delete(t.returns, q.Fingerprint)
-		return Verdict{Admitted: true, Returning: returning}
+		if returning {
+			share = min(1, share*returningFactor)
+		}
+		return Verdict{Admitted: true, Returning: returning, Weight: float32(1 / max(share, probeShare))}
 	}
 	after := t.refused(now, rnd, q)
 	return Verdict{Service: service, Returning: returning, RetryAfter: after}
 }
 
-// pressed returns a service that would turn the request away.
-func (t *Throttler) pressed(now time.Duration, q Request, hash uint32) (string, bool) {
+// pressed returns the service that would turn the request away, or "", and the share of such requests that starts.
+func (t *Throttler) pressed(now time.Duration, q Request, hash uint32) (string, float64) {
+	refusing, least := "", 1.0
 	for _, service := range t.reached(q) {
-		if !admitter.Admits(t.level(now, service), q.Importance, hash) {
-			return service, true
+		p := t.level(now, service)
+		if !admitter.Admits(p, q.Importance, hash) {
+			refusing = service
+		}
+		switch {
+		case p.Importance == q.Importance:
+			least = min(least, float64(p.Threshold)/hornbeamcroft.ThresholdAll)
+		case p.Importance > q.Importance:
+			least = 0
 		}
 	}
-	return "", false
+	return refusing, least
 }
 
 // level returns the admission level of a service.
 func (t *Throttler) level(now time.Duration, service string) hornbeamcroft.Pressure {
-	p := t.levels.Pressure(now, service)
-	if v := t.views[service]; v != nil && len(v.hosts) > 0 {
-		p = v.least(now)
+	if v := t.views[service]; v != nil {
+		return v.level(now, service)
 	}
-	p.Service = service
-	return p
+	return hornbeamcroft.Pressure{Service: service, Threshold: hornbeamcroft.ThresholdAll}
 }
 
 // Refused remembers a request that was refused elsewhere, and returns when it may come back.
@@ -152,11 +167,13 @@
 	Route, Service, Host string
 }
 
-// Observe takes the levels of an answer, that of its own service first, and the calls that the run made.
+// Observe takes the load of the host that answered, the levels of the services below, and the calls that the run made.
 func (t *Throttler) Observe(now time.Duration, from Source, a hornbeamcroft.Answer) {
-	if len(a.Pressure) > 0 {
-		t.view(from.Service).take(now, from.Host, a.Pressure[0])
-		t.levels.Observe(now, from.Service, a.Pressure[1:])
+	if a.Load != nil {
+		t.view(from.Service).take(now, from.Host, *a.Load)
+	}
+	for _, p := range a.Pressure {
+		t.view(p.Service).hear(now, p)
 	}
 	t.learn(from.Route, a.Reach, a.Code == hornbeamcroft.CodeAnswered && a.Status < 300)
 }
@@ -166,7 +183,7 @@
 	if v != nil {
 		return v
 	}
-	if t.views == nil {
+	if t.views == nil || len(t.views) >= maxViews {
 		t.views = make(map[string]*view)
 	}
 	v = &view{}
@@ -238,7 +255,7 @@
 	slices.SortFunc(list, func(a, b hornbeamcroft.Pressure) int {
 		return cmp.Or(cmp.Compare(b.Importance, a.Importance), cmp.Compare(a.Threshold, b.Threshold))
 	})
-	return list[:min(len(list), propagator.MaxEntries-1)]
+	return list[:min(len(list), maxLevels)]
 }
 
 // Reach returns the number of calls that a request of the route makes to each service.
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -4,48 +4,62 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/leveler"
 )
 
-// viewTime is how long the level that a host reported counts.
-const viewTime = 2 * time.Second
+const (
+	// viewTime is how long the demand that a host reported counts.
+	viewTime = time.Second
+	// freshTime is the age up to which a node's own view of a service goes before what it hears through others.
+	freshTime = 200 * time.Millisecond
+)
 
-// view holds the levels that the hosts of one service reported to this node.
+// view holds the loads that the hosts of one service reported to this node.
 type view struct {
 	hosts map[string]report
+	// at is when the last host reported.
+	at time.Duration
+	// heard is the level that was last heard through another service, and heardAt when.
+	heard   hornbeamcroft.Pressure
+	heardAt time.Duration
 }
 
 type report struct {
-	pressure hornbeamcroft.Pressure
-	at       time.Duration
+	load hornbeamcroft.Load
+	at   time.Duration
 }
 
-func (v *view) take(now time.Duration, host string, p hornbeamcroft.Pressure) {
+func (v *view) take(now time.Duration, host string, l hornbeamcroft.Load) {
 	if v.hosts == nil {
 		v.hosts = make(map[string]report)
 	}
-	v.hosts[host] = report{pressure: p, at: now}
+	v.hosts[host] = report{load: l, at: now}
+	v.at = now
+}
+
+// hear takes a level that another node has found.
+func (v *view) hear(now time.Duration, p hornbeamcroft.Pressure) {
+	v.heard, v.heardAt = p, now
+}
+
+// level returns the admission level of the service. The node's own view counts while it is fresh, and else the newer one.
+func (v *view) level(now time.Duration, service string) hornbeamcroft.Pressure {
+	heard := v.heardAt > 0 && now-v.heardAt < viewTime
+	if heard && v.heardAt > v.at && now-v.at >= freshTime {
+		return v.heard
+	}
+	return v.own(now, service)
 }
 
-// least returns the least pressed level of the hosts that reported one lately: calls move away from a host that is full.
-func (v *view) least(now time.Duration) hornbeamcroft.Pressure {
-	found := hornbeamcroft.Pressure{Threshold: hornbeamcroft.ThresholdAll}
-	first := true
+// own returns the level of the hosts that reported lately, together. Those that did not are taken to be alike.
+func (v *view) own(now time.Duration, service string) hornbeamcroft.Pressure {
+	var sum leveler.Leveler
 	for host, r := range v.hosts {
 		if now-r.at >= viewTime {
 			delete(v.hosts, host)
 			continue
 		}
-		if first || looser(r.pressure, found) {
-			found, first = r.pressure, false
-		}
-	}
-	return found
-}
-
-// looser reports whether a admits more than b.
-func looser(a, b hornbeamcroft.Pressure) bool {
-	if a.Importance != b.Importance {
-		return a.Importance < b.Importance
+		sum.Add(r.load)
 	}
-	return a.Threshold > b.Threshold
+	return sum.Pressure(service)
 }
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -24,6 +24,8 @@
 	Objective time.Duration
 	// Repeat is true if an earlier send of the request may have run.
 	Repeat bool
+	// Weight is the number of requests that the request stands for where the demand is estimated.
+	Weight float32
 
 	reach map[string]int
 }
