rationer: repeats that are scarce go to the most important requests first, and single requests keep a reserve

Cause: of the repeats besides those of deposits, half went to lookups, of which few finished, and the burst at the begin of a fault left too little for deposits later.

--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -18,18 +18,20 @@
 	// repeated at once.
 	freeShare = 0.7
 	// Repeats of requests that make no further calls are worth most for each repeat and are not paced. leastInner is the
-	// part of the allowance of one bucket that calls of which several must succeed get in any case, singleMargin what is
+	// part of the allowance of one bucket that calls of which several must succeed may get at least, singleMargin what is
 	// kept for the others beyond what they wanted lately, and singleGain the weight of one bucket in that.
 	leastInner   = 0.1
 	singleMargin = 1.2
 	singleGain   = 0.5
-	// leastSubset is the least share of requests that get repeats when they are scarce; subsetStep and subsetFactor raise
-	// it in each bucket in which none was denied.
+	// singleReserve is the number of buckets for which the repeats that single requests want stay untouched by others.
+	singleReserve = 0.5
+	// leastSubset is the least share of critical requests that get repeats when they are scarce; subsetStep and
+	// subsetFactor raise the subset in each bucket in which none was denied.
 	leastSubset  = 0.02
 	subsetStep   = 0.02
 	subsetFactor = 1.25
-	// criticalFactor is how much larger the subset of critical requests is.
-	criticalFactor = 4
+	// wholeSubset contains the requests of all levels of importance.
+	wholeSubset = float64(hornbeamcroft.ImportanceCount)
 	// subtreeShare is the part of the allowance that goes to repeats of runs which make further calls, at each of the
 	// upper subtreeDepth levels. All calls of such a run are repeats at the services below, so that the sum over the
 	// levels must leave room for theirs.
@@ -65,7 +67,9 @@
 type count struct {
 	at                int64
 	requests, repeats [kept]float64
-	// subset is the share of requests whose calls get repeats, granted and denied the repeats of such calls in the bucket.
+	// subset tells whose calls get repeats, from the most important requests on: its whole part is the number of levels of
+	// importance of which all do, the rest the share of the next level. granted and denied are the repeats of such calls
+	// in the bucket.
 	subset          float64
 	granted, denied float64
 	// singles is the smoothed number of repeats in a bucket that single requests want, and single that of this bucket.
@@ -121,15 +125,11 @@
 	case q.Single || left >= freeShare*allowance:
 		return true
 	}
-	subset := c.subset
-	if q.Importance == hornbeamcroft.ImportanceCritical {
-		subset = min(1, subset*criticalFactor)
-	}
-	if float64(q.Hash) >= subset*hornbeamcroft.ThresholdAll {
+	if float64(q.Hash) >= c.share(q.Importance)*hornbeamcroft.ThresholdAll {
 		return false
 	}
-	quota := allowance / buckets
-	if c.granted >= max(leastInner*quota, quota-singleMargin*max(c.singles, c.single)) {
+	quota, singles := allowance/buckets, max(c.singles, c.single)
+	if left < singleReserve*singles || c.granted >= max(leastInner*quota, quota-singleMargin*singles) {
 		c.denied++
 		return false
 	}
@@ -137,6 +137,11 @@
 	return true
 }
 
+// share returns the share of the requests of an importance that belong to the subset.
+func (c *count) share(i hornbeamcroft.Importance) float64 {
+	return c.subset - float64(hornbeamcroft.ImportanceCritical-i)
+}
+
 // turn begins a bucket. The subset follows what was asked for in the last one: some requests get all repeats that they
 // need and the others none, since a request of which one call fails is lost with all that was spent on it.
 func (c *count) turn() {
@@ -145,7 +150,7 @@
 	if c.denied > 0 {
 		c.subset = max(leastSubset, c.subset*c.granted/(c.granted+c.denied))
 	} else {
-		c.subset = min(1, c.subset*subsetFactor+subsetStep)
+		c.subset = min(wholeSubset, c.subset*subsetFactor+subsetStep)
 	}
 	c.singles += (c.single - c.singles) * singleGain
 	c.granted, c.denied, c.single = 0, 0, 0
@@ -169,7 +174,7 @@
 	at := int64(now / (max(r.Window, time.Second) / buckets))
 	c := r.services[service]
 	if c == nil {
-		c = &count{at: at, subset: 1}
+		c = &count{at: at, subset: wholeSubset}
 		r.services[service] = c
 	}
 	for steps := 0; c.at < at && steps < kept; steps++ {
