throttler: a reported demand counts for half a second

Cause: TestMesh/surge failed, 1.0 to 1.7 % of the lookups refused in the second second after the end of a surge (bound 1 %): nodes that mostly use the host of their own zone kept the demand of the others from the surge for a second, after it had been smoothed for half a second. Ruled out: queues (all refusals are by level, code 217).

--- a/throttler/view.go
+++ b/throttler/view.go
@@ -9,7 +9,7 @@
 
 const (
 	// viewTime is how long the demand that a host reported counts.
-	viewTime = time.Second
+	viewTime = 500 * time.Millisecond
 	// freshTime is the age up to which a node's own view of a service goes before what it hears through others.
 	freshTime = 200 * time.Millisecond
 )
