poller: list the records of the nodes now and then in place of a watch

A record only introduces a node; what counts is said over links. Change: stale lists, a tenth of a call each, every 2.5 s; the lease is renewed every 2.25 s, so that its end while the store was away shows in time; a record that is found in place is not written again. One client of the store in place of two. Not yet measured.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"hornbeamcroft/logger"
 	"hornbeamcroft/observer"
 	"hornbeamcroft/platform"
+	"hornbeamcroft/poller"
 	"hornbeamcroft/randomizer"
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/recaller"
@@ -46,15 +47,12 @@
 	linkSilence = 600 * time.Millisecond
 	// keepOutcomes is how long the outcome of a call is kept for a sender that lost its link.
 	keepOutcomes = 3 * time.Second
-	// recordsPause is the wait between two looks at changed records of the store. Each costs a call of every node, and a
-	// record only introduces a node.
-	recordsPause = 1500 * time.Millisecond
 	// routesCheck is the time in which, among all nodes, one looks for a configuration that its watch has missed.
 	routesCheck = 600 * time.Millisecond
-	// recordsCheck and recordsCheckNode give the mean time after which a node looks for records that its watch has missed:
-	// a least time, and a time for each node.
-	recordsCheck     = 5 * time.Second
-	recordsCheckNode = 200 * time.Millisecond
+	// recordsPoll is the least time between two lists of the records. A record introduces a node to the others and is
+	// listed again soon after the store returns; recordsPollNode for each node keeps the bytes of the lists bounded.
+	recordsPoll     = 2500 * time.Millisecond
+	recordsPollNode = 12 * time.Millisecond
 	// minWatch is the least time of a watch, and maxWatch the greatest mean; the store holds none for more than 30 s.
 	minWatch = 500 * time.Millisecond
 	maxWatch = 14 * time.Second
@@ -98,7 +96,6 @@
 	exchanger *exchanger.Exchanger
 	recaller  *recaller.Recaller
 	enroller  *enroller.Enroller
-	records   *platform.Store
 	store     *platform.Store
 	recorder  *recorder.Recorder
 	wayIn     *acceptor.Acceptor
@@ -182,8 +179,6 @@
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchTime: a.routesWatch}
 	a.store.Open()
-	a.records = &platform.Store{Address: a.Settings.Store.Address, WatchPause: recordsPause, WatchTime: a.recordsWatch}
-	a.records.Open()
 	a.exchanger = &exchanger.Exchanger{Address: cfg.Upstream, Names: platform.Names(), MaxBody: maxAnswerBody}
 	a.recaller = &recaller.Recaller{
 		Clock: a.clock, Calls: &deduper.Calls{Incarnation: a.incarnation, Keep: keepOutcomes},
@@ -262,10 +257,9 @@
 
 // follow keeps the configuration and the records of the nodes in step with the store.
 func (a *Agent) follow(ctx context.Context) {
-	records := &subscriber.Subscriber{
-		Store: a.records, Prefix: keyPrefix, StaleFirst: true, Rand: randomizer.Randomizer{},
-		OnList: a.onRecords, OnEvent: a.onRecord, OnLost: a.onStoreLost("members"), OnFound: a.onStoreFound("members"),
-		OnCut: a.onWatchCut("members"),
+	records := &poller.Poller{
+		Store: a.store, Prefix: keyPrefix, Interval: a.recordsInterval, Rand: randomizer.Randomizer{},
+		OnList: a.onRecords, OnLost: a.onStoreLost("members"), OnFound: a.onStoreFound("members"),
 	}
 	go records.Run(ctx)
 	routes := &subscriber.Subscriber{
@@ -283,10 +277,8 @@
 	return spread(min(a.nodes()*routesCheck, maxWatch))
 }
 
-// recordsWatch returns how long the next watch of the records is held.
-func (a *Agent) recordsWatch() time.Duration {
-	return spread(min(max(a.nodes()*recordsCheckNode, recordsCheck), maxWatch))
-}
+// recordsInterval returns the mean time between two lists of the records.
+func (a *Agent) recordsInterval() time.Duration { return max(a.nodes()*recordsPollNode, recordsPoll) }
 
 // nodes returns the number of known nodes, as a factor.
 func (a *Agent) nodes() time.Duration {
--- a/agent/members.go
+++ b/agent/members.go
@@ -22,8 +22,8 @@
 	dialTime = 2 * time.Second
 )
 
-// onRecords takes all records of the store.
-func (a *Agent) onRecords(entries []hornbeamcroft.Entry) {
+// onRecords takes all records of the store, as they were at the revision.
+func (a *Agent) onRecords(entries []hornbeamcroft.Entry, revision int64) {
 	var members []hornbeamcroft.Member
 	own := false
 	for _, e := range entries {
@@ -41,7 +41,7 @@
 	a.locator.List(a.clock.Now(), members)
 	a.membersMu.Unlock()
 	if !own {
-		a.enroller.Missing()
+		a.enroller.Missing(revision)
 	}
 	a.publishMembers()
 }
@@ -55,24 +55,6 @@
 	}
 }
 
-// onRecord takes a change of one record.
-func (a *Agent) onRecord(e hornbeamcroft.Event) {
-	name := strings.TrimPrefix(e.Entry.Key, keyPrefix)
-	if e.Deleted {
-		if name == a.Settings.Agent.Name {
-			a.enroller.Missing()
-		}
-		a.membersMu.Lock()
-		a.locator.Remove(a.clock.Now(), name)
-		a.membersMu.Unlock()
-	} else if m, ok := a.decodeRecord(e.Entry); ok {
-		a.membersMu.Lock()
-		a.locator.Put(a.clock.Now(), m)
-		a.membersMu.Unlock()
-	}
-	a.publishMembers()
-}
-
 func (a *Agent) decodeRecord(e hornbeamcroft.Entry) (hornbeamcroft.Member, bool) {
 	var m hornbeamcroft.Member
 	err := cbor.Unmarshal(e.Value, &m)
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -91,10 +91,9 @@
 }
 
 func (a *Agent) collectStore() {
-	for name, s := range map[string]*[7]int64{"store": a.store.Calls.Snapshot(), "records": a.records.Calls.Snapshot()} {
-		for i, kind := range [...]string{"reads", "stale-reads", "watches", "writes", "leases", "renewals", "failures"} {
-			a.metrics.gauge("store/"+name+"/"+kind, s[i])
-		}
+	calls := a.store.Calls.Snapshot()
+	for i, kind := range [...]string{"reads", "stale-reads", "watches", "writes", "leases", "renewals", "failures"} {
+		a.metrics.gauge("store/"+kind, calls[i])
 	}
 }
 
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -16,8 +16,8 @@
 const (
 	// TTL is the lifetime of the lease without a renewal. Links show the end of a node sooner; the lease only clears up.
 	TTL = 9 * time.Second
-	// renewTime leaves two more tries before the lease ends.
-	renewTime = TTL / 3
+	// renewTime shows within about 2 s that the lease has ended while the store was away.
+	renewTime = TTL / 4
 	// retryWait is the wait after a failed call. It is below the 2 s within which a record must be back after an outage.
 	retryWait = 500 * time.Millisecond
 )
@@ -31,9 +31,10 @@
 	OnFound   func()
 	OnWritten func(revision int64)
 
-	mu      sync.Mutex
-	value   []byte
-	missing bool
+	mu    sync.Mutex
+	value []byte
+	// missing is the store's revision at which the record was found missing; zero if it was not.
+	missing int64
 	wake    chan struct{}
 
 	lease    hornbeamcroft.LeaseID
@@ -53,11 +54,11 @@
 	e.signal()
 }
 
-// Missing tells that the store does not hold the record.
-func (e *Enroller) Missing() {
+// Missing tells that the store did not hold the record at the revision.
+func (e *Enroller) Missing(revision int64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.missing = true
+	e.missing = max(e.missing, revision)
 	e.signal()
 }
 
@@ -130,12 +131,12 @@
 func (e *Enroller) step(ctx context.Context) (time.Duration, error) {
 	e.mu.Lock()
 	value, missing := e.value, e.missing
-	e.missing = false
+	e.missing = 0
 	e.mu.Unlock()
 	if value == nil {
 		return renewTime, nil
 	}
-	if missing {
+	if missing > e.revision {
 		e.written, e.unsure = nil, true
 	}
 	if err := e.keep(ctx); err != nil {
@@ -179,7 +180,7 @@
 func (e *Enroller) write(ctx context.Context, value []byte) error {
 	for range 2 {
 		if e.unsure {
-			if err := e.read(ctx); err != nil {
+			if done, err := e.read(ctx, value); done || err != nil {
 				return err
 			}
 		}
@@ -212,12 +213,17 @@
 	return true, nil
 }
 
-// read learns the revision of the key, which an earlier start of this node may have written.
-func (e *Enroller) read(ctx context.Context) error {
+// read learns the revision of the key, which an earlier start of this node may have written, and reports whether the value
+// is there already.
+func (e *Enroller) read(ctx context.Context, value []byte) (bool, error) {
 	entry, err := e.Store.Get(ctx, e.Key)
 	if err != nil {
-		return err
+		return false, err
 	}
 	e.revision, e.unsure = entry.ModRevision, false
-	return nil
+	if entry.Lease != e.lease || !bytes.Equal(entry.Value, value) {
+		return false, nil
+	}
+	e.written = value
+	return true, nil
 }
--- a/store.go
+++ b/store.go
@@ -80,8 +80,7 @@
 	Watch(ctx context.Context, prefix string, fromRevision int64, fn func(Event)) error
 }
 
-// StaleLister is a Store that can list keys from a copy that is seconds old, at a lower price. A watch from the revision
-// of the list on delivers what it missed.
+// StaleLister is a Store that can list keys from a copy that is seconds old, at a lower price.
 type StaleLister interface {
 	// ListStale returns all entries with the prefix, ordered by key, and the store's revision of the copy.
 	ListStale(ctx context.Context, prefix string) ([]Entry, int64, error)
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -22,9 +22,7 @@
 type Subscriber struct {
 	Store  hornbeamcroft.Store
 	Prefix string
-	// StaleFirst lists a copy that may be seconds old at the start, at a lower price; the watch delivers the rest.
-	StaleFirst bool
-	Rand       hornbeamcroft.Rand
+	Rand   hornbeamcroft.Rand
 	// OnList takes all entries, OnEvent a change, in the order of their revisions.
 	OnList  func(entries []hornbeamcroft.Entry)
 	OnEvent func(e hornbeamcroft.Event)
@@ -67,11 +65,7 @@
 }
 
 func (s *Subscriber) list(ctx context.Context) error {
-	list := s.Store.List
-	if stale, ok := s.Store.(hornbeamcroft.StaleLister); ok && s.StaleFirst && s.revision == 0 {
-		list = stale.ListStale
-	}
-	entries, revision, err := list(ctx, s.Prefix)
+	entries, revision, err := s.Store.List(ctx, s.Prefix)
 	if err != nil {
 		return err
 	}
