--- a/agent/agent.go
+++ b/agent/agent.go
@@ -130,7 +130,9 @@
 		return err
 	}
 	a.Log.Info().Str("name", a.Settings.Agent.Name).Str("service", a.Settings.Agent.Service).
-		Str("zone", a.Settings.Agent.Zone).Uint64("incarnation", a.incarnation).Msg("agent: started")
+		Str("zone", a.Settings.Agent.Zone).Uint64("incarnation", a.incarnation).
+		Float64("retry-ratio", a.Bounds.RetryRatio).Float64("retry-slack", a.Bounds.RetrySlack).
+		Int64("stop-ms", a.Bounds.StopTime.Milliseconds()).Msg("agent: started")
 	enrolled := make(chan struct{})
 	go a.links.Run(work)
 	go a.recorder.Run(work)
@@ -227,7 +229,7 @@
 func (a *Agent) hello() framer.Hello {
 	cfg := a.Settings.Agent
 	return framer.Hello{
-		Name: cfg.Name, Incarnation: a.incarnation, Zone: cfg.Zone, Service: cfg.Service, Address: cfg.Links,
+		Name: cfg.Name, Incarnation: a.incarnation, Zone: cfg.Zone, Service: cfg.Service, Address: cfg.LinksAnnounced,
 		Credit: connector.DefaultCredit,
 	}
 }
