--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -31,7 +31,7 @@
 	defer a.upstreamMu.Unlock()
 	u := a.observer.Upstream()
 	return hornbeamcroft.Member{
-		Name: cfg.Name, Service: cfg.Service, Zone: cfg.Zone, Address: cfg.Links, Incarnation: a.incarnation,
+		Name: cfg.Name, Service: cfg.Service, Zone: cfg.Zone, Address: cfg.LinksAnnounced, Incarnation: a.incarnation,
 		Sequence: a.sequence, State: u.State, Slots: u.Slots, Instance: u.Instance,
 		Stopping: a.closed.Load(),
 	}
--- a/loader/agent.go
+++ b/loader/agent.go
@@ -23,12 +23,14 @@
 	Zone    string
 	// WayIn takes callers and the own upstream's calls, Links other nodes, Announcements the own upstream's heartbeats,
 	// Readiness the platform's question, Metrics the operators.
-	WayIn         string
-	Links         string
-	Announcements string
-	Readiness     string
-	Metrics       string
-	Upstream      string
+	WayIn string
+	Links string
+	// LinksAnnounced is the address at which other nodes reach Links, where ports are forwarded; Links if it is not set.
+	LinksAnnounced string
+	Announcements  string
+	Readiness      string
+	Metrics        string
+	Upstream       string
 	// Introducers are nodes to ask while the store cannot be reached: the addresses of their announcements.
 	Introducers []string
 	ClusterKey  string
@@ -50,6 +52,7 @@
 	{"agent", "zone", "", "availability zone, 1 to 128 bytes"},
 	{"agent", "way-in", "", "IP address and port"},
 	{"agent", "links", "", "IP address and port"},
+	{"agent", "links-announced", "", "IP address and port at which other nodes reach links, if it is another one"},
 	{"agent", "announcements", "", "IP address and port"},
 	{"agent", "readiness", "", "IP address and port"},
 	{"agent", "metrics", "", "IP address and port"},
@@ -77,23 +80,27 @@
 	c.checkUnknown(AgentKeys)
 	s := AgentSettings{
 		Agent: AgentSection{
-			Name:          c.text("agent", "name", true),
-			Service:       c.text("agent", "service", false),
-			Zone:          c.text("agent", "zone", true),
-			WayIn:         c.address("agent", "way-in", true),
-			Links:         c.address("agent", "links", true),
-			Announcements: c.address("agent", "announcements", true),
-			Readiness:     c.address("agent", "readiness", true),
-			Metrics:       c.address("agent", "metrics", true),
-			Upstream:      c.address("agent", "upstream", false),
-			Introducers:   c.listed("agent", "introducers"),
-			ClusterKey:    c.text("agent", "cluster-key", false),
-			MemoryMB:      c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
-			Bounds:        c.file.Section("agent").Key("bounds").String(),
+			Name:           c.text("agent", "name", true),
+			Service:        c.text("agent", "service", false),
+			Zone:           c.text("agent", "zone", true),
+			WayIn:          c.address("agent", "way-in", true),
+			Links:          c.address("agent", "links", true),
+			LinksAnnounced: c.address("agent", "links-announced", false),
+			Announcements:  c.address("agent", "announcements", true),
+			Readiness:      c.address("agent", "readiness", true),
+			Metrics:        c.address("agent", "metrics", true),
+			Upstream:       c.address("agent", "upstream", false),
+			Introducers:    c.listed("agent", "introducers"),
+			ClusterKey:     c.text("agent", "cluster-key", false),
+			MemoryMB:       c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
+			Bounds:         c.file.Section("agent").Key("bounds").String(),
 		},
 		Store: AgentStoreSection{Address: c.address("platform-store", "address", true)},
 		Log:   LogSettings{Level: c.oneOf("log", "level", DefaultLogLevel, "debug", "info", "warn", "error")},
 	}
+	if s.Agent.LinksAnnounced == "" {
+		s.Agent.LinksAnnounced = s.Agent.Links
+	}
 	if (s.Agent.Service == "") != (s.Agent.Upstream == "") {
 		c.fail("agent", "upstream", s.Agent.Upstream, "service and upstream are set together or both empty")
 	}
