estimator, throttler: tell refused callers to come back in time, and count the objective from their first attempt

The memory of refused requests by content took different requests for one: callers use few paths. The objective is that of the first attempt; Retry-After leaves time for an answer within it; callers that can still be served in time go first; late ones do not go before others.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -56,16 +56,19 @@
 	}
 	call := a.newCall(in, route, service)
 	inner := a.runner.Inherit(&call)
+	var age time.Duration
 	if !inner {
 		a.outside.Add(1)
 		defer a.outside.Add(-1)
+		age = a.courier.Age(route.Name, in.Remaining)
+		call.Objective -= age
 	}
 	if call.Remaining <= 0 {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
 	defer cancel()
-	answer := a.courier.Deliver(ctx, call, route)
+	answer := a.courier.Deliver(ctx, call, route, age)
 	if inner {
 		a.runner.Called(in.Attempt, service, answer.Reach)
 	}
--- a/agent/record.go
+++ b/agent/record.go
@@ -39,8 +39,8 @@
 	if r.Service != "" {
 		line.Str("pressed", r.Service)
 	}
-	if r.Returning {
-		line.Bool("returning", true)
+	if r.Age > 0 {
+		line.Int64("age-ms", r.Age.Milliseconds())
 	}
 	end(line, r.Code, r.Status, r.Took).Msg("courier: request")
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -11,6 +11,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/admitter"
+	"hornbeamcroft/estimator"
 	"hornbeamcroft/placer"
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/throttler"
@@ -23,6 +24,8 @@
 	noHostRetry = 500 * time.Millisecond
 	// prewarm is the number of hosts of a service to which links are opened at its first call.
 	prewarm = 8
+	// leastAge is the age from which on an attempt counts as a later one of its caller.
+	leastAge = 50 * time.Millisecond
 )
 
 // Record tells what became of a request, for the log.
@@ -38,9 +41,9 @@
 	Codes []hornbeamcroft.Code
 	// Service is the one whose level refused the request; empty if none did.
 	Service string
-	// Returning is true if the request was refused here before.
-	Returning bool
-	Took      time.Duration
+	// Age is how long the caller had been waiting when it sent the request.
+	Age  time.Duration
+	Took time.Duration
 }
 
 // Courier delivers calls. Set the exported fields before the first Deliver. It is safe for concurrent use.
@@ -65,6 +68,7 @@
 
 	mu        sync.Mutex
 	throttler throttler.Throttler
+	estimator estimator.Estimator
 	placers   map[string]*placer.Placer
 	members   map[string]hornbeamcroft.Member
 	byService map[string][]hornbeamcroft.Member
@@ -178,17 +182,21 @@
 	c.throttler.Teach(routes)
 }
 
-// Deliver sends the call and returns the final answer.
-func (c *Courier) Deliver(ctx context.Context, call hornbeamcroft.Call, route hornbeamcroft.Route) hornbeamcroft.Answer {
-	d := delivery{c: c, route: route, rec: Record{Call: call, Route: route}, start: c.Clock.Now()}
+// Deliver sends the call and returns the final answer. The caller had been waiting for age before.
+func (c *Courier) Deliver(ctx context.Context, call hornbeamcroft.Call, route hornbeamcroft.Route, age time.Duration,
+) hornbeamcroft.Answer {
+	d := delivery{c: c, route: route, rec: Record{Call: call, Route: route, Age: age}, start: c.Clock.Now()}
 	a := d.run(ctx, call)
 	d.rec.Code, d.rec.Status, d.rec.Took = a.Code, a.Status, c.Clock.Now()-d.start
+	if call.Depth == 1 && a.Code == hornbeamcroft.CodeAnswered && a.Status < 300 {
+		c.served(call.Type, d.rec.Took)
+	}
 	c.OnEnd(d.rec)
 	return a
 }
 
 // admit decides whether a request of a caller starts.
-func (c *Courier) admit(call hornbeamcroft.Call) throttler.Verdict {
+func (c *Courier) admit(call hornbeamcroft.Call, age time.Duration) throttler.Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
@@ -196,20 +204,31 @@
 	if call.Depth > 1 {
 		return throttler.Verdict{Admitted: true}
 	}
-	return c.throttler.Admit(now, c.Rand, throttleRequest(call))
+	return c.throttler.Admit(now, c.Rand, throttler.Request{
+		Route: call.Type, Service: call.Service, Importance: call.Importance,
+		Returning: age >= leastAge && c.estimator.Spare(call.Type, call.Objective) > 0,
+	})
 }
 
-func throttleRequest(call hornbeamcroft.Call) throttler.Request {
-	return throttler.Request{
-		Route: call.Type, Service: call.Service, Importance: call.Importance, Fingerprint: call.Fingerprint,
-	}
+// Age returns for how long the caller of a request on the route has been waiting, given the time that it still waits.
+func (c *Courier) Age(route string, remaining time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.estimator.Age(c.Clock.Now(), route, remaining)
+}
+
+// served takes the time in which a request was answered.
+func (c *Courier) served(route string, took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.estimator.Served(route, took)
 }
 
-// retryAfter remembers a request of a caller that found no room, and returns when it may come back.
-func (c *Courier) retryAfter(call hornbeamcroft.Call) time.Duration {
+// retryAfter returns when a refused request may come back that has the given time left for its objective.
+func (c *Courier) retryAfter(route string, left time.Duration) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.throttler.Refused(c.Clock.Now(), c.Rand, throttleRequest(call))
+	return throttler.RetryAfter(c.Rand, c.estimator.Spare(route, left))
 }
 
 // pick chooses the host of the next send and counts it.
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -24,8 +24,7 @@
 const maxRuns = 3
 
 func (d *delivery) run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
-	v := d.c.admit(call)
-	d.rec.Returning = v.Returning
+	v := d.c.admit(call, d.rec.Age)
 	if call.Depth == 1 {
 		call.Weight = v.Weight
 	}
@@ -35,7 +34,7 @@
 		if v.Service == call.Service {
 			code = hornbeamcroft.CodeOverloaded
 		}
-		return hornbeamcroft.Answer{Code: code, RetryAfter: v.RetryAfter}
+		return d.conclude(call, hornbeamcroft.Answer{Code: code})
 	}
 	for {
 		m, ok := d.host(ctx, call)
@@ -146,7 +145,7 @@
 		return a
 	}
 	if call.Depth == 1 {
-		a.RetryAfter = d.c.retryAfter(call)
+		a.RetryAfter = d.c.retryAfter(call.Type, call.Objective-(d.c.Clock.Now()-d.start))
 	}
 	return a
 }
--- /dev/null
+++ b/estimator/estimator_test.go
@@ -0,0 +1,31 @@
+package estimator
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestAge guards against a second attempt that is taken for a first one.
+func TestAge(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	is.Equal(e.Age(0, "a", 5*time.Second), time.Duration(0))
+	is.Equal(e.Age(time.Second, "a", 4*time.Second), time.Second)
+	is.Equal(e.Age(time.Second, "b", 4*time.Second), time.Duration(0))
+	is.Equal(e.Age(time.Second, "a", 0), time.Duration(0))
+	// Callers that have become less patient are taken as they are after two epochs.
+	is.Equal(e.Age(epoch, "a", 2*time.Second), 3*time.Second)
+	is.Equal(e.Age(2*epoch, "a", 2*time.Second), time.Duration(0))
+}
+
+// TestSpare guards against a refused caller that is told to come back when its answer would be late.
+func TestSpare(t *testing.T) {
+	is := is.New(t)
+	var e Estimator
+	is.Equal(e.Spare("a", time.Second), time.Second)
+	e.Served("a", 400*time.Millisecond)
+	is.Equal(e.Spare("a", time.Second), 500*time.Millisecond)
+	is.True(e.Spare("a", 400*time.Millisecond) < 0)
+}
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -59,7 +59,9 @@
 	objective, timeout   time.Duration
 	importance           hornbeamcroft.Importance
 	idempotent, parallel bool
-	calls                []meshCalls
+	// retries is how often a caller comes back that was refused.
+	retries int
+	calls   []meshCalls
 }
 
 type meshCalls struct {
@@ -128,7 +130,7 @@
 	c := &meshClass{
 		name: r.m["name"], service: r.m["service"], work: r.duration("work"), rate: r.number("rate", 0),
 		objective: r.duration("objective"), timeout: r.duration("timeout"), idempotent: r.m["idempotent"] != "false",
-		parallel: r.m["parallel"] == "true",
+		parallel: r.m["parallel"] == "true", retries: int(r.number("retries", 0)),
 	}
 	i, err := hornbeamcroft.ParseImportance(r.m["importance"])
 	ts.Check(err)
@@ -361,10 +363,10 @@
 			id := fmt.Sprintf("%s.%s%d", attempt, calls.class, i)
 			if c.parallel {
 				pending++
-				go func() { results <- n.serve(ctx, n.m.cfg.classes[calls.class], id).Status == 200 }()
+				go func() { results <- n.call(ctx, n.m.cfg.classes[calls.class], id).Status == 200 }()
 				continue
 			}
-			if n.serve(ctx, n.m.cfg.classes[calls.class], id).Status != 200 {
+			if n.call(ctx, n.m.cfg.classes[calls.class], id).Status != 200 {
 				return false
 			}
 		}
@@ -376,21 +378,31 @@
 	return whole
 }
 
+// call takes a call of the upstream.
+func (n *meshNode) call(ctx context.Context, c *meshClass, attempt string) hornbeamcroft.Answer {
+	return n.serve(ctx, c, attempt, c.timeout)
+}
+
 // serve takes a request at the node's way in.
-func (n *meshNode) serve(ctx context.Context, c *meshClass, attempt string) hornbeamcroft.Answer {
+func (n *meshNode) serve(ctx context.Context, c *meshClass, attempt string, remaining time.Duration) hornbeamcroft.Answer {
 	route := hornbeamcroft.Route{
 		Name: c.name, Idempotent: c.idempotent, MaxAttempts: 2, Timeout: c.timeout, Objective: c.objective,
 		Importance: c.importance, Targets: []hornbeamcroft.Target{{Service: c.service, Weight: 1}},
 	}
 	call := hornbeamcroft.Call{
 		Request: attempt, Attempt: attempt, Service: c.service, Type: c.name, Importance: c.importance, Depth: 1,
-		Remaining: c.timeout, Objective: c.objective, Idempotent: c.idempotent,
+		Remaining: remaining, Objective: c.objective, Idempotent: c.idempotent,
 		Message: &hornbeamcroft.Message{Method: "GET", Target: "/"}, Fingerprint: lockedRand{n.m}.Uint64(),
 	}
 	inner := n.runner.Inherit(&call)
+	var age time.Duration
+	if !inner {
+		age = n.courier.Age(route.Name, remaining)
+		call.Objective -= age
+	}
 	ctx, cancel := context.WithTimeout(ctx, max(call.Remaining, 0))
 	defer cancel()
-	a := n.courier.Deliver(ctx, call, route)
+	a := n.courier.Deliver(ctx, call, route, age)
 	if inner {
 		n.runner.Called(attempt, c.service, a.Reach)
 	}
@@ -452,7 +464,13 @@
 
 func (m *mesh) request(n *meshNode, c *meshClass, id string) {
 	begin := m.clock.Now()
-	a := n.serve(context.Background(), c, id)
+	a := n.serve(context.Background(), c, id, c.timeout)
+	for i := 0; i < c.retries && a.Code.Claim() == hornbeamcroft.ClaimNotRun; i++ {
+		left := c.timeout - (m.clock.Now() - begin)
+		time.Sleep(min(a.RetryAfter, left/3))
+		m.count("retries-"+c.name, 1)
+		a = n.serve(context.Background(), c, id+"-"+strconv.Itoa(i), c.timeout-(m.clock.Now()-begin))
+	}
 	if begin < m.from {
 		return
 	}
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -111,10 +111,11 @@
 	return 0
 }
 
-// key orders waiting calls: the lower key starts first.
+// key orders waiting calls: the lower key starts first. The start of a request whose objective has passed does not go before
+// others that can still meet theirs; a call of a running one does, because the slots above it are held meanwhile.
 func key(now time.Duration, t hornbeamcroft.Ticket) time.Duration {
 	k := t.Objective
-	if k == 0 {
+	if k == 0 || t.Depth == 1 && k <= now {
 		k = now + noObjective
 	}
 	k = min(k, t.Deadline)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -24,14 +24,10 @@
 	maxServices = 64
 	// probeShare of the requests that would be refused starts, so that a lower level is noticed.
 	probeShare = 0.01
-	// returnTime is how long a refused request is remembered, so that its caller goes first when it comes back.
-	returnTime = 5 * time.Second
 	// maxLevels bounds the levels on one answer.
 	maxLevels = 8
-	// returningFactor is how much more likely a request is admitted that was refused before.
+	// returningFactor is how much more likely a request is admitted whose caller has tried before.
 	returningFactor = 2
-	// maxReturns bounds the refused requests that are remembered.
-	maxReturns = 16384
 	// leastRetry and retrySpread give the time after which a refused request may come back: long enough for the level to
 	// change, and spread so that refused callers do not come back together.
 	leastRetry  = 300 * time.Millisecond
@@ -45,10 +41,6 @@
 	Weight float32
 	// Service is the one that would turn the request away.
 	Service string
-	// Returning is true if the request was refused here before.
-	Returning bool
-	// RetryAfter is when a refused request may come back.
-	RetryAfter time.Duration
 }
 
 // Request is what is asked about.
@@ -56,8 +48,8 @@
 	Route      string
 	Service    string
 	Importance hornbeamcroft.Importance
-	// Fingerprint is equal for the attempts of one request.
-	Fingerprint uint64
+	// Returning is true if the caller has tried before and can still get its answer in time.
+	Returning bool
 }
 
 // Throttler holds the levels and what it learned about routes. It is not safe for concurrent use.
@@ -66,36 +58,25 @@
 	views map[string]*view
 	// reach is the number of calls to each service by route.
 	reach    map[string]map[string]float64
-	returns  map[uint64]time.Duration
-	oldest   []returning
 	services []string
 }
 
-type returning struct {
-	fingerprint uint64
-	at          time.Duration
-}
-
 // Admit decides about a request.
 func (t *Throttler) Admit(now time.Duration, rnd hornbeamcroft.Rand, q Request) Verdict {
-	t.forget(now)
-	_, returning := t.returns[q.Fingerprint]
 	hash := uint32(rnd.IntN(hornbeamcroft.ThresholdAll))
-	if returning {
+	if q.Returning {
 		// Of the requests of one importance, those that were refused before have a better chance. They do not all pass:
 		// callers that come back at once would make the level useless.
 		hash /= returningFactor
 	}
 	service, share := t.pressed(now, q, hash)
 	if service == "" || rnd.Float64() < probeShare {
-		delete(t.returns, q.Fingerprint)
-		if returning {
+		if q.Returning {
 			share = min(1, share*returningFactor)
 		}
-		return Verdict{Admitted: true, Returning: returning, Weight: float32(1 / max(share, probeShare))}
+		return Verdict{Admitted: true, Weight: float32(1 / max(share, probeShare))}
 	}
-	after := t.refused(now, rnd, q)
-	return Verdict{Service: service, Returning: returning, RetryAfter: after}
+	return Verdict{Service: service}
 }
 
 // pressed returns the service that would turn the request away, or "", and the share of such requests that starts.
@@ -124,31 +105,14 @@
 	return hornbeamcroft.Pressure{Service: service, Threshold: hornbeamcroft.ThresholdAll}
 }
 
-// Refused remembers a request that was refused elsewhere, and returns when it may come back.
-func (t *Throttler) Refused(now time.Duration, rnd hornbeamcroft.Rand, q Request) time.Duration {
-	t.forget(now)
-	return t.refused(now, rnd, q)
-}
-
-func (t *Throttler) refused(now time.Duration, rnd hornbeamcroft.Rand, q Request) time.Duration {
-	if t.returns == nil {
-		t.returns = make(map[uint64]time.Duration)
-	}
-	if len(t.oldest) < maxReturns {
-		t.returns[q.Fingerprint] = now
-		t.oldest = append(t.oldest, returning{fingerprint: q.Fingerprint, at: now})
-	}
-	return leastRetry + time.Duration(rnd.Float64()*float64(retrySpread))
-}
-
-func (t *Throttler) forget(now time.Duration) {
-	for len(t.oldest) > 0 && now-t.oldest[0].at >= returnTime {
-		o := t.oldest[0]
-		t.oldest = t.oldest[1:]
-		if t.returns[o.fingerprint] == o.at {
-			delete(t.returns, o.fingerprint)
-		}
+// RetryAfter returns when a refused request may come back, given the time that it can spare: within it, if that is long
+// enough for the level to change.
+func RetryAfter(rnd hornbeamcroft.Rand, spare time.Duration) time.Duration {
+	spread := retrySpread
+	if spare > leastRetry {
+		spread = min(spread, spare-leastRetry)
 	}
+	return leastRetry + time.Duration(rnd.Float64()*float64(spread))
 }
 
 // reached returns the service of the request and those that its calls reach.
