--- /dev/null
+++ b/cmd/hornbeam-soak/soak_test.go
@@ -0,0 +1,147 @@
+package main
+
+import (
+	"bufio"
+	"encoding/json"
+	"flag"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rogpeppe/go-internal/txtar"
+
+	"hornbeamcroft/cmd/hornbeam-soak/judge"
+	"hornbeamcroft/cmd/hornbeam-soak/soaker"
+)
+
+var (
+	allSeeds = flag.Bool("all-seeds", false, "play all seeds of testdata/seeds.txt in full length")
+	mutants  = flag.Bool("mutants", false, "show that the soak finds each mechanism that is switched off")
+)
+
+const (
+	// shortLength is the time in which faults begin in CI.
+	shortLength = 6 * time.Second
+	fullLength  = 12 * time.Second
+	// shortSeeds is the number of seeds that CI plays.
+	shortSeeds = 2
+	// mutantSeeds is the number of seeds within which a mutant must be found.
+	mutantSeeds = 12
+)
+
+// TestSeeds guards against promises that break under faults: it plays seeds that once broke one.
+func TestSeeds(t *testing.T) {
+	node := build(t, nil)
+	seeds := readSeeds(t)
+	length := fullLength
+	if !*allSeeds {
+		seeds, length = seeds[:min(len(seeds), shortSeeds)], shortLength
+	}
+	for _, seed := range seeds {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			for _, f := range soak(t, node, seed, length) {
+				t.Errorf("%s %s %s %s", f.At.Format("15:04:05.000"), f.Promise, f.Attempt, f.Text)
+			}
+		})
+	}
+}
+
+// TestMutants guards against a soak that finds nothing: with a mechanism switched off, some seed must break its promise.
+func TestMutants(t *testing.T) {
+	if !*mutants {
+		t.Skip("run with -mutants")
+	}
+	files, err := filepath.Glob("testdata/mutants/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no mutants", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			overlay, promise := mutate(t, file)
+			node := build(t, overlay)
+			for seed := range uint64(mutantSeeds) {
+				for _, f := range soak(t, node, seed+1, fullLength) {
+					if f.Promise == promise {
+						t.Logf("seed %d: %s %s", seed+1, f.Promise, f.Text)
+						return
+					}
+				}
+			}
+			t.Errorf("%d seeds found no broken promise %q", mutantSeeds, promise)
+		})
+	}
+}
+
+func soak(t *testing.T, node string, seed uint64, length time.Duration) []judge.Finding {
+	t.Helper()
+	s := &soaker.Soaker{
+		Seed: seed, Hosts: 5, Callers: 3, Length: length, PerSecond: 0.7, Program: node, Folder: t.TempDir(),
+	}
+	r, err := s.Run()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r.Findings
+}
+
+// build builds the node with the arguments and returns its path.
+func build(t *testing.T, args []string) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "hornbeam-node")
+	cmd := exec.Command("go", append(append([]string{"build"}, args...), "-o", program, "../hornbeam-node")...)
+	if out, err := cmd.CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	return program
+}
+
+// mutate returns the arguments of a build with the change of the file, and the promise that it breaks.
+func mutate(t *testing.T, file string) ([]string, string) {
+	t.Helper()
+	is := is.New(t)
+	archive, err := txtar.ParseFile(file)
+	is.NoErr(err)
+	fields := make(map[string]string)
+	for line := range strings.Lines(string(archive.Comment)) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), ": ")
+		fields[name] = value
+	}
+	path, err := filepath.Abs(filepath.Join("../..", fields["path"]))
+	is.NoErr(err)
+	source, err := os.ReadFile(path)
+	is.NoErr(err)
+	is.Equal(len(archive.Files), 2)
+	old, replacement := text(archive.Files[0]), text(archive.Files[1])
+	is.Equal(strings.Count(string(source), old), 1) // the mutant fits the source
+	mutated := filepath.Join(t.TempDir(), "mutated.go")
+	is.NoErr(os.WriteFile(mutated, []byte(strings.Replace(string(source), old, replacement, 1)), 0o600))
+	overlay, err := json.Marshal(map[string]map[string]string{"Replace": {path: mutated}})
+	is.NoErr(err)
+	list := filepath.Join(t.TempDir(), "overlay.json")
+	is.NoErr(os.WriteFile(list, overlay, 0o600))
+	return []string{"-overlay", list}, fields["promise"]
+}
+
+func text(f txtar.File) string { return strings.TrimSuffix(string(f.Data), "\n") }
+
+func readSeeds(t *testing.T) []uint64 {
+	t.Helper()
+	f, err := os.Open("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = f.Close() }()
+	var seeds []uint64
+	for lines := bufio.NewScanner(f); lines.Scan(); {
+		word, _, _ := strings.Cut(lines.Text(), " ")
+		if seed, err := strconv.ParseUint(word, 10, 64); err == nil {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
