runner: a call of a running request has all the time that the request has left

The time left was halved at each level, so that four levels down it was shorter than twice what a slow upstream takes, and these were avoided. Ruled out: links (all 81 nodes had one to each of the six), reports of load, crashes, the cut of nodes from the store.

--- a/runner/runner.go
+++ b/runner/runner.go
@@ -142,9 +142,6 @@
 	return len(r.running)
 }
 
-// childShare is the part of the time left for a whole request that one call of it may wait; a run makes several calls.
-const childShare = 2
-
 // Inherit makes the call a child of the running call whose id it extends. It reports whether there is one.
 func (r *Runner) Inherit(call *hornbeamcroft.Call) bool {
 	r.mu.Lock()
@@ -159,7 +156,7 @@
 	call.Depth = p.Depth + 1
 	call.Repeat, call.Weight = p.Repeat, p.Weight
 	call.Remaining = min(call.Remaining, p.Deadline-now)
-	call.Objective = min(call.Objective, (p.Objective-now)/childShare)
+	call.Objective = min(call.Objective, p.Objective-now)
 	return true
 }
 
