--- a/courier/courier.go
+++ b/courier/courier.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -22,8 +21,6 @@
 	maxSends = 8
 	// noHostRetry is when a request may come back for which no host is known.
 	noHostRetry = 500 * time.Millisecond
-	// prewarm is the number of hosts of a service to which links are opened at its first call.
-	prewarm = 8
 	// leastAge is the age from which on an attempt counts as a later one of its caller.
 	leastAge = 50 * time.Millisecond
 )
@@ -95,32 +92,6 @@
 	c.dialAll(dial)
 }
 
-// refresh passes the members to a placer and returns those to which links are wanted. The lock is held.
-func (c *Courier) refresh(service string, p *placer.Placer) []hornbeamcroft.Member {
-	members := c.byService[service]
-	p.Update(members)
-	var wanted []hornbeamcroft.Member
-	for _, m := range members {
-		linked := m.Name == c.Name || c.Linked(m.Name)
-		p.Link(m.Name, linked)
-		if !linked && m.State == hornbeamcroft.MemberServing {
-			wanted = append(wanted, m)
-		}
-	}
-	// The own zone comes first; the order of the others differs between nodes, so that not all link to the same hosts.
-	slices.SortStableFunc(wanted, func(a, b hornbeamcroft.Member) int {
-		return boolRank(a.Zone != c.Zone) - boolRank(b.Zone != c.Zone)
-	})
-	return wanted[:min(len(wanted), prewarm)]
-}
-
-func boolRank(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 func (c *Courier) dialAll(members []hornbeamcroft.Member) {
 	for _, m := range members {
 		c.Dial(m)
