hornbeamctl explain: what became of a request, from the logs of nodes

One account of an attempt and its calls in the order of cause, with what the nodes involved believed at that time.

--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -313,6 +313,19 @@
 	return n
 }
 
+// Outcomes returns what callers saw of their requests.
+func (j *Judge) Outcomes() []caller.Outcome {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	var list []caller.Outcome
+	for _, r := range j.records {
+		if r.outcome != nil {
+			list = append(list, *r.outcome)
+		}
+	}
+	return list
+}
+
 // Share returns the number of requests of callers sent since the time, and the share of them that was served.
 func (j *Judge) Share(since time.Time) (int, float64) {
 	j.mu.Lock()
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -56,6 +56,8 @@
 	PerSecond float64
 	// Program is the node, Folder takes settings, logs and the report.
 	Program, Folder string
+	// Steps are carried out in place of the drawn ones; nil for those of the seed.
+	Steps []planner.Step
 
 	judge  judge.Judge
 	store  keeper.Keeper
@@ -91,7 +93,10 @@
 			traffic.Go(func() { s.call(ctx, h) })
 		}
 	}
-	steps := planner.Plan(s.Seed, s.Hosts, s.Length, s.PerSecond)
+	steps := s.Steps
+	if steps == nil {
+		steps = planner.Plan(s.Seed, s.Hosts, s.Length, s.PerSecond)
+	}
 	start := time.Now()
 	for _, step := range steps {
 		time.Sleep(time.Until(start.Add(step.At)))
@@ -111,6 +116,9 @@
 	return r, nil
 }
 
+// Outcomes returns what callers saw of their requests. Call it after Run.
+func (s *Soaker) Outcomes() []caller.Outcome { return s.judge.Outcomes() }
+
 // open starts the store, the hosts and their processes.
 func (s *Soaker) open(done <-chan struct{}) error {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/cmd/hornbeamctl/app.go
+++ b/cmd/hornbeamctl/app.go
@@ -79,7 +79,7 @@
 		},
 		Action: noCommand,
 		Commands: []*cli.Command{
-			checkCommand(), diffCommand(), applyCommand(), showCommand(), drainCommand(), reportCommand(), codesCommand(),
+			checkCommand(), diffCommand(), applyCommand(), showCommand(), drainCommand(), reportCommand(), explainCommand(), codesCommand(),
 			versionCommand(),
 		},
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
