--- a/cmd/hornbeamctl/explain.go
+++ b/cmd/hornbeamctl/explain.go
@@ -34,7 +34,7 @@
 			}
 			step, err := e.Explain()
 			if err != nil {
-				return fail(hornbeamcroft.CodeUnchanged, err)
+				return fail(hornbeamcroft.CodeNotFound, err)
 			}
 			return emit(cmd, step, func(w io.Writer) { explain(w, step, "") })
 		},
--- a/code.go
+++ b/code.go
@@ -102,6 +102,7 @@
 	CodeUnchanged        Code = 507
 	CodeNodeUnreachable  Code = 508
 	CodeUsage            Code = 509
+	CodeNotFound         Code = 510
 )
 
 // CodeInfo describes a result code for the table in the docs and for hornbeamctl codes.
@@ -168,6 +169,7 @@
 	{CodeUnchanged, "unchanged", 0, "The accepted document already has this content."},
 	{CodeNodeUnreachable, "node-unreachable", 8, "A node that the command needs did not answer."},
 	{CodeUsage, "usage", 2, "The command line or the settings are wrong; nothing was done."},
+	{CodeNotFound, "not-found", 9, "What the command looks for is not in what it was given."},
 }
 
 var codeInfos = func() map[Code]CodeInfo {
