hornbeam-soak: listeners get ports that outgoing connections never get; a node that does not start shows its log

Seen twice while two soaks ran beside each other: a node not ready after 15 s, its log gone with the test's folder. A port that was taken between its choice and its use is suspected and not shown; the error now carries the log.

--- a/cmd/hornbeam-soak/hoster/hoster.go
+++ b/cmd/hornbeam-soak/hoster/hoster.go
@@ -4,10 +4,12 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -58,16 +60,17 @@
 
 // Open starts the upstream and the proxies, and writes the settings.
 func (h *Hoster) Open() error {
-	if err := h.Worker.Start("127.0.0.1:0"); err != nil {
-		return err
-	}
-	for _, address := range []*string{&h.WayIn, &h.Announcements, &h.Readiness, &h.Metrics, &h.links} {
+	var upstream string
+	for _, address := range []*string{&upstream, &h.WayIn, &h.Announcements, &h.Readiness, &h.Metrics, &h.links} {
 		free, err := freeAddress()
 		if err != nil {
 			return err
 		}
 		*address = free
 	}
+	if err := h.Worker.Start(upstream); err != nil {
+		return err
+	}
 	h.ToStore = &proxier.Proxier{Target: h.Store}
 	h.ToNode = &proxier.Proxier{Target: h.links}
 	h.ToUpstream = &proxier.Proxier{Target: h.Worker.Address()}
@@ -89,12 +92,34 @@
 	return []*proxier.Proxier{h.ToStore, h.ToNode, h.ToUpstream}
 }
 
+// Ports of listeners are drawn below those that the system gives to outgoing connections: a listener that is closed and
+// opened again would otherwise find its port taken.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+	portTries = 100
+)
+
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var err error
+	for range portTries {
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
+		var l net.Listener
+		if l, err = net.Listen("tcp", address); err == nil {
+			return address, l.Close()
+		}
+	}
+	return "", err
+}
+
+// LogEnd returns the last bytes of the node's log.
+func (h *Hoster) LogEnd() string {
+	const most = 600
+	data, err := os.ReadFile(h.log.Name())
 	if err != nil {
-		return "", err
+		return err.Error()
 	}
-	return l.Addr().String(), l.Close()
+	return string(data[max(0, len(data)-most):])
 }
 
 func (h *Hoster) settingsPath() string { return filepath.Join(h.Folder, h.Name+".ini") }
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -191,7 +191,7 @@
 	for _, h := range s.hosts {
 		for !isReady(h.Readiness) || h.Worker.Announce(h.Announcements) != nil {
 			if time.Now().After(limit) {
-				return fmt.Errorf("%s is not ready after %s", h.Name, readyTime)
+				return fmt.Errorf("%s is not ready after %s; the end of its log is\n%s", h.Name, readyTime, h.LogEnd())
 			}
 			time.Sleep(50 * time.Millisecond)
 		}
