--- a/agent/calls.go
+++ b/agent/calls.go
@@ -45,8 +45,16 @@
 	return func() { a.bodies.Add(int64(-bytes)) }, true
 }
 
+// endingRetry is when a caller may come back that met a process which is about to end.
+const endingRetry = 500 * time.Millisecond
+
 // serve answers a request that entered here.
 func (a *Agent) serve(ctx context.Context, in hornbeamcroft.Incoming) hornbeamcroft.Answer {
+	if a.ending.Load() {
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: endingRetry}
+		a.recordRejected(in.Attempt, answer, nil)
+		return answer
+	}
 	r := a.routes.Load()
 	route, service, ok := r.match(in.Message.Host, path(in.Message.Target))
 	if !ok {
--- a/agent/record.go
+++ b/agent/record.go
@@ -37,7 +37,7 @@
 		Int64("routes-version", a.routesVersion()).Int64("remaining-ms", r.Call.Remaining.Milliseconds()).
 		Str("hosts", strings.Join(r.Hosts, " ")).Str("codes", codes(r.Codes))
 	if r.Service != "" {
-		line.Str("pressed", r.Service)
+		line.Str("pressed", r.Service).Str("admits", level(r.Level)).Int64("level-age-ms", r.LevelAge.Milliseconds())
 	}
 	if r.Age > 0 {
 		line.Int64("age-ms", r.Age.Milliseconds())
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -44,6 +44,7 @@
 	await(func() bool {
 		return time.Since(begin) >= limit || a.wayIn.InFlight() == 0 && a.runner.Running() == 0
 	})
+	a.ending.Store(true)
 	a.Log.Info().Int("callers", a.wayIn.InFlight()).Int("running", a.runner.Running()).
 		Int64("took-ms", time.Since(begin).Milliseconds()).Msg("agent: planned stop ends")
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -36,8 +36,10 @@
 	Hosts []string
 	// Codes are the answers of Hosts.
 	Codes []hornbeamcroft.Code
-	// Service is the one whose level refused the request; empty if none did.
-	Service string
+	// Service is the one whose level refused the request, Level that level and LevelAge its age; empty if none did.
+	Service  string
+	Level    hornbeamcroft.Pressure
+	LevelAge time.Duration
 	// Age is how long the caller had been waiting when it sent the request.
 	Age  time.Duration
 	Took time.Duration
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -29,7 +29,7 @@
 		call.Weight = v.Weight
 	}
 	if !v.Admitted {
-		d.rec.Service = v.Service
+		d.rec.Service, d.rec.Level, d.rec.LevelAge = v.Service, v.Level, v.LevelAge
 		code := hornbeamcroft.CodeServicePressedBelow
 		if v.Service == call.Service {
 			code = hornbeamcroft.CodeOverloaded
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -39,8 +39,10 @@
 	Admitted bool
 	// Weight is the number of requests that an admitted one stands for: the inverse of the probability to be admitted.
 	Weight float32
-	// Service is the one that would turn the request away.
-	Service string
+	// Service is the one that would turn the request away, Level its admission level and LevelAge the age of that.
+	Service  string
+	Level    hornbeamcroft.Pressure
+	LevelAge time.Duration
 }
 
 // Request is what is asked about.
@@ -76,7 +78,11 @@
 		}
 		return Verdict{Admitted: true, Weight: float32(1 / max(share, probeShare))}
 	}
-	return Verdict{Service: service}
+	v := Verdict{Service: service, Level: t.level(now, service)}
+	if view := t.views[service]; view != nil {
+		v.LevelAge = view.age(now)
+	}
+	return v
 }
 
 // pressed returns the service that would turn the request away, or "", and the share of such requests that starts.
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -51,6 +51,9 @@
 	return v.own(now, service)
 }
 
+// age returns the age of the newest report about the service.
+func (v *view) age(now time.Duration) time.Duration { return now - max(v.at, v.heardAt) }
+
 // own returns the level of the hosts that reported lately, together. Those that did not are taken to be alike.
 func (v *view) own(now time.Duration, service string) hornbeamcroft.Pressure {
 	var sum leveler.Leveler
