--- /dev/null
+++ b/router/router_test.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+)
+
+func route(name, host, prefix string, targets ...hornbeamcroft.Target) hornbeamcroft.Route {
+	return hornbeamcroft.Route{Name: name, Host: host, Prefix: prefix, Targets: targets}
+}
+
+// TestMatch guards against a request on a route of another host or with a shorter prefix than another that fits.
+func TestMatch(t *testing.T) {
+	is := is.New(t)
+	r := New(hornbeamcroft.RouteTable{Routes: []hornbeamcroft.Route{
+		route("root", "a.example", "/"), route("long", "a.example", "/x/y/"), route("short", "a.example", "/x/"),
+		route("other", "b.example", "/x/"),
+	}})
+	for _, c := range [][3]string{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example", "/x/y", "short"},
+		{"a.example", "/xy", "root"},
+		{"A.Example:80", "/x/", "short"},
+		{"b.example", "/x/1", "other"},
+		{"b.example", "/", ""},
+		{"c.example", "/x/", ""},
+	} {
+		got, ok := r.Match(c[0], c[1])
+		is.Equal(got.Name, c[2])
+		is.Equal(ok, c[2] != "")
+	}
+}
+
+// TestWeights guards against a division of requests that differs from the weights.
+func TestWeights(t *testing.T) {
+	is := is.New(t)
+	split := route("r", "a", "/", hornbeamcroft.Target{Service: "x", Weight: 90},
+		hornbeamcroft.Target{Service: "y", Weight: 10}, hornbeamcroft.Target{Service: "z"})
+	r := New(hornbeamcroft.RouteTable{Routes: []hornbeamcroft.Route{split}})
+	counts := make(map[string]int)
+	for range 200 {
+		counts[r.Service(split)]++
+	}
+	is.Equal(counts["x"], 180)
+	is.Equal(counts["y"], 20)
+	is.Equal(counts["z"], 0)
+}
--- /dev/null
+++ b/suspecter/suspecter_test.go
@@ -0,0 +1,34 @@
+package suspecter
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestSuspects guards against a request that goes on crashing upstreams, and against refusing one that is sound.
+func TestSuspects(t *testing.T) {
+	is := is.New(t)
+	var s Suspecter
+	for crash := range uint64(maxCrashes) {
+		is.True(!s.Refuses(0, 7))
+		s.Crash(0, Report{Crash: crash + 1, Fingerprints: []uint64{7, 8 + crash}})
+		s.Crash(0, Report{Crash: crash + 1, Fingerprints: []uint64{7}}) // the same crash over another way
+	}
+	is.True(s.Refuses(0, 7))
+	is.True(!s.Refuses(0, 8))
+	is.True(!s.Refuses(keepTime, 7))
+	s.Clear(7)
+	is.True(!s.Refuses(0, 7))
+}
+
+// TestBound guards against suspects that grow without a bound.
+func TestBound(t *testing.T) {
+	is := is.New(t)
+	var s Suspecter
+	for f := range uint64(2 * maxSuspects) {
+		s.Crash(time.Second, Report{Crash: 1, Fingerprints: []uint64{f}})
+	}
+	is.Equal(len(s.suspects), maxSuspects)
+}
