--- /dev/null
+++ b/scheduler/scheduler_test.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+)
+
+const hold = 100 * time.Millisecond
+
+// busy returns a scheduler of one slot that is taken, and has learned how long a call takes.
+func busy() *Scheduler {
+	s := &Scheduler{Service: "s", Slots: 1}
+	for id := range uint64(20) {
+		at := time.Duration(id) * hold
+		s.Arrive(at, hornbeamcroft.Ticket{ID: 100 + id, Depth: 1, Deadline: at + time.Hour})
+		s.Finish(at+hold, 100+id, hornbeamcroft.Sample{ServiceTime: hold})
+	}
+	s.Arrive(start, hornbeamcroft.Ticket{ID: 99, Depth: 1, Deadline: start + time.Hour})
+	return s
+}
+
+// start is when the slot of a busy scheduler is taken.
+const start = 20 * hold
+
+func ticket(id uint64, depth int, i hornbeamcroft.Importance, objective, deadline time.Duration) hornbeamcroft.Ticket {
+	t := hornbeamcroft.Ticket{ID: id, Depth: depth, Importance: i, Deadline: start + deadline}
+	if objective != 0 {
+		t.Objective = start + objective
+	}
+	return t
+}
+
+// drain ends the running call again and again and returns the calls in the order in which they were admitted.
+func drain(s *Scheduler, running uint64, now time.Duration) []uint64 {
+	var order []uint64
+	for {
+		admitted := uint64(0)
+		for _, d := range s.Finish(now, running, hornbeamcroft.Sample{ServiceTime: hold}) {
+			if d.Admitted {
+				admitted = d.ID
+			}
+		}
+		if admitted == 0 {
+			return order
+		}
+		order = append(order, admitted)
+		running = admitted
+	}
+}
+
+// TestOrder guards against less important calls that go before others, and against calls of running requests and callers
+// that are short of time that wait behind those that are not.
+func TestOrder(t *testing.T) {
+	const normal, critical = hornbeamcroft.ImportanceNormal, hornbeamcroft.ImportanceCritical
+	for name, c := range map[string]struct {
+		tickets []hornbeamcroft.Ticket
+		order   []uint64
+	}{
+		"importance": {
+			[]hornbeamcroft.Ticket{ticket(1, 1, normal, time.Second, time.Hour), ticket(2, 1, critical, time.Second, time.Hour)},
+			[]uint64{2, 1},
+		},
+		"objective": {
+			[]hornbeamcroft.Ticket{ticket(1, 1, normal, 2*time.Second, time.Hour), ticket(2, 1, normal, time.Second, time.Hour)},
+			[]uint64{2, 1},
+		},
+		"calls of running requests": {
+			[]hornbeamcroft.Ticket{ticket(1, 1, normal, time.Second, time.Hour), ticket(2, 3, normal, time.Second, time.Hour)},
+			[]uint64{2, 1},
+		},
+		"late requests do not go first": {
+			[]hornbeamcroft.Ticket{ticket(1, 1, normal, -time.Second, time.Hour), ticket(2, 1, normal, 900*time.Millisecond, time.Hour)},
+			[]uint64{2, 1},
+		},
+		"late calls of running requests do": {
+			[]hornbeamcroft.Ticket{ticket(1, 1, normal, 500*time.Millisecond, time.Hour), ticket(2, 2, normal, -time.Second, time.Hour)},
+			[]uint64{2, 1},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := busy()
+			for _, ticket := range c.tickets {
+				s.Arrive(start, ticket)
+			}
+			is.Equal(drain(s, 99, start+hold), c.order)
+		})
+	}
+}
+
+// TestRefusals guards against calls that wait although they cannot be finished, and against refusing those that can.
+func TestRefusals(t *testing.T) {
+	for name, c := range map[string]struct {
+		ticket hornbeamcroft.Ticket
+		code   hornbeamcroft.Code
+	}{
+		"no time to run":           {ticket(1, 1, 0, 0, hold/4), hornbeamcroft.CodeDeadlineTooShort},
+		"no time to wait":          {ticket(1, 1, 0, 0, hold), hornbeamcroft.CodeOverloaded},
+		"objective missed":         {ticket(1, 1, 0, 3*hold/2, time.Hour), hornbeamcroft.CodeOverloaded},
+		"a call of a running one":  {ticket(1, 2, 0, 3*hold/2, time.Hour), 0},
+		"missed however it starts": {ticket(1, 1, 0, hold/2, time.Hour), 0},
+		"time enough":              {ticket(1, 1, 0, 10*hold, time.Hour), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := busy()
+			ds := s.Arrive(start, c.ticket)
+			if c.code == 0 {
+				is.Equal(len(ds), 0)
+				return
+			}
+			is.Equal(len(ds), 1)
+			is.Equal(ds[0].Code, c.code)
+		})
+	}
+}
+
+// TestSlots guards against more calls at the upstream than it has slots, and against calls that are lost in the queue.
+func TestSlots(t *testing.T) {
+	is := is.New(t)
+	s := &Scheduler{Service: "s", Slots: 10}
+	admitted := 0
+	for id := range uint64(30) {
+		for _, d := range s.Arrive(0, hornbeamcroft.Ticket{ID: id, Depth: 1, Deadline: time.Hour}) {
+			is.True(d.Admitted)
+			admitted++
+		}
+	}
+	is.Equal(admitted, s.Limit())
+	is.Equal(s.Load(0).Waiting, 30-admitted)
+	s.Cancel(0, 29)
+	is.Equal(len(s.Flush(hornbeamcroft.CodeDraining)), 30-admitted-1)
+}
+
+// TestExpiry guards against a call that starts after its deadline or waits beyond it.
+func TestExpiry(t *testing.T) {
+	is := is.New(t)
+	s := busy()
+	is.Equal(len(s.Arrive(start, ticket(1, 2, 0, 0, 3*hold))), 0)
+	is.Equal(len(s.Tick(start+hold)), 0)
+	ds := s.Tick(start + 3*hold)
+	is.Equal(len(ds), 1)
+	is.Equal(ds[0].Code, hornbeamcroft.CodeQueueExpired)
+}
