--- a/Makefile
+++ b/Makefile
@@ -1,14 +1,14 @@
 # Builds, checks and measures hornbeamcroft. Needs Go only; the tools are pinned in tools/go.mod.
 
-MODULES := . cmd/hornbeam-node cmd/hornbeam-standin cmd/hornbeamctl
-PACKAGES := ./... ./cmd/hornbeam-node/... ./cmd/hornbeam-standin/... ./cmd/hornbeamctl/...
+MODULES := . cmd/hornbeam-node cmd/hornbeam-soak cmd/hornbeam-standin cmd/hornbeamctl
+PACKAGES := ./... ./cmd/hornbeam-node/... ./cmd/hornbeam-soak/... ./cmd/hornbeam-standin/... ./cmd/hornbeamctl/...
 
-.PHONY: all build test format lint vet check demo bench tidy
+.PHONY: all build test format lint vet check demo bench soak tidy
 
 all: check test
 
 build:
-	go build -o bin/ ./cmd/hornbeam-node ./cmd/hornbeam-standin ./cmd/hornbeamctl
+	go build -o bin/ ./cmd/hornbeam-node ./cmd/hornbeam-soak ./cmd/hornbeam-standin ./cmd/hornbeamctl
 
 # Results are not cached: the proofs build the node as a program, which the cache of test results does not see.
 test:
@@ -35,5 +35,8 @@
 bench: build
 	bin/hornbeam-standin bench
 
+soak: build
+	bin/hornbeam-soak --seeds 3
+
 tidy:
 	for m in $(MODULES); do (cd $$m && GOWORK=off go mod tidy) || exit 1; done
