suspecter: a sound request that was suspected at several nodes is cleared at all of them

Found while reading: callers use few paths, so that a lookup that is sent often runs in every crash. Three upstreams that end at the same time made every node refuse it, for five minutes where it was not running at that moment. A node at which it runs to its end now tells the others if they may be refusing it.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -183,9 +183,7 @@
 	r := suspecter.Report{Crash: a.incarnation<<16 + a.crashes.Add(1), Fingerprints: running}
 	a.takeCrash(r)
 	a.Log.Warn().Int("running", len(running)).Uint64("crash", r.Crash).Msg("runner: upstream crashed")
-	for _, l := range a.links.Open() {
-		a.send(l, framer.TypeCrash, r)
-	}
+	a.tellSuspects(r)
 }
 
 func (a *Agent) takeCrash(r suspecter.Report) {
@@ -196,6 +194,16 @@
 
 func (a *Agent) onCleared(fingerprint uint64) {
 	a.suspectsMu.Lock()
-	defer a.suspectsMu.Unlock()
-	a.suspects.Clear(fingerprint)
+	tell := a.suspects.Clear(fingerprint)
+	a.suspectsMu.Unlock()
+	if tell {
+		go a.tellSuspects(suspecter.Report{Cleared: []uint64{fingerprint}})
+	}
+}
+
+// tellSuspects sends a report to all peers.
+func (a *Agent) tellSuspects(r suspecter.Report) {
+	for _, l := range a.links.Open() {
+		a.send(l, framer.TypeCrash, r)
+	}
 }
--- a/applier/applier.go
+++ b/applier/applier.go
@@ -13,6 +13,7 @@
 	"hornbeamcroft/editor"
 	"hornbeamcroft/parser"
 	"hornbeamcroft/signer"
+	"hornbeamcroft/sleeper"
 )
 
 // DefaultAttempts is the number of tries before an edit gives up.
@@ -115,23 +116,12 @@
 	*last = err
 	wait := a.Wait
 	if wait == nil {
-		wait = sleep
+		wait = sleeper.Wait
 	}
 	_ = wait(ctx, retryWait) // an ended ctx ends the loop of Apply
 	return editor.StepRead
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (a *Applier) write(ctx context.Context, e *editor.Editor, last *error) editor.Step {
 	next, change, condition := e.Next()
 	change.At = a.now().UnixMilli()
--- a/cmd/hornbeam-standin/upstream/run.go
+++ b/cmd/hornbeam-standin/upstream/run.go
@@ -12,6 +12,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/cmd/hornbeam-standin/exchange"
+	"hornbeamcroft/sleeper"
 )
 
 // maxBody bounds the body of a call in bytes.
@@ -60,7 +61,7 @@
 	}
 	work, fails := u.pace.draw(requestType)
 	begin := time.Now()
-	done := sleep(ctx, work)
+	done := sleeper.Sleep(ctx, work)
 	spent := time.Since(begin)
 	status, fault := http.StatusOK, ""
 	switch {
@@ -133,18 +134,3 @@
 	}
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
-
-// sleep reports whether d passed before ctx ended.
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
 )
 
 // delivery is one request on its way.
@@ -81,7 +82,7 @@
 			d.tried = nil
 			continue
 		}
-		if ok || d.refused() || d.c.Clock.Now() >= until || !sleep(ctx, hostPause) {
+		if ok || d.refused() || d.c.Clock.Now() >= until || !sleeper.Sleep(ctx, hostPause) {
 			return m, ok
 		}
 	}
@@ -171,14 +172,3 @@
 
 // ran reports whether a call with this answer may have run.
 func ran(c hornbeamcroft.Code) bool { return c.Claim() != hornbeamcroft.ClaimNotRun }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -19,6 +19,7 @@
 	"hornbeamcroft/randomizer"
 	"hornbeamcroft/registrar"
 	"hornbeamcroft/retrier"
+	"hornbeamcroft/sleeper"
 )
 
 // maxLocalReroutes bounds the picks after a target that could not even be sent to.
@@ -175,7 +176,7 @@
 		if !sent && target != "" && reroutes < maxLocalReroutes && ctx.Err() == nil {
 			reroutes++
 			if !call.Idempotent {
-				if !sleep(ctx, outcomePause) {
+				if !sleeper.Sleep(ctx, outcomePause) {
 					break
 				}
 				*excluded, home = nil, ""
@@ -190,7 +191,7 @@
 			continue
 		}
 		f.Calls.End(attempt, answer.Unspent, sent && lost(answer.Code))
-		if !v.Retry || !sleep(ctx, v.Wait) {
+		if !v.Retry || !sleeper.Sleep(ctx, v.Wait) {
 			return f.settle(call, answer, sent), false
 		}
 		if len(*excluded) > 2*maxLocalReroutes {
@@ -229,20 +230,6 @@
 	return false
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	if d <= 0 {
-		return ctx.Err() == nil
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // send sends the call to one target. It returns the target's name, and whether any byte of the call was sent.
 func (f *Forwarder) send(ctx context.Context, call hornbeamcroft.Call, home string, excluded []string,
 ) (answer hornbeamcroft.Answer, target string, sent bool) {
@@ -319,7 +306,7 @@
 func (f *Forwarder) askOutcome(ctx context.Context, t Target, call hornbeamcroft.Call, incarnation uint64,
 ) hornbeamcroft.Answer {
 	unknown := hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
-	for sleep(ctx, outcomePause) {
+	for sleeper.Sleep(ctx, outcomePause) {
 		if m, ok := f.Member(t.Name); !ok || m.Incarnation > incarnation {
 			return unknown
 		}
--- a/leaser/runner.go
+++ b/leaser/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
 )
 
 // Runner drives a Leaser with a store. It is safe for concurrent use. Exported fields are set before Run.
@@ -30,7 +31,7 @@
 func (r *Runner) Run(ctx context.Context) error {
 	wait := r.Wait
 	if wait == nil {
-		wait = sleep
+		wait = sleeper.Wait
 	}
 	for ctx.Err() == nil {
 		if d := r.Step(ctx); d > 0 {
@@ -41,17 +42,6 @@
 	return ctx.Err()
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Step makes the call that is due, if there is one, and returns the time until the next.
 func (r *Runner) Step(ctx context.Context) time.Duration {
 	r.mu.Lock()
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
 )
 
 const (
@@ -43,7 +44,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		pause(ctx, p.next(err))
+		sleeper.Sleep(ctx, p.next(err))
 	}
 }
 
@@ -75,12 +76,3 @@
 	}
 	return time.Duration(float64(p.Interval()) * (1 - jitter + 2*jitter*p.Rand.Float64()))
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -11,6 +11,7 @@
 	"hornbeamcroft"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
+	"hornbeamcroft/sleeper"
 )
 
 // outcomePause is the wait between attempts to reach a node whose link was lost.
@@ -60,7 +61,7 @@
 	if call.Idempotent {
 		return unknown
 	}
-	for sleep(ctx, outcomePause) {
+	for sleeper.Sleep(ctx, outcomePause) {
 		l, err := s.Links.Link(ctx, m.Address)
 		if err != nil {
 			continue
@@ -78,14 +79,3 @@
 	}
 	return hornbeamcroft.Answer{Code: ended(ctx)}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/server/document.go
+++ b/server/document.go
@@ -14,6 +14,7 @@
 	"hornbeamcroft/parser"
 	"hornbeamcroft/randomizer"
 	"hornbeamcroft/signer"
+	"hornbeamcroft/sleeper"
 )
 
 const (
@@ -59,7 +60,7 @@
 	if d.s.Store == nil {
 		return
 	}
-	pause(ctx, peersFirstTime)
+	sleeper.Sleep(ctx, peersFirstTime)
 	var stop context.CancelFunc
 	for ctx.Err() == nil {
 		isRelay, _ := d.s.members.relays()
@@ -72,7 +73,7 @@
 			stop()
 			stop = nil
 		}
-		pause(ctx, relayCheckInterval)
+		sleeper.Sleep(ctx, relayCheckInterval)
 	}
 	if stop != nil {
 		stop()
@@ -188,13 +189,6 @@
 	return d.distributor.Status()
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // accept takes a document into force. The distributor passes only newer and valid ones.
 func (s *Server) accept(stored hornbeamcroft.StoredDocument) {
 	doc, err := parser.Parse(stored)
--- a/server/upstream.go
+++ b/server/upstream.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
 )
 
 const (
@@ -26,9 +27,9 @@
 			s.announceUpstream(ok)
 		}
 		if ok {
-			pause(ctx, upstreamInterval)
+			sleeper.Sleep(ctx, upstreamInterval)
 		} else {
-			pause(ctx, upstreamDownInterval)
+			sleeper.Sleep(ctx, upstreamDownInterval)
 		}
 	}
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
 )
 
 const (
@@ -96,10 +97,5 @@
 func (s *Subscriber) pause(ctx context.Context) {
 	s.wait = min(max(2*s.wait, leastWait), mostWait)
 	d := s.wait/2 + time.Duration(s.Rand.Float64()*float64(s.wait)/2)
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	sleeper.Sleep(ctx, d)
 }
--- a/suspecter/suspecter.go
+++ b/suspecter/suspecter.go
@@ -25,12 +25,14 @@
 	Crash uint64 `cbor:"1,keyasint"`
 	// Fingerprints are those of the requests.
 	Fingerprints []uint64 `cbor:"2,keyasint"`
+	// Cleared are those of requests that ran to their end at the sender, though they ran in crashes.
+	Cleared []uint64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Check reports whether the report is well formed.
 func (r Report) Check() error {
-	if len(r.Fingerprints) > maxReported {
-		return errors.Errorf("crash report: %d requests: allowed are %d", len(r.Fingerprints), maxReported)
+	if n := max(len(r.Fingerprints), len(r.Cleared)); n > maxReported {
+		return errors.Errorf("crash report: %d requests: allowed are %d", n, maxReported)
 	}
 	return nil
 }
@@ -51,6 +53,9 @@
 	for _, f := range r.Fingerprints {
 		s.add(now, f, r.Crash)
 	}
+	for _, f := range r.Cleared {
+		s.Clear(f)
+	}
 }
 
 func (s *Suspecter) add(now time.Duration, f, crash uint64) {
@@ -76,11 +81,17 @@
 	e.last = now
 }
 
-// Clear takes the news that a request has run to its end: it does not crash its upstream.
-func (s *Suspecter) Clear(f uint64) {
-	if e := s.suspects[f]; e != nil {
-		e.crashes = e.crashes[:0]
+// Clear takes the news that a request has run to its end: it does not crash its upstream. It reports whether other nodes
+// should hear of it, because one more crash beside it, or none, would make them refuse the request. Several upstreams that
+// end together for another reason make a suspect of every request that is sent often.
+func (s *Suspecter) Clear(f uint64) bool {
+	e := s.suspects[f]
+	if e == nil {
+		return false
 	}
+	near := len(e.crashes) >= maxCrashes-1
+	e.crashes = e.crashes[:0]
+	return near
 }
 
 // Refuses reports whether a request is refused.
