--- /dev/null
+++ b/cmd/hornbeam-node/wayin_test.go
@@ -0,0 +1,259 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft/platform/standin/caller"
+	"hornbeamcroft/platform/standin/keeper"
+	"hornbeamcroft/platform/standin/operator"
+	"hornbeamcroft/platform/standin/worker"
+)
+
+const (
+	routeHost = "test.example"
+	// routeTime is the longest time that the operators let a caller wait.
+	routeTime = 800 * time.Millisecond
+	// goneTime is the time within which work ends whose caller has left, and in which a request that is over is answered.
+	goneTime = 500 * time.Millisecond
+)
+
+// node is a node as a process with its upstream and a store.
+type node struct {
+	wayIn, announcements, readiness string
+
+	store  *keeper.Keeper
+	worker *worker.Worker
+	cmd    *exec.Cmd
+
+	mu   sync.Mutex
+	runs []worker.Run
+}
+
+// startNode starts a node without a configuration.
+func startNode(t *testing.T) *node {
+	t.Helper()
+	is := is.New(t)
+	n := &node{store: &keeper.Keeper{}}
+	server := httptest.NewServer(n.store)
+	stop := make(chan struct{})
+	go n.store.Run(stop)
+	note := func(r worker.Run) {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.runs = append(n.runs, r)
+	}
+	n.worker = &worker.Worker{
+		Service: "s", Zone: "z", Slots: 4, Work: 20 * time.Millisecond, OnRun: note, OnArrival: func(worker.Run) {},
+	}
+	is.NoErr(n.worker.Start(fmt.Sprintf("127.0.0.1:%d", freePort(t))))
+	text := strings.Replace(settings(t), "service = s\n", "", 1)
+	var b strings.Builder
+	for line := range strings.Lines(text) {
+		name, value, _ := strings.Cut(strings.TrimSpace(line), " = ")
+		switch name {
+		case "way-in":
+			n.wayIn = value
+		case "announcements":
+			n.announcements = value
+		case "readiness":
+			n.readiness = value
+		case "upstream":
+			line = "service = s\nupstream = " + n.worker.Address() + "\n"
+		case "address":
+			line = "address = " + strings.TrimPrefix(server.URL, "http://") + "\n"
+		}
+		b.WriteString(line)
+	}
+	path := filepath.Join(t.TempDir(), "agent.ini")
+	is.NoErr(os.WriteFile(path, []byte(b.String()), 0o600))
+	log, err := os.Create(filepath.Join(t.TempDir(), "node.log"))
+	is.NoErr(err)
+	n.cmd = exec.Command(build(t), "agent", "--settings", path)
+	n.cmd.Stdout, n.cmd.Stderr = log, log
+	is.NoErr(n.cmd.Start())
+	t.Cleanup(func() {
+		_ = n.cmd.Process.Signal(syscall.SIGKILL)
+		_ = n.cmd.Wait()
+		n.worker.Crash()
+		close(stop)
+		server.CloseClientConnections()
+		server.Close()
+		if data, err := os.ReadFile(log.Name()); err == nil && t.Failed() {
+			t.Logf("%s", data)
+		}
+	})
+	n.await(t, func() bool { return n.worker.Announce(n.announcements) == nil })
+	return n
+}
+
+// await fails unless the condition holds within a few seconds.
+func (n *node) await(t *testing.T, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !holds(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("not reached in 10 s")
+		}
+	}
+}
+
+// configure writes a configuration with an idempotent and a non-idempotent route.
+func (n *node) configure(t *testing.T, version int) {
+	t.Helper()
+	var routes []operator.Route
+	for name, idempotent := range map[string]bool{"get": true, "post": false} {
+		routes = append(routes, operator.Route{
+			Name: name, Host: routeHost, Prefix: "/" + name + "/", Service: "s", Idempotent: idempotent,
+			Timeout: routeTime, Objective: routeTime / 4,
+		})
+	}
+	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(int64(version), routes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.store.Put(keeper.KeyRoutes, value)
+}
+
+func (n *node) send(method, target, id string, remaining time.Duration) caller.Outcome {
+	c := &caller.Caller{Address: n.wayIn}
+	defer c.Close()
+	return c.Send(caller.Attempt{ID: id, Method: method, Host: routeHost, Target: target, Remaining: remaining})
+}
+
+// raw sends bytes, in which ID and DEADLINE stand for the names of these fields, and returns the status of the answer, or zero if the connection ended without one.
+func (n *node) raw(t *testing.T, text string) int {
+	t.Helper()
+	c, err := net.Dial("tcp", n.wayIn)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	text = strings.NewReplacer("\n", "\r\n", "ID:", caller.HeaderAttempt+":", "DEADLINE:", caller.HeaderDeadline+":").Replace(text)
+	if _, err := io.WriteString(c, text); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestWayIn guards against wrong answers at the way in: before there is a configuration, for input that is not in order, and
+// for requests that take too long or whose caller leaves.
+func TestWayIn(t *testing.T) {
+	n := startNode(t)
+	t.Run("no configuration", func(t *testing.T) {
+		is := is.New(t)
+		o := n.send(http.MethodGet, "/get/1", "a0", time.Second)
+		is.Equal(o.Status, http.StatusServiceUnavailable) // not 404: the route may exist
+		is.True(o.RetryAfter > 0)
+	})
+	n.configure(t, 1)
+	n.await(t, func() bool { return n.send(http.MethodGet, "/get/1", "a1", time.Second).Status == http.StatusOK })
+	t.Run("bad input", n.badInput)
+	t.Run("bodies", n.bodies)
+	t.Run("too long", n.tooLong)
+	t.Run("caller gone", n.callerGone)
+	t.Run("older configuration", n.olderConfiguration)
+	t.Run("foreign announcements", n.foreignAnnouncements)
+}
+
+func (n *node) badInput(t *testing.T) {
+	for name, c := range map[string]struct {
+		text   string
+		status int
+	}{
+		"no id":            {"GET /get/1 HTTP/1.1\nHost: test.example\n\n", 400},
+		"wrong deadline":   {"GET /get/1 HTTP/1.1\nHost: test.example\nID: b\nDEADLINE: soon\n\n", 400},
+		"no route":         {"GET /other/1 HTTP/1.1\nHost: test.example\nID: b\nDEADLINE: 500\n\n", 404},
+		"large header":     {"GET /get/1 HTTP/1.1\nHost: test.example\nID: b\nX: " + strings.Repeat("x", operator.MaxHeaderBytes) + "\n\n", 431},
+		"large body":       {"POST /post/1 HTTP/1.1\nHost: test.example\nID: b\nContent-Length: 2000000\n\n" + strings.Repeat("x", 2000000), 413},
+		"no HTTP":          {"\x00\x01\x02\n\n", 400},
+		"two lengths":      {"POST /post/1 HTTP/1.1\nHost: test.example\nID: b\nContent-Length: 1\nContent-Length: 2\n\nx", 400},
+		"length and chunk": {"POST /post/1 HTTP/1.1\nHost: test.example\nID: b1\nContent-Length: 5\nTransfer-Encoding: chunked\n\n0\n\n", 200},
+		"no time":          {"GET /get/1 HTTP/1.1\nHost: test.example\nID: b\nDEADLINE: 0\n\n", 503},
+	} {
+		t.Run(name, func(t *testing.T) { is.New(t).Equal(n.raw(t, c.text), c.status) })
+	}
+}
+
+func (n *node) bodies(t *testing.T) {
+	is := is.New(t)
+	chunked := "POST /post/c HTTP/1.1\nHost: test.example\nID: c1\nDEADLINE: 900\nTransfer-Encoding: chunked\n\n" +
+		"5\nfirst\n6\nsecond\n0\n\n"
+	is.Equal(n.raw(t, chunked), http.StatusOK)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	last := n.runs[len(n.runs)-1]
+	is.Equal(last.Body, "firstsecond")
+	is.Equal(last.Attempt, "c1")
+	is.Equal(last.Origin, "s")
+}
+
+func (n *node) tooLong(t *testing.T) {
+	is := is.New(t)
+	n.worker.SetFaults(worker.Faults{Slow: 1000})
+	defer n.worker.SetFaults(worker.Faults{})
+	begin := time.Now()
+	o := n.send(http.MethodPost, "/post/1", "d1", 5*time.Second)
+	is.Equal(o.Status, http.StatusGatewayTimeout) // it may have run
+	is.True(time.Since(begin) < routeTime+goneTime)
+}
+
+func (n *node) callerGone(t *testing.T) {
+	is := is.New(t)
+	n.worker.SetFaults(worker.Faults{Slow: 1000})
+	ctx, cancel := context.WithTimeout(context.Background(), 150*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.wayIn+"/get/1", nil)
+	is.NoErr(err)
+	r.Host = routeHost
+	r.Header.Set(caller.HeaderAttempt, "e1")
+	r.Header.Set(caller.HeaderDeadline, "5000")
+	resp, err := (&http.Transport{}).RoundTrip(r)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	is.True(err != nil)
+	time.Sleep(goneTime)
+	is.Equal(n.worker.Busy(), 0) // the upstream has stopped working on it
+	n.worker.SetFaults(worker.Faults{})
+}
+
+func (n *node) olderConfiguration(t *testing.T) {
+	is := is.New(t)
+	n.store.Put(keeper.KeyRoutes, []byte(`{"version":0,"routes":{}}`))
+	n.store.Put(keeper.KeyRoutes, []byte(`no document`))
+	time.Sleep(goneTime)
+	is.Equal(n.send(http.MethodGet, "/get/1", "f1", time.Second).Status, http.StatusOK)
+}
+
+func (n *node) foreignAnnouncements(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{"", "{", `{"status":{"state":"asleep","sequence":9}}`, `[]`} {
+		resp, err := http.Post("http://"+n.announcements+worker.PathHeartbeat+"x", "application/json",
+			strings.NewReader(body))
+		is.NoErr(err)
+		_ = resp.Body.Close()
+		is.Equal(resp.StatusCode, http.StatusBadRequest)
+	}
+	is.Equal(n.send(http.MethodGet, "/get/1", "g1", time.Second).Status, http.StatusOK)
+}
--- a/cmd/hornbeam-soak/soaker/routes.go
+++ b/cmd/hornbeam-soak/soaker/routes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"sync"
@@ -11,6 +10,8 @@
 	"hornbeamcroft/cmd/hornbeam-soak/hoster"
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/keeper"
+	"hornbeamcroft/platform/standin/operator"
+	"hornbeamcroft/platform/standin/worker"
 )
 
 const routesHost = "soak.example"
@@ -30,6 +31,14 @@
 	"audit":   {"audit", http.MethodGet, "deep", true, 1, 2 * time.Second, 300 * time.Millisecond},
 }
 
+// route returns the route of the requests of the kind.
+func (k kind) route() operator.Route {
+	return operator.Route{
+		Name: "r-" + k.name, Host: routesHost, Prefix: "/" + k.name + "/", Service: k.service, Idempotent: k.idempotent,
+		Priority: k.priority, Timeout: k.deadline, Objective: k.objective,
+	}
+}
+
 // routes is the configuration that was written last.
 type routes struct {
 	mu      sync.Mutex
@@ -43,32 +52,16 @@
 	s.routes.mu.Lock()
 	defer s.routes.mu.Unlock()
 	s.routes.version++
-	table := make(map[string]any)
-	add := func(k kind) {
-		word := "non_idempotent"
-		if k.idempotent {
-			word = "idempotent"
-		}
-		table["r-"+k.name] = map[string]any{
-			"host": routesHost, "prefix": "/" + k.name + "/", "kind": word, "service": k.service, "maxAttempts": 2,
-			"timeoutMs": k.deadline.Milliseconds(), "targetLatencyMs": k.objective.Milliseconds(), "priority": k.priority,
-		}
-	}
+	var list []operator.Route
 	for _, k := range kinds {
-		add(k)
+		list = append(list, k.route())
 	}
-	add(probeKind(s.routes.version))
-	services := map[string]any{}
-	for _, name := range []string{"front", "deep"} {
-		services[name] = map[string]any{"healthPath": "/health", "maxConnections": 500}
+	list = append(list, probeKind(s.routes.version).route())
+	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(s.routes.version, list)
+	if err != nil {
+		s.judge.Find("process", "", "configuration %d: %v", s.routes.version, err)
+		return
 	}
-	// The document consists of plain values and is always encoded.
-	value, _ := json.Marshal(map[string]any{
-		"version": s.routes.version, "routes": table, "services": services,
-		"limits": map[string]int{
-			"maxHeaderBytes": 16384, "maxBodyBytes": 1 << 20, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
-		},
-	})
 	s.store.Put(keeper.KeyRoutes, value)
 	s.routes.at = time.Now()
 }
