agent: in the last 1.5 s of a planned stop new requests of callers are refused as not run

Cause: callers that keep their connections send until the process is gone. Calls of running requests go on.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -92,7 +92,7 @@
 	// stopping is true from the begin of a planned stop, closed from when no more calls of other nodes are taken.
 	stopping atomic.Bool
 	closed   atomic.Bool
-	// ending is true when the process is about to end, and refuses all requests that still come.
+	// ending is true from when no more requests of callers are taken.
 	ending atomic.Bool
 	// outside counts the requests of callers in flight.
 	outside atomic.Int64
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -50,11 +50,6 @@
 
 // serve answers a request that entered here.
 func (a *Agent) serve(ctx context.Context, in hornbeamcroft.Incoming) hornbeamcroft.Answer {
-	if a.ending.Load() {
-		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: endingRetry}
-		a.recordRejected(in.Attempt, answer, nil)
-		return answer
-	}
 	r := a.routes.Load()
 	route, service, ok := r.match(in.Message.Host, path(in.Message.Target))
 	if !ok {
@@ -64,6 +59,12 @@
 	}
 	call := a.newCall(in, route, service)
 	inner := a.runner.Inherit(&call)
+	if !inner && a.ending.Load() {
+		// A call of a running request goes on: that request is finished before the process ends.
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: endingRetry}
+		a.recordRejected(in.Attempt, answer, nil)
+		return answer
+	}
 	var age time.Duration
 	if !inner {
 		a.outside.Add(1)
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -16,6 +16,9 @@
 	leastFinish = 500 * time.Millisecond
 	mostFinish  = 2 * time.Second
 	finishHolds = 4
+	// callersFinish is the time that is left for requests of callers to finish, which may make several calls each. Those that
+	// still come in it are refused as not run: they would be cut.
+	callersFinish = 1500 * time.Millisecond
 	// stopTick is how often a stop looks whether its next step is due.
 	stopTick = 20 * time.Millisecond
 	// shutdownTime bounds the closing of the connections of callers.
@@ -23,8 +26,8 @@
 )
 
 // stop carries out a planned stop. The node is not ready at once, but goes on as usual while callers are still sent to it
-// or are served: an upstream that goes on is of no use without it. Then it takes no more calls of other nodes, and ends
-// when nothing is in flight or the time is up.
+// or are served: an upstream that goes on is of no use without it. Then it takes no more requests of callers and no more calls
+// of other nodes, and ends when nothing is in flight or the time is up.
 func (a *Agent) stop() {
 	begin := time.Now()
 	a.stopping.Store(true)
@@ -33,8 +36,10 @@
 	finish := min(max(finishHolds*a.runner.Load().Hold, leastFinish), mostFinish)
 	await(func() bool {
 		elapsed := time.Since(begin)
+		a.ending.Store(elapsed >= limit-callersFinish)
 		return elapsed >= limit-finish || elapsed >= noticeTime && a.outside.Load() == 0
 	})
+	a.ending.Store(true)
 	a.closed.Store(true)
 	a.upstreamMu.Lock()
 	a.sequence++
@@ -44,7 +49,6 @@
 	await(func() bool {
 		return time.Since(begin) >= limit || a.wayIn.InFlight() == 0 && a.runner.Running() == 0
 	})
-	a.ending.Store(true)
 	a.Log.Info().Int("callers", a.wayIn.InFlight()).Int("running", a.runner.Running()).
 		Int64("took-ms", time.Since(begin).Milliseconds()).Msg("agent: planned stop ends")
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
--- a/cmd/hornbeam-node/wayin_test.go
+++ b/cmd/hornbeam-node/wayin_test.go
@@ -257,3 +257,61 @@
 	}
 	is.Equal(n.send(http.MethodGet, "/get/1", "g1", time.Second).Status, http.StatusOK)
 }
+
+// TestStop guards against requests that are cut or passed on in vain at a planned stop, and against a stop that takes longer
+// than the platform waits, with a store that is silent and an upstream that is slow.
+func TestStop(t *testing.T) {
+	const stopTime = 6 * time.Second
+	is := is.New(t)
+	n := startNode(t)
+	n.configure(t, 1)
+	n.await(t, func() bool { return n.send(http.MethodGet, "/get/1", "a1", time.Second).Status == http.StatusOK })
+	n.store.SetFaults(keeper.Faults{Silent: true})
+	n.worker.SetFaults(worker.Faults{Slow: 20}) // a request takes 0.2 to 0.6 s
+	var clients sync.WaitGroup
+	var mu sync.Mutex
+	var outcomes []caller.Outcome
+	begin := time.Now()
+	is.NoErr(n.cmd.Process.Signal(syscall.SIGTERM))
+	for i := range 3 {
+		clients.Go(func() {
+			c := &caller.Caller{Address: n.wayIn}
+			defer c.Close()
+			for j := 0; time.Since(begin) < stopTime; j++ {
+				o := c.Send(caller.Attempt{
+					ID: fmt.Sprintf("s%d-%d", i, j), Method: http.MethodPost, Host: routeHost, Target: "/post/1",
+					Remaining: 2 * time.Second,
+				})
+				mu.Lock()
+				outcomes = append(outcomes, o)
+				mu.Unlock()
+				if o.Err != nil {
+					time.Sleep(20 * time.Millisecond)
+				}
+			}
+		})
+	}
+	is.NoErr(n.cmd.Wait())
+	is.True(time.Since(begin) < stopTime)
+	clients.Wait()
+	runs := make(map[string]int)
+	n.mu.Lock()
+	for _, r := range n.runs {
+		runs[r.Attempt]++
+	}
+	n.mu.Unlock()
+	served, refused := 0, 0
+	for _, o := range outcomes {
+		switch {
+		case o.Status == http.StatusOK:
+			served++
+		case o.Promises():
+			refused++
+			is.Equal(runs[o.Attempt.ID], 0)
+		case o.Err != nil && runs[o.Attempt.ID] > 0:
+			t.Errorf("%s was cut: %v", o.Attempt.ID, o.Err)
+		}
+	}
+	t.Logf("%d served, %d refused", served, refused)
+	is.True(served > 10)
+}
