--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -21,7 +21,7 @@
 
 // Faults are the kinds of trouble.
 var Faults = []string{
-	"kill", "kill-many", "pause", "crash", "slow", "refuse", "lose", "truncate",
+	"kill", "kill-many", "pause", "crash", "slow", "refuse", "refuse-all", "lose", "truncate",
 	"store-busy", "store-silent", "store-reset", "store-slow", "store-lose", "store-lapse", "store-compact",
 	"store-stale", "record-removed", "store-cut", "store-one-way", "links-delayed", "links-silent", "links-one-way",
 	"links-reset", "upstream-reset", "upstream-delayed", "upstream-silent",
--- a/cmd/hornbeam-soak/soaker/strike.go
+++ b/cmd/hornbeam-soak/soaker/strike.go
@@ -37,10 +37,11 @@
 
 // workerFaults are the failures of an upstream by kind of step.
 var workerFaults = map[string]worker.Faults{
-	"slow":     {Slow: 10},
-	"refuse":   {Refuse: 0.5},
-	"lose":     {Lose: 0.3},
-	"truncate": {Truncate: 0.2},
+	"slow":       {Slow: 10},
+	"refuse":     {Refuse: 0.5},
+	"refuse-all": {Refuse: 0.8},
+	"lose":       {Lose: 0.3},
+	"truncate":   {Truncate: 0.2},
 }
 
 // linkFaults are what a proxy does by kind of step.
@@ -62,7 +63,7 @@
 	case "stop", "hangup", "replace", "routes":
 		d.Planned = true
 	}
-	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "kill-many" {
+	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
 		d.Host = ""
 	}
 	end := s.judge.Disturb(d)
@@ -74,9 +75,9 @@
 		return
 	}
 	if f, ok := workerFaults[p.Kind]; ok {
-		h.Worker.SetFaults(f)
+		s.setFaults(p, f)
 		time.Sleep(p.For)
-		h.Worker.SetFaults(worker.Faults{})
+		s.setFaults(p, worker.Faults{})
 		return
 	}
 	if m, ok := linkFaults[p.Kind]; ok {
@@ -86,6 +87,15 @@
 	s.act(p, h)
 }
 
+// setFaults changes how the upstream of the step's host fails, or all upstreams of its service.
+func (s *Soaker) setFaults(p planner.Step, f worker.Faults) {
+	for i, h := range s.hosts {
+		if i == p.Host || p.Kind == "refuse-all" && h.Worker.Service == s.hosts[p.Host].Worker.Service {
+			h.Worker.SetFaults(f)
+		}
+	}
+}
+
 func proxyOf(h *hoster.Hoster, kind string) *proxier.Proxier {
 	switch {
 	case strings.HasPrefix(kind, "store-"):
