--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -47,7 +47,9 @@
 	caller.Attempt
 	Host, Origin, Service string
 	Idempotent            bool
-	At                    time.Time
+	// Caller is true for the request of a caller, and false for a call of an upstream or a question about the configuration.
+	Caller bool
+	At     time.Time
 }
 
 // Disturbance is a fault on a host, or on the store if Host is empty.
@@ -229,7 +231,7 @@
 
 func (j *Judge) check(r *record) {
 	s := r.sent
-	if !s.Idempotent && len(r.runs) > 1 && !strings.Contains(s.ID, ".") {
+	if !s.Idempotent && len(r.runs) > 1 {
 		j.find("once", s.ID, "ran %d times: %s", len(r.runs), places(r.runs))
 	}
 	for _, run := range r.runs {
@@ -332,7 +334,7 @@
 	defer j.mu.Unlock()
 	sent, served := 0, 0
 	for _, r := range j.records {
-		if r.sent.At.Before(since) || r.outcome == nil || strings.Contains(r.sent.ID, ".") {
+		if r.sent.At.Before(since) || r.outcome == nil || !r.sent.Caller {
 			continue
 		}
 		sent++
--- a/cmd/hornbeam-soak/soaker/routes.go
+++ b/cmd/hornbeam-soak/soaker/routes.go
@@ -118,5 +118,5 @@
 
 func (s *Soaker) probe(c *caller.Caller, h *hoster.Hoster, version int64) int {
 	k := probeKind(version)
-	return s.send(c, h, k, "probe."+s.newID(), k.deadline).Status
+	return s.send(c, h, k, "probe-"+s.newID(), k.deadline, false).Status
 }
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -172,7 +172,7 @@
 	h.Worker.Call = func(_ context.Context, attempt string, remaining time.Duration) worker.Outcome {
 		c := pool.Get().(*caller.Caller)
 		defer pool.Put(c)
-		o := s.send(c, h, kinds["audit"], attempt, remaining)
+		o := s.send(c, h, kinds["audit"], attempt, remaining, false)
 		return worker.Outcome{Status: o.Status, Err: o.Err}
 	}
 	return h
@@ -235,7 +235,7 @@
 	names := []string{"lookup", "order", "deposit"}
 	for ctx.Err() == nil {
 		k := kinds[names[rand.IntN(len(names))]]
-		if o := s.send(c, h, k, s.newID(), k.deadline); o.Err != nil && o.SentAt.IsZero() {
+		if o := s.send(c, h, k, s.newID(), k.deadline, true); o.Err != nil && o.SentAt.IsZero() {
 			// Nothing listens.
 			time.Sleep(thinkTime)
 		}
@@ -251,7 +251,8 @@
 }
 
 // send sends one attempt and tells the judge.
-func (s *Soaker) send(c *caller.Caller, h *hoster.Hoster, k kind, id string, remaining time.Duration) caller.Outcome {
+func (s *Soaker) send(c *caller.Caller, h *hoster.Hoster, k kind, id string, remaining time.Duration, ofCaller bool,
+) caller.Outcome {
 	a := caller.Attempt{
 		ID: id, Method: k.method, Host: routesHost, Target: "/" + k.name + "/" + id, Remaining: remaining,
 	}
@@ -259,7 +260,8 @@
 		a.Body = "body of " + id
 	}
 	s.judge.Send(judge.Sent{
-		Attempt: a, Host: h.Name, Origin: h.Worker.Service, Service: k.service, Idempotent: k.idempotent, At: time.Now(),
+		Attempt: a, Host: h.Name, Origin: h.Worker.Service, Service: k.service, Idempotent: k.idempotent,
+		Caller: ofCaller, At: time.Now(),
 	})
 	o := c.Send(a)
 	s.judge.End(o)
--- /dev/null
+++ b/recaller/recaller_test.go
@@ -0,0 +1,65 @@
+package recaller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/deduper"
+	"hornbeamcroft/framer"
+)
+
+type clock struct{ now time.Duration }
+
+func (c *clock) Now() time.Duration { return c.now }
+
+func newRecaller() (*Recaller, *clock) {
+	c := &clock{now: time.Second}
+	return &Recaller{Clock: c, Calls: &deduper.Calls{Incarnation: 9, Keep: 3 * time.Second}}, c
+}
+
+var id = deduper.CallID{Sender: "a", Incarnation: 1, ID: 5}
+
+func query(r *Recaller, limit time.Duration) hornbeamcroft.Answer {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return r.Outcome(ctx, framer.OutcomeQuery{Sender: id.Sender, Incarnation: id.Incarnation, ID: id.ID})
+}
+
+// TestFence guards against a call that runs after its sender was told that it did not.
+func TestFence(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRecaller()
+	is.Equal(query(r, time.Second).Code, hornbeamcroft.CodeConfirmedNotRun)
+	a, isNew := r.Begin(t.Context(), id, time.Second)
+	is.True(!isNew)
+	is.Equal(a.Code.Claim(), hornbeamcroft.ClaimNotRun)
+}
+
+// TestRepeat guards against a call that runs twice because its frame came twice, and against an answer that is lost with a
+// link.
+func TestRepeat(t *testing.T) {
+	is := is.New(t)
+	r, _ := newRecaller()
+	_, isNew := r.Begin(t.Context(), id, time.Second)
+	is.True(isNew)
+	is.Equal(query(r, 20*time.Millisecond).Code, hornbeamcroft.CodeStillRunning)
+	waiting := make(chan hornbeamcroft.Answer, 2)
+	go func() { waiting <- query(r, 5*time.Second) }()
+	go func() {
+		a, isNew := r.Begin(context.Background(), id, time.Second)
+		if isNew {
+			a.Code = 0
+		}
+		waiting <- a
+	}()
+	time.Sleep(20 * time.Millisecond)
+	r.End(id, hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: 201})
+	for range 2 {
+		is.Equal((<-waiting).Status, 201)
+	}
+	is.Equal(query(r, time.Second).Status, 201)
+}
