--- a/cmd/hornbeam-soak/hoster/hoster.go
+++ b/cmd/hornbeam-soak/hoster/hoster.go
@@ -4,18 +4,16 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"hornbeamcroft/cmd/hornbeam-soak/proxier"
+	"hornbeamcroft/platform/standin/porter"
 	"hornbeamcroft/platform/standin/worker"
 )
 
@@ -62,7 +60,7 @@
 func (h *Hoster) Open() error {
 	var upstream string
 	for _, address := range []*string{&upstream, &h.WayIn, &h.Announcements, &h.Readiness, &h.Metrics, &h.links} {
-		free, err := freeAddress()
+		free, err := ports.Address()
 		if err != nil {
 			return err
 		}
@@ -92,25 +90,8 @@
 	return []*proxier.Proxier{h.ToStore, h.ToNode, h.ToUpstream}
 }
 
-// Ports of listeners are drawn below those that the system gives to outgoing connections: a listener that is closed and
-// opened again would otherwise find its port taken.
-const (
-	firstPort = 12000
-	lastPort  = 30000
-	portTries = 100
-)
-
-func freeAddress() (string, error) {
-	var err error
-	for range portTries {
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(firstPort+rand.IntN(lastPort-firstPort)))
-		var l net.Listener
-		if l, err = net.Listen("tcp", address); err == nil {
-			return address, l.Close()
-		}
-	}
-	return "", err
-}
+// ports are above those of outgoing connections; the fleets of other tests take theirs below.
+var ports = porter.Porter{First: 61000, Last: 65500}
 
 // LogEnd returns the last bytes of the node's log.
 func (h *Hoster) LogEnd() string {
