--- a/sleeper/sleeper.go
+++ b/sleeper/sleeper.go
@@ -12,7 +12,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		return true
+		return ctx.Err() == nil
 	case <-ctx.Done():
 		return false
 	}
--- /dev/null
+++ b/sleeper/sleeper_test.go
@@ -0,0 +1,22 @@
+package sleeper
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestEnded guards against a wait that goes on with work whose context has ended.
+func TestEnded(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	is.True(Sleep(ctx, time.Microsecond))
+	is.NoErr(Wait(ctx, 0))
+	cancel()
+	for range 200 {
+		is.True(!Sleep(ctx, 0))
+		is.True(Wait(ctx, 0) != nil)
+	}
+}
