--- a/cmd/hornbeam-soak/operations_test.go
+++ b/cmd/hornbeam-soak/operations_test.go
@@ -56,7 +56,9 @@
 			{At: time.Second, Kind: "routes"},
 			{At: time.Second, For: 3 * time.Second, Kind: "slow", Host: 3},
 			{At: time.Second, For: 3 * time.Second, Kind: "slow", Host: 4},
-			{At: 5 * time.Second, For: 2 * time.Second, Kind: "lose", Host: 3},
+			// Both lose answers: one alone would be avoided.
+			{At: 5 * time.Second, For: 3 * time.Second, Kind: "lose", Host: 3},
+			{At: 5 * time.Second, For: 3 * time.Second, Kind: "lose", Host: 4},
 		},
 	}
 	_, err := s.Run()
