exchanger: drop two fields that nothing reads; the mesh test waits with sleeper

Request.Once promised that such a request is not sent on a connection that was idle for long; no code did that. Result.Reused was never read. Behaviour is unchanged.

--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -56,8 +56,6 @@
 	Body    []byte
 	// Attempt is the id that the answer must repeat.
 	Attempt string
-	// Once is true if the request may not be run twice; it is not sent on a connection that was idle for long.
-	Once bool
 }
 
 // Result is the answer with what is known about the execution.
@@ -70,8 +68,6 @@
 	Instance string
 	// Err is the reason of an outcome without an answer.
 	Err error
-	// Reused is true if the request was sent on a connection that had carried others.
-	Reused bool
 }
 
 // Names are the header fields by which an upstream speaks about a request.
@@ -112,7 +108,7 @@
 
 // Exchange sends the request and waits for the answer or the end of ctx.
 func (e *Exchanger) Exchange(ctx context.Context, q Request) Result {
-	c, reused, err := e.take(ctx)
+	c, err := e.take(ctx)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Result{Outcome: OutcomeEnded, Err: err}
@@ -124,27 +120,26 @@
 	if !stop() && res.Outcome != OutcomeAnswered && res.Outcome != OutcomeNotRun {
 		res.Outcome = OutcomeEnded
 	}
-	res.Reused = reused
 	e.give(c)
 	return res
 }
 
 // take returns an idle connection that is still good, or a new one.
-func (e *Exchanger) take(ctx context.Context) (*conn, bool, error) {
+func (e *Exchanger) take(ctx context.Context) (*conn, error) {
 	for {
 		c := e.pop()
 		if c == nil {
 			break
 		}
 		if c.usable(time.Now()) {
-			return c, true, nil
+			return c, nil
 		}
 		e.drop(c)
 	}
 	e.mu.Lock()
 	if e.limit > 0 && e.open >= e.limit {
 		e.mu.Unlock()
-		return nil, false, errTooManyConnections
+		return nil, errTooManyConnections
 	}
 	e.open++
 	e.mu.Unlock()
@@ -153,10 +148,10 @@
 		e.mu.Lock()
 		e.open--
 		e.mu.Unlock()
-		return nil, false, err
+		return nil, err
 	}
 	e.Opened.Add(1)
-	return c, false, nil
+	return c, nil
 }
 
 func (e *Exchanger) pop() *conn {
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -19,6 +19,7 @@
 	"hornbeamcroft/observer"
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/runner"
+	"hornbeamcroft/sleeper"
 )
 
 // TestMesh guards against decisions that serve callers worse: each script plays a load on nodes with their real way in,
@@ -327,7 +328,7 @@
 	if x := n.fault("slow"); x > 0 {
 		work *= x
 	}
-	if !wait(ctx, time.Duration(work)) {
+	if !sleeper.Sleep(ctx, time.Duration(work)) {
 		return exchanger.Result{Outcome: exchanger.OutcomeEnded}
 	}
 	if !n.callAll(ctx, c, q.Attempt) {
@@ -342,18 +343,6 @@
 	return exchanger.Result{Outcome: exchanger.OutcomeAnswered, Status: 200}
 }
 
-// wait sleeps, or returns false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // callAll makes the calls of a run and reports whether all succeeded.
 func (n *meshNode) callAll(ctx context.Context, c *meshClass, attempt string) bool {
 	results := make(chan bool, 64)
