receiver: a call waits for the first document of its node; server: callers' last requests go before the announcement of the leave

Cause of TestProofs/rolling-certain: the trace of a red run (32 restarts, three runs side by side) shows that the unknown outcomes are repeats of lookups which a node refused 60 ms after its start: it had no document yet, did not know that the request type is idempotent, and could not say of a repeat that it did not run (308). Ruled out: lost records of keys (no order was concerned), and panics (logs of all processes read, none). Change: a call waits for the first document, for at most 1 s. TestFirstDocument failed. By reading, found beside it: work that was taken on after the handover began (calls of keys whose home is still the node, repeats) did not hold up the leave, and the listener for callers was closed only after MemberLeft was announced and the links began to close.

--- a/drainer/drainer.go
+++ b/drainer/drainer.go
@@ -66,7 +66,7 @@
 	ActionStartEpoch
 	// ActionHandOver sends the key records to their new homes.
 	ActionHandOver
-	// ActionLeave announces MemberLeft, closes the links and ends the process.
+	// ActionLeave closes the listener for callers, announces MemberLeft, closes the links and ends the process.
 	ActionLeave
 )
 
@@ -94,7 +94,8 @@
 type Config struct {
 	// Linger is the shortest time between the announcement and the leave.
 	Linger time.Duration
-	// Deadline is the longest time for work in flight, from Start. Work that is still running then is interrupted.
+	// Deadline is the longest time for work in flight, from Start, whenever it was taken on. Work that is still running
+	// then is interrupted.
 	Deadline time.Duration
 	// HandOverTime is the longest time for the handover. What was not handed over is "outcome unknown" at its new
 	// home.
@@ -190,7 +191,8 @@
 		d.until = now + d.cfg.HandOverTime
 		return []Action{ActionHandOver}
 	}
-	if d.status.State == StateHandingOver && (d.handedOver || now >= d.until) && now-d.started >= d.cfg.Linger {
+	if d.status.State == StateHandingOver && (d.handedOver || now >= d.until) && d.mayLeave(now) {
+		d.status.Interrupted = d.inFlight()
 		d.status.HandOverCut = !d.handedOver
 		d.status.State = StateDrained
 		out = append(out, ActionLeave)
@@ -198,6 +200,12 @@
 	return out
 }
 
+// mayLeave reports whether the linger is over and the work that Admit took on since the handover began has ended.
+func (d *Drainer) mayLeave(now time.Duration) bool {
+	waited := now - d.started
+	return waited >= d.cfg.Linger && (d.inFlight() == 0 || waited >= d.cfg.Deadline)
+}
+
 // Status returns the state for operators.
 func (d *Drainer) Status(now time.Duration) Status {
 	s := d.status
--- a/drainer/drainer_test.go
+++ b/drainer/drainer_test.go
@@ -25,7 +25,7 @@
 			return err
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"begin": cmdBegin, "end": cmdEnd, "start": cmdStart, "tick": cmdTick, "status": cmdStatus,
+			"begin": cmdBegin, "admit": cmdAdmit, "end": cmdEnd, "start": cmdStart, "tick": cmdTick, "status": cmdStatus,
 			"handed-over": func(ts *testscript.TestScript, _ bool, _ []string) { at(ts).d.HandedOver() },
 		},
 	})
@@ -48,6 +48,8 @@
 	}
 }
 
+func cmdAdmit(ts *testscript.TestScript, _ bool, args []string) { at(ts).d.Admit(kind(args[0])) }
+
 func cmdEnd(ts *testscript.TestScript, _ bool, args []string) { at(ts).d.End(kind(args[0])) }
 
 // start ACTION... and tick TIME ACTION... compare the actions.
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -27,12 +27,18 @@
 	HeaderRetryAfterMs = "Hornbeam-Retry-After-Ms"
 )
 
+// documentWait is how long a call waits for the first document of a node that has just started. It covers some exchanges
+// with the store or a peer. A refusal could not say of a repeat that it did not run, as the node does not know the type.
+const documentWait = time.Second
+
 // Receiver handles POST /call/{service}/{request-type}. Set the exported fields before the first Serve.
 type Receiver struct {
 	Clock hornbeamcroft.Clock
 	Calls *registrar.Registrar
 	// Document returns the accepted document, or nil.
 	Document func() *hornbeamcroft.Document
+	// HasDocument is closed when the first document is in force.
+	HasDocument <-chan struct{}
 	// Draining is true if calls of outside callers are refused; child calls of running work are still taken. A resend is
 	// a non-idempotent call that may have been sent before.
 	Draining func(resend bool) bool
@@ -85,7 +91,7 @@
 func (v *Receiver) parse(r *http.Request, service, requestType string,
 ) (hornbeamcroft.Call, []*registrar.Running, hornbeamcroft.Code) {
 	call := hornbeamcroft.Call{Service: service, Type: requestType, Idempotent: true, FirstSend: true}
-	doc := v.Document()
+	doc := v.waitDocument(r)
 	if doc == nil {
 		return call, nil, hornbeamcroft.CodeNoDocument
 	}
@@ -120,6 +126,22 @@
 	return v.outside(r, call, t, trace)
 }
 
+// waitDocument returns the accepted document, or nil if none is accepted while the call may wait.
+func (v *Receiver) waitDocument(r *http.Request) *hornbeamcroft.Document {
+	limit, ok := timeout(r, documentWait)
+	if doc := v.Document(); doc != nil || !ok {
+		return doc
+	}
+	t := time.NewTimer(limit)
+	defer t.Stop()
+	select {
+	case <-v.HasDocument:
+	case <-t.C:
+	case <-r.Context().Done():
+	}
+	return v.Document()
+}
+
 // outside completes the call of an outside caller.
 func (v *Receiver) outside(r *http.Request, call hornbeamcroft.Call, t hornbeamcroft.RequestType, trace string,
 ) (hornbeamcroft.Call, []*registrar.Running, hornbeamcroft.Code) {
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +34,33 @@
 	}
 }
 
+// TestFirstDocument guards against a repeat that is refused as "earlier send unknown" only because its node has just
+// started: the call waits for the first document. Found by the proof script rolling-certain.
+func TestFirstDocument(t *testing.T) {
+	is := is.New(t)
+	accepted := make(chan struct{})
+	var doc atomic.Pointer[hornbeamcroft.Document]
+	v := &Receiver{Clock: stopped{}, Document: doc.Load, HasDocument: accepted}
+	r := httptest.NewRequest(http.MethodPost, "/call/s/t", strings.NewReader("x"))
+	r.Header.Set("Idempotency-Key", "k")
+	r.Header.Set(HeaderAttempt, "2")
+	w := httptest.NewRecorder()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		v.Serve(w, r, "s", "t")
+	}()
+	select {
+	case <-done:
+		t.Fatalf("refused with %s before the document came", w.Header().Get(HeaderCode))
+	case <-time.After(documentWait / 10):
+	}
+	doc.Store(&hornbeamcroft.Document{Services: map[string]hornbeamcroft.Service{"s": {}}})
+	close(accepted)
+	<-done
+	is.Equal(w.Header().Get(HeaderCode), strconv.Itoa(int(hornbeamcroft.CodeUnknownRequestType)))
+}
+
 // stopped is a clock that stands still.
 type stopped struct{}
 
--- a/server/document.go
+++ b/server/document.go
@@ -193,6 +193,7 @@
 func (s *Server) accept(stored hornbeamcroft.StoredDocument) {
 	doc, err := parser.Parse(stored)
 	if err != nil {
+		s.Log.Error().Err(err).Uint64("revision", stored.Revision).Msg("distributor: document is wrong and not taken")
 		return
 	}
 	s.acceptMu.Lock()
@@ -203,6 +204,9 @@
 	}
 	s.document.Store(&doc)
 	s.applyDocument(old, &doc)
+	if old == nil {
+		close(s.hasDocument)
+	}
 	s.members.setVersions(doc.Revision)
 	s.Log.Info().Uint64("revision", doc.Revision).Msg("distributor: document in force")
 }
--- a/server/drain.go
+++ b/server/drain.go
@@ -1,11 +1,13 @@
 package server
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"hornbeamcroft"
 	"hornbeamcroft/drainer"
+	"hornbeamcroft/listener"
 )
 
 const (
@@ -17,6 +19,8 @@
 	// drainHomeTime is how long a draining node still takes new keys while it is their home, so that a planned stop
 	// refuses fewer of them. It is below the 2 s after which a leaving upstream gets no new work.
 	drainHomeTime = 1500 * time.Millisecond
+	// closeTime is the shortest time that a listener gets for its last requests.
+	closeTime = 2 * time.Second
 )
 
 // drain drives the drainer.
@@ -98,8 +102,9 @@
 	return d.core.Status(d.s.clock.Now())
 }
 
-// run carries out a planned stop and returns when the node may end.
-func (d *drain) run() {
+// run carries out a planned stop and returns when the node may end. It calls closePublic while the links still carry the
+// last calls of callers.
+func (d *drain) run(closePublic listener.StopFunc) {
 	d.s.Log.Info().Msg("drainer: planned stop begins")
 	d.mu.Lock()
 	d.draining, d.startedAt = true, d.s.clock.Now()
@@ -116,7 +121,7 @@
 			case drainer.ActionHandOver:
 				handingOver = true
 			case drainer.ActionLeave:
-				d.leave()
+				d.leave(closePublic)
 				return
 			}
 		}
@@ -131,7 +136,11 @@
 	}
 }
 
-func (d *drain) leave() {
+func (d *drain) leave(closePublic listener.StopFunc) {
+	deadline := max(closeTime, d.startedAt+d.s.Settings.Node.DrainTimeout-d.s.clock.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), deadline)
+	defer cancel()
+	closePublic(ctx)
 	st := d.status()
 	if st.Interrupted > 0 {
 		d.s.Log.Warn().Int("calls", st.Interrupted).Msg("drainer: deadline passed, calls are interrupted")
--- a/server/server.go
+++ b/server/server.go
@@ -50,6 +50,7 @@
 	incarnation uint64
 	acceptTLS   *tls.Config
 	document    atomic.Pointer[hornbeamcroft.Document]
+	hasDocument chan struct{}
 	acceptMu    sync.Mutex
 
 	calls      *registrar.Registrar
@@ -102,10 +103,9 @@
 	case <-ctx.Done():
 	case <-s.drain.start:
 	}
-	s.drain.run()
-	shutdown, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	s.drain.run(public)
+	shutdown, cancel := context.WithTimeout(context.Background(), closeTime)
 	defer cancel()
-	public(shutdown)
 	operators(shutdown)
 	s.Log.Info().Msg("server: stopped")
 	return nil
@@ -114,6 +114,7 @@
 func (s *Server) build() error {
 	cfg := s.Settings
 	s.clock = newClock()
+	s.hasDocument = make(chan struct{})
 	s.incarnation = uint64(time.Now().UnixMilli())
 	s.slo = newSLOCounts(s)
 	drain, err := newDrain(s)
@@ -170,7 +171,7 @@
 	s.receiver = &receiver.Receiver{
 		Clock:     s.clock,
 		Calls:     s.calls,
-		Document:  s.document.Load,
+		Document:  s.document.Load, HasDocument: s.hasDocument,
 		Draining:  s.drain.refuses,
 		Forward:   s.forwarder.Forward,
 		DeriveKey: deduper.DeriveKey,
