--- a/cmd/hornbeam-standin/proofs/script_test.go
+++ b/cmd/hornbeam-standin/proofs/script_test.go
@@ -1,8 +1,11 @@
 package proofs
 
 import (
+	"bytes"
 	"context"
 	"fmt"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"syscall"
@@ -18,6 +21,9 @@
 	"hornbeamcroft/cmd/hornbeam-standin/platform"
 )
 
+// panicBytes is how much of a panic's report a failed script shows.
+const panicBytes = 4000
+
 // script is the state of one script.
 type script struct {
 	dir     string
@@ -288,7 +294,25 @@
 			}
 		}
 	}
+	s.failOnPanics(ts)
 	if len(findings) > 0 || interrupted > 0 {
 		ts.Fatalf("%d broken promises, %d interrupted or unknown sends, %d requests", len(findings), interrupted, s.report.Total.Offered)
 	}
 }
+
+// failOnPanics fails the script if a program wrote a panic to its log: the HTTP server survives one, its caller gets no
+// answer.
+func (s *script) failOnPanics(ts *testscript.TestScript) {
+	logs, err := filepath.Glob(filepath.Join(s.dir, "*.log"))
+	ts.Check(err)
+	if len(logs) == 0 {
+		ts.Fatalf("no logs in %s", s.dir)
+	}
+	for _, log := range logs {
+		text, err := os.ReadFile(log)
+		ts.Check(err)
+		if at := bytes.Index(text, []byte("panic")); at >= 0 {
+			ts.Fatalf("%s: %s", filepath.Base(log), text[at:min(len(text), at+panicBytes)])
+		}
+	}
+}
