dispatcher: a status below 200 is no answer

Cause: an upstream that answers with status 000 or 101 made the HTTP server of the caller's node panic, and the caller got no answer. Found while looking for the EOF of TestProofs/rolling; not its cause, as the stand-in sends no such status. Two cases of TestClaims failed before.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -187,6 +187,10 @@
 // readAnswer reads the whole body. A body whose end is not marked by a length or a last chunk cannot be told from a
 // truncated one and is not passed on.
 func (d *Dispatcher) readAnswer(ctx context.Context, resp *http.Response, start time.Time) Result {
+	if resp.StatusCode < http.StatusOK {
+		// No final answer by HTTP, which could not be passed on as one.
+		return Result{Answer: hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}}
+	}
 	limit := d.MaxBody()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
 	unmarked := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -90,6 +90,8 @@
 		{"last chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"end not marked", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", hornbeamcroft.CodeAnswerTruncated},
 		{"upstream did not start", "HTTP/1.1 503 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeUpstreamRefused},
+		{"status that HTTP does not know", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswered},
 	}
 	for _, tt := range answers {
