hornbeamctl: check settings of nodes and the deploy file with its templates

check --of node, agent or deploy. The deploy file's templates are filled in as the platform does it, for an example host, and the outcome is checked as the node does at its start. The settings of nodes and agents report typed problems like the document.

--- a/cmd/hornbeam-node/agent.go
+++ b/cmd/hornbeam-node/agent.go
@@ -60,12 +60,7 @@
 	if err != nil {
 		return loader.AgentSettings{}, platform.Bounds{}, errors.Wrap(err, "settings")
 	}
-	cfg, err := loader.LoadAgent(text)
-	if err != nil {
-		return cfg, platform.Bounds{}, err
-	}
-	bounds, err := platform.DecodeBounds(cfg.Agent.Bounds)
-	return cfg, bounds, err
+	return platform.DecodeSettings(text)
 }
 
 // watchSettings delivers the settings when the file has changed or SIGHUP came. A file that is wrong is reported and
--- a/cmd/hornbeamctl/check.go
+++ b/cmd/hornbeamctl/check.go
@@ -4,34 +4,89 @@
 	"context"
 	"io"
 	"os"
+	"path/filepath"
+	"strings"
 
 	"github.com/go-faster/errors"
 	"github.com/urfave/cli/v3"
 
 	"hornbeamcroft"
 	"hornbeamcroft/applier"
+	"hornbeamcroft/loader"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/platform"
+	"hornbeamcroft/platform/inspector"
+)
+
+// kinds of files that check knows.
+const (
+	ofDocument = "document"
+	ofNode     = "node"
+	ofAgent    = "agent"
+	ofDeploy   = "deploy"
 )
 
 func checkCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "check",
-		Usage:     "check a file as a whole document",
+		Usage:     "check a document, a settings file or a deploy file",
 		ArgsUsage: "FILE",
 		Description: "Reports all problems at once, each with section, key, value and what is allowed. Needs neither\n" +
-			"store nor nodes. Exit status 0 if the document is valid, 1 if not.\n\nExample: hornbeamctl check document.ini",
+			"store nor nodes. Exit status 0 if the file is valid, 1 if not.\n\n" +
+			"A deploy file is checked together with its templates, filled in for an example host; their paths are\n" +
+			"relative to the folder in which the command runs.\n\n" +
+			"Examples: hornbeamctl check document.ini\n" +
+			"          hornbeamctl check --of deploy deploy/system.toml",
+		Flags: []cli.Flag{&cli.StringFlag{
+			Name: "of", Value: ofDocument, Usage: "`KIND` of file: document, node or agent for settings, deploy",
+		}},
 		Action: check,
 	}
 }
 
 func check(_ context.Context, cmd *cli.Command) error {
-	sections, err := readSections(cmd)
+	kind := cmd.String("of")
+	if kind == ofDocument {
+		sections, err := readSections(cmd)
+		if err != nil {
+			return err
+		}
+		stored := hornbeamcroft.StoredDocument{Revision: 1, Sections: sections}
+		return reportProblems(cmd, len(sections), parser.AsProblems(applier.Check(stored)))
+	}
+	file := cmd.Args().First()
+	if file == "" {
+		return usage("%s needs a FILE", cmd.Name)
+	}
+	text, err := os.ReadFile(file)
 	if err != nil {
+		return usage("%v", err)
+	}
+	sections := strings.Count("\n"+string(text), "\n[")
+	switch kind {
+	case ofNode:
+		_, err = loader.Load(text)
+	case ofAgent:
+		err = checkAgent(text)
+	case ofDeploy:
+		err = checkDeploy(file)
+	default:
+		return usage("unknown kind %q: document, node, agent or deploy", kind)
+	}
+	return reportProblems(cmd, sections, parser.AsProblems(err))
+}
+
+func checkAgent(text []byte) error {
+	_, _, err := platform.DecodeSettings(text)
+	return err
+}
+
+func checkDeploy(file string) error {
+	problems, err := inspector.Inspector{Files: os.DirFS("."), CheckSettings: checkAgent}.Inspect(filepath.ToSlash(filepath.Clean(file)))
+	if err != nil || len(problems) == 0 {
 		return err
 	}
-	stored := hornbeamcroft.StoredDocument{Revision: 1, Sections: sections}
-	problems := parser.AsProblems(applier.Check(stored))
-	return reportProblems(cmd, len(sections), problems)
+	return problems
 }
 
 // checkJSON is the output of check.
@@ -49,7 +104,7 @@
 	}
 	out := checkJSON{codeOf(code), sections, append(parser.Problems{}, problems...)}
 	if code == hornbeamcroft.CodeAccepted {
-		out.Meaning = "The document is valid."
+		out.Meaning = "The file is valid."
 	}
 	if err := emit(cmd, out, func(w io.Writer) {
 		for _, p := range problems {
--- a/loader/agent.go
+++ b/loader/agent.go
@@ -70,7 +70,7 @@
 	maxMemoryMB = 1 << 20
 )
 
-// LoadAgent parses and checks the text of an agent's settings file.
+// LoadAgent parses and checks the text of an agent's settings file. The error lists all faults as parser.Problems.
 func LoadAgent(text []byte) (AgentSettings, error) {
 	file, err := ini.LoadSources(ini.LoadOptions{IgnoreInlineComment: true}, text)
 	if err != nil {
@@ -105,7 +105,7 @@
 		c.fail("agent", "upstream", s.Agent.Upstream, "service and upstream are set together or both empty")
 	}
 	if len(c.errs) > 0 {
-		return AgentSettings{}, errors.Join(c.errs...)
+		return AgentSettings{}, c.errs
 	}
 	return s, nil
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -5,11 +5,14 @@
 import (
 	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
 	"gopkg.in/ini.v1"
+
+	"hornbeamcroft/parser"
 )
 
 // Defaults of the settings. docs/settings-node.md lists them; a test compares page and code.
@@ -143,7 +146,7 @@
 	}
 	c.checkTogether(s)
 	if len(c.errs) > 0 {
-		return Settings{}, errors.Join(c.errs...)
+		return Settings{}, c.errs
 	}
 	return s, nil
 }
@@ -151,11 +154,11 @@
 // checker collects the errors of one settings file.
 type checker struct {
 	file *ini.File
-	errs []error
+	errs parser.Problems
 }
 
 func (c *checker) fail(section, key, value, allowed string) {
-	c.errs = append(c.errs, errors.Errorf("[%s] %s = %q: allowed: %s", section, key, value, allowed))
+	c.errs = append(c.errs, parser.Problem{Section: section, Key: key, Value: value, Allowed: "allowed is " + allowed})
 }
 
 func (c *checker) checkUnknown(keys []Key) {
@@ -165,7 +168,7 @@
 				return k.Section == section.Name() && k.Name == key.Name()
 			})
 			if !known {
-				c.errs = append(c.errs, errors.Errorf("[%s] %s: unknown key", section.Name(), key.Name()))
+				c.errs = append(c.errs, parser.Problem{Section: section.Name(), Key: key.Name(), Allowed: "unknown key"})
 			}
 		}
 	}
@@ -196,7 +199,7 @@
 	v := c.file.Section(section).Key(key).String()
 	if len(v) < minKeyLength {
 		// The value is a secret and stays out of the message.
-		c.errs = append(c.errs, errors.Errorf("[%s] %s: allowed: at least %d bytes", section, key, minKeyLength))
+		c.fail(section, key, "(not shown)", "at least "+strconv.Itoa(minKeyLength)+" bytes")
 	}
 	return v
 }
--- a/parser/parser.go
+++ b/parser/parser.go
@@ -19,7 +19,7 @@
 	KindObjective = "objective"
 )
 
-// Problem is one fault of a document.
+// Problem is one fault of a document or of a settings file.
 type Problem struct {
 	Section string `json:"section"`
 	// Key is empty if the fault concerns the section as a whole.
@@ -34,15 +34,20 @@
 	var b strings.Builder
 	b.WriteString("[" + p.Section + "]")
 	if p.Key != "" {
-		b.WriteString(" " + p.Key + " = " + p.Value)
-	} else if p.Value != "" {
+		b.WriteString(" " + p.Key)
+	}
+	if p.Key != "" && p.Value != "" {
+		b.WriteString(" =")
+	}
+	if p.Value != "" {
 		b.WriteString(" " + p.Value)
 	}
 	b.WriteString(": " + p.Allowed)
 	return b.String()
 }
 
-// Problems lists all faults of a document, ordered by section and key. It is the error of Parse and Split.
+// Problems lists all faults of a text; those of a document are ordered by section and key. It is the error of Parse and
+// Split.
 type Problems []Problem
 
 // Error returns the problems, one a line.
