--- a/server/server.go
+++ b/server/server.go
@@ -169,9 +169,9 @@
 		ShedEarly:   cfg.Policy.Admission == "adaptive",
 	}
 	s.receiver = &receiver.Receiver{
-		Clock:     s.clock,
-		Calls:     s.calls,
-		Document:  s.document.Load, HasDocument: s.hasDocument,
+		Clock:    s.clock,
+		Calls:    s.calls,
+		Document: s.document.Load, HasDocument: s.hasDocument,
 		Draining:  s.drain.refuses,
 		Forward:   s.forwarder.Forward,
 		DeriveKey: deduper.DeriveKey,
