waiter: a run whose answer is lost without a sign is given up, and no longer counts as load

Meanwhile it counted as running: the hold time that a host reports follows the age of its running calls, and the demand the time that calls take, so that a host which loses a fifth of its answers seemed slow and full, and requests were refused for it while slots were free. Ruled out: lost links (none), restarts (the hosts ran). Change: waiter learns how long runs of each route work themselves. A run that works six times as long is given up and sent again if it is idempotent and a repeat is allowed. If an upstream has answered a run that started later, the old one counts as failed, holds no slot and is not learned from; an upstream that stands still is no case of this (TestSlowUpstream).

--- a/runner/outcome.go
+++ b/runner/outcome.go
@@ -31,6 +31,11 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	return r.allow(call, mayHaveRun)
+}
+
+// allow takes a repeat of the call from the allowance and reports whether there was one. The lock is held.
+func (r *Runner) allow(call hornbeamcroft.Call, mayHaveRun bool) bool {
 	calls := r.calls[call.Type]
 	return r.Rationer.Allow(r.Clock.Now(), rationer.Repeat{
 		Service: call.Service, Subtree: calls && mayHaveRun, Depth: call.Depth, Single: call.Depth == 1 && !calls,
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -13,6 +13,7 @@
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/scheduler"
 	"hornbeamcroft/tracer"
+	"hornbeamcroft/waiter"
 )
 
 const (
@@ -70,6 +71,7 @@
 	mu        sync.Mutex
 	scheduler scheduler.Scheduler
 	tracer    tracer.Tracer
+	waiter    waiter.Waiter
 	upstream  observer.Upstream
 	nextID    uint64
 	waiting   map[uint64]chan hornbeamcroft.Decision
@@ -156,15 +158,18 @@
 	call.Repeat, call.Weight = p.Repeat, p.Weight
 	call.Remaining = min(call.Remaining, p.Deadline-now)
 	call.Objective = min(call.Objective, p.Objective-now)
+	if call.Remaining > 0 {
+		r.tracer.Calling(p, now)
+	}
 	return true
 }
 
-// Called counts a call that a running one made, with the calls below it.
+// Called tells that a child with time left has ended, and counts it with the calls below it.
 func (r *Runner) Called(attempt, service string, below []hornbeamcroft.Reach) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if p := r.tracer.Parent(attempt); p != nil {
-		r.tracer.Called(p, service, below)
+		r.tracer.Called(p, r.Clock.Now(), service, below)
 	}
 }
 
@@ -210,10 +215,10 @@
 		r.finish(id, hornbeamcroft.Sample{Ignore: true})
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
 	}
-	res := r.Exchanger.Exchange(ctx, r.Request(call, instance, deadline-started))
+	res, gaveUp := r.exchange(ctx, id, call, run, r.Request(call, instance, deadline-started))
 	rec.Held = r.Clock.Now() - started
 	rec.Outcome, rec.Err = res.Outcome, res.Err
-	if res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent {
+	if !gaveUp && (res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent) {
 		r.checkCrash(ctx, instance)
 	}
 	reach := r.close(id, run, call, res)
@@ -223,7 +228,7 @@
 	}
 	a := answer(ctx, res)
 	a.Reach = reach
-	a.Again = r.grant(call, a)
+	a.Again = gaveUp || r.grant(call, a)
 	return a
 }
 
@@ -244,7 +249,7 @@
 	return r.upstream.Instance, r.tracer.Open(tracer.Run{
 		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
-		Repeat: call.Repeat, Weight: call.Weight,
+		Repeat: call.Repeat, Weight: call.Weight, Started: r.Clock.Now(),
 	})
 }
 
@@ -257,6 +262,8 @@
 	}
 	if res.Outcome == exchanger.OutcomeAnswered {
 		r.down = false
+		worked, _ := run.Worked(r.Clock.Now())
+		r.waiter.Answered(call.Type, worked)
 	}
 	r.mu.Unlock()
 	if res.Outcome == exchanger.OutcomeAnswered && r.OnCleared != nil {
--- a/scenarios/mesh_test.go
+++ b/scenarios/mesh_test.go
@@ -319,11 +319,12 @@
 		n.m.counts["overfull"]++
 	}
 	n.m.mu.Unlock()
-	defer func() {
+	leave := sync.OnceFunc(func() {
 		n.m.mu.Lock()
 		n.busy--
 		n.m.mu.Unlock()
-	}()
+	})
+	defer leave()
 	work := float64(c.work) / n.speed * (0.5 + (lockedRand{n.m}).Float64())
 	if x := n.fault("slow"); x > 0 {
 		work *= x
@@ -340,6 +341,11 @@
 	if share := n.fault("lose"); share > 0 && (lockedRand{n.m}).Float64() < share {
 		return exchanger.Result{Outcome: exchanger.OutcomeLost}
 	}
+	if share := n.fault("swallow"); share > 0 && (lockedRand{n.m}).Float64() < share {
+		leave() // the run is over, its answer is lost, and the connection stays open
+		<-ctx.Done()
+		return exchanger.Result{Outcome: exchanger.OutcomeEnded}
+	}
 	return exchanger.Result{Outcome: exchanger.OutcomeAnswered, Status: 200}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -55,15 +55,20 @@
 	hold, failing float64
 	// learnedAt is the time of hold and judgedAt that of failing.
 	learnedAt, judgedAt time.Duration
-	// begun is the sum of the times at which the running calls started.
+	// begun is the sum of the times at which the running calls started, without the doubtful ones.
 	begun time.Duration
-	level level
+	// doubtful is the number of running calls whose answer is probably lost, answered the latest start of a call that was
+	// answered.
+	doubtful int
+	answered time.Duration
+	level    level
 }
 
 // runner is a call at the upstream.
 type runner struct {
-	ticket  hornbeamcroft.Ticket
-	started time.Duration
+	ticket   hornbeamcroft.Ticket
+	started  time.Duration
+	doubtful bool
 }
 
 // Limit returns the number of calls that may run at once. It does not fall when the upstream refuses calls: this node is
@@ -97,7 +102,7 @@
 		return hornbeamcroft.CodeDeadlineTooShort
 	}
 	limit := s.Limit()
-	if len(s.running) < limit {
+	if s.busy() < limit {
 		return 0
 	}
 	ahead := s.queue.before(key(now, t))
@@ -133,12 +138,41 @@
 		return nil
 	}
 	delete(s.running, id)
-	s.begun -= r.started
-	s.level.finish(now, s, r.ticket.Importance, now-r.started)
-	s.learn(now, p)
+	if r.doubtful {
+		s.doubtful--
+	} else {
+		s.begun -= r.started
+	}
+	unanswered := p.Ignore || p.Failed
+	if !unanswered {
+		s.answered = max(s.answered, r.started)
+	}
+	if !r.doubtful || !unanswered {
+		s.level.finish(now, s, r.ticket.Importance, now-r.started)
+		s.learn(now, p)
+	}
 	return s.dispatch(now, nil)
 }
 
+// Doubt tells that a running call takes far longer than usual. If one that started later was answered meanwhile, the upstream
+// works, and the answer of the call is probably lost: it counts as failed and holds no slot any more, and how long it waits
+// says nothing about the time that calls take, or about the demand. It reports whether that is so.
+func (s *Scheduler) Doubt(now time.Duration, id uint64) ([]hornbeamcroft.Decision, bool) {
+	r, ok := s.running[id]
+	if !ok || r.doubtful || r.started >= s.answered {
+		return nil, r.doubtful
+	}
+	r.doubtful = true
+	s.running[id] = r
+	s.doubtful++
+	s.begun -= r.started
+	s.learn(now, hornbeamcroft.Sample{Failed: true})
+	return s.dispatch(now, nil), true
+}
+
+// busy returns the number of slots that are taken.
+func (s *Scheduler) busy() int { return len(s.running) - s.doubtful }
+
 func (s *Scheduler) learn(now time.Duration, p hornbeamcroft.Sample) {
 	if p.Ignore {
 		return
@@ -169,7 +203,7 @@
 // that the upstream has become slow before the first of them ends.
 func (s *Scheduler) holdTime(now time.Duration) time.Duration {
 	hold := s.hold
-	if n := len(s.running); n > 0 {
+	if n := s.busy(); n > 0 {
 		age := (now - s.begun/time.Duration(n)).Seconds()
 		hold = max(hold, ageFactor*age)
 	} else {
@@ -208,7 +242,7 @@
 	for len(s.queue.entries) > 0 {
 		e := s.queue.entries[0]
 		late := now+hold/2 >= e.ticket.Deadline
-		if !late && len(s.running) >= s.Limit() {
+		if !late && s.busy() >= s.Limit() {
 			break
 		}
 		heap.Pop(&s.queue)
@@ -234,7 +268,7 @@
 func (s *Scheduler) Load(now time.Duration) hornbeamcroft.Load {
 	s.level.advance(now, s)
 	l := hornbeamcroft.Load{
-		Running: len(s.running), Waiting: len(s.queue.entries), Limit: s.Limit(), Hold: s.holdTime(now),
+		Running: s.busy(), Waiting: len(s.queue.entries), Limit: s.Limit(), Hold: s.holdTime(now),
 		Failing: int(s.failingAt(now) * 1000),
 	}
 	s.level.report(&l)
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -146,3 +146,60 @@
 	is.Equal(len(ds), 1)
 	is.Equal(ds[0].Code, hornbeamcroft.CodeQueueExpired)
 }
+
+// doubted returns a scheduler with a call that runs for far too long, and another one that was answered meanwhile if
+// answered is set.
+func doubted(answered bool) (*Scheduler, time.Duration) {
+	s := busy()
+	s.Slots = 10
+	now := start + 20*hold
+	if answered {
+		s.Arrive(now-hold, ticket(1, 1, hornbeamcroft.ImportanceNormal, 0, time.Hour))
+		s.Finish(now, 1, hornbeamcroft.Sample{ServiceTime: hold})
+	}
+	return s, now
+}
+
+// TestDoubt guards against an upstream that loses some answers and seems slow and full for it: what waits for a lost answer
+// is no measure of the time that a call takes, and holds no slot.
+func TestDoubt(t *testing.T) {
+	is := is.New(t)
+	s, now := doubted(true)
+	is.True(s.Load(now).Hold > 10*hold)
+	for range 2 {
+		_, lost := s.Doubt(now, 99)
+		is.True(lost)
+	}
+	l := s.Load(now)
+	is.True(l.Hold <= hold)
+	is.Equal(l.Running, 0)
+	is.True(l.Failing > 0)
+	demand := s.level.hold
+	s.Finish(now, 99, hornbeamcroft.Sample{Ignore: true, ServiceTime: now})
+	is.Equal(s.level.hold, demand)
+	is.Equal(s.Load(now).Failing, l.Failing) // counted once
+	is.Equal(s.doubtful, 0)
+}
+
+// TestSlowUpstream guards against an upstream that stands still and is given more calls because those that it has are taken
+// for lost.
+func TestSlowUpstream(t *testing.T) {
+	is := is.New(t)
+	s, now := doubted(false)
+	_, lost := s.Doubt(now, 99)
+	is.True(!lost)
+	l := s.Load(now)
+	is.True(l.Hold > 10*hold)
+	is.Equal(l.Running, 1)
+	is.Equal(l.Failing, 0)
+}
+
+// TestDoubtfulAnswer guards against a slow call that is not learned from because it was taken for lost before.
+func TestDoubtfulAnswer(t *testing.T) {
+	is := is.New(t)
+	s, now := doubted(true)
+	s.Doubt(now, 99)
+	s.Finish(now, 99, hornbeamcroft.Sample{ServiceTime: 20 * hold})
+	is.True(s.Load(now).Hold > hold)
+	is.Equal(s.Load(now).Running, 0)
+}
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -26,8 +26,22 @@
 	Repeat bool
 	// Weight is the number of requests that the request stands for where the demand is estimated.
 	Weight float32
+	// Started is when the upstream got the request, on the monotonic clock of the node.
+	Started time.Duration
 
 	reach map[string]int
+	// calls is the number of its calls that run now. worked is how long it worked while none ran, up to since.
+	calls  int
+	worked time.Duration
+	since  time.Duration
+}
+
+// Worked returns for how long the run has worked itself, and whether it waits for a call now.
+func (r *Run) Worked(now time.Duration) (time.Duration, bool) {
+	if r.calls > 0 {
+		return r.worked, true
+	}
+	return r.worked + now - r.since, false
 }
 
 // Tracer holds the running requests. It is not safe for concurrent use.
@@ -41,6 +55,7 @@
 		t.runs = make(map[string]*Run)
 	}
 	run := &r
+	run.since = run.Started
 	if _, taken := t.runs[r.Attempt]; !taken {
 		t.runs[r.Attempt] = run
 	}
@@ -71,8 +86,19 @@
 	return nil
 }
 
-// Called adds the calls of a child: one to its own service, and those that it made itself.
-func (t *Tracer) Called(parent *Run, service string, below []hornbeamcroft.Reach) {
+// Calling tells that a child of the parent begins.
+func (t *Tracer) Calling(parent *Run, now time.Duration) {
+	if parent.calls == 0 {
+		parent.worked += now - parent.since
+	}
+	parent.calls++
+}
+
+// Called tells that a child has ended, and adds its calls: one to its own service, and those that it made itself.
+func (t *Tracer) Called(parent *Run, now time.Duration, service string, below []hornbeamcroft.Reach) {
+	if parent.calls--; parent.calls <= 0 {
+		parent.calls, parent.since = 0, now
+	}
 	if parent.reach == nil {
 		parent.reach = make(map[string]int)
 	}
--- /dev/null
+++ b/waiter/waiter_test.go
@@ -0,0 +1,45 @@
+package waiter
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestPatience guards against answers that are taken as lost on few samples, too early, or never once runs take longer.
+func TestPatience(t *testing.T) {
+	is := is.New(t)
+	var w Waiter
+	for range leastRuns - 1 {
+		w.Answered("lookup", 50*time.Millisecond)
+	}
+	_, known := w.Patience("lookup")
+	is.True(!known)
+	w.Answered("lookup", 50*time.Millisecond)
+	p, known := w.Patience("lookup")
+	is.True(known)
+	is.Equal(p, 300*time.Millisecond)
+	for range 100 {
+		w.Answered("lookup", 250*time.Millisecond) // the upstream is five times as slow
+	}
+	p, _ = w.Patience("lookup")
+	is.True(p > 1400*time.Millisecond && p <= 1500*time.Millisecond)
+	for range leastRuns {
+		w.Answered("short", time.Millisecond)
+	}
+	p, _ = w.Patience("short")
+	is.Equal(p, leastPatience)
+}
+
+// TestRoutesAreBounded guards against memory that grows with the number of routes.
+func TestRoutesAreBounded(t *testing.T) {
+	var w Waiter
+	for i := range 2 * maxRoutes {
+		w.Answered(strconv.Itoa(i), time.Millisecond)
+	}
+	if n := len(w.routes); n > maxRoutes {
+		t.Errorf("%d routes", n)
+	}
+}
