throttler: the room of hosts that are avoided for failures counts for the level

Cause: the level of a service was the sum over the hosts that reported in the last half second. Hosts that fail are avoided and so do not report; all calls go to the others, which look full alone, and requests are refused while the avoided hosts stand idle. Ruled out: slots held by lost answers (the loads printed at each refusal show the two hosts with none). Change: the last report of a host that failed a tenth of its calls counts for 8 s, without its demand. TestAvoidedHosts failed before.

--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -55,6 +55,26 @@
 	is.Equal(share, 1.0) // an old report tells nothing
 }
 
+// TestAvoidedHosts guards against requests that are refused while hosts stand idle that are avoided because they fail, and
+// against counting on hosts of which nothing is known.
+func TestAvoidedHosts(t *testing.T) {
+	is := is.New(t)
+	q := Request{Route: "r", Service: "front", Importance: normal}
+	for failing, want := range map[int]float64{0: 0.5, avoidedFailing: 1} {
+		var th Throttler
+		idle := pressed(1)
+		idle.Failing = failing
+		source := func(host string) Source { return Source{Route: "r", Service: "front", Host: host} }
+		th.Observe(0, source("idle"), hornbeamcroft.Answer{Load: idle})
+		th.Observe(2*viewTime, source("full"), hornbeamcroft.Answer{Load: pressed(0.5)})
+		share, _ := admitted(&th, 2*viewTime, q)
+		is.True(near(share, want))
+		th.Observe(avoidedTime, source("full"), hornbeamcroft.Answer{Load: pressed(0.5)})
+		share, _ = admitted(&th, avoidedTime, q)
+		is.True(near(share, 0.5))
+	}
+}
+
 // TestReturning guards against callers that are refused again though they came back in time.
 func TestReturning(t *testing.T) {
 	is := is.New(t)
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -10,6 +10,10 @@
 const (
 	// viewTime is how long the demand that a host reported counts.
 	viewTime = 500 * time.Millisecond
+	// avoidedFailing is the share of failed calls, in thousandths, from which on senders avoid a host. It reports
+	// little then, and its room counts for avoidedTime, in which the share has faded so far that it is tried again.
+	avoidedFailing = 100
+	avoidedTime    = 8 * time.Second
 	// freshTime is the age up to which a node's own view of a service goes before what it hears through others.
 	freshTime = 200 * time.Millisecond
 )
@@ -54,15 +58,21 @@
 // age returns the age of the newest report about the service.
 func (v *view) age(now time.Duration) time.Duration { return now - max(v.at, v.heardAt) }
 
-// own returns the level of the hosts that reported lately, together. Those that did not are taken to be alike.
+// own returns the level of the hosts that reported lately, together. Those that did not are taken to be alike, but for hosts
+// that are avoided because they fail: they have room, and no demand while the others have room, too.
 func (v *view) own(now time.Duration, service string) hornbeamcroft.Pressure {
 	var sum leveler.Leveler
 	for host, r := range v.hosts {
-		if now-r.at >= viewTime {
+		age := now - r.at
+		switch {
+		case age < viewTime:
+			sum.Add(r.load)
+		case age < avoidedTime && r.load.Failing >= avoidedFailing:
+			r.load.Offered = make([]int, len(r.load.Offered))
+			sum.Add(r.load)
+		default:
 			delete(v.hosts, host)
-			continue
 		}
-		sum.Add(r.load)
 	}
 	return sum.Pressure(service)
 }
