--- a/agent/record.go
+++ b/agent/record.go
@@ -70,7 +70,7 @@
 	line := a.Log.Info().Str("id", r.Call.Attempt).Str("route", r.Call.Type).Str("instance", r.Instance).
 		Int("depth", r.Call.Depth).Str("importance", r.Call.Importance.String()).
 		Int64("waited-us", r.Waited.Microseconds()).Int("running", r.Load.Running).Int("waiting", r.Load.Waiting).
-		Int("limit", r.Load.Limit).Str("admits", level(r.Level))
+		Int("limit", r.Load.Limit).Int("failing", r.Load.Failing).Str("admits", level(r.Level))
 	if r.Held > 0 {
 		line.Str("outcome", r.Outcome.String())
 	}
