--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MODULES := . cmd/hornbeam-node cmd/hornbeam-soak cmd/hornbeam-standin cmd/hornbeamctl
 PACKAGES := ./... ./cmd/hornbeam-node/... ./cmd/hornbeam-soak/... ./cmd/hornbeam-standin/... ./cmd/hornbeamctl/...
 
-.PHONY: all build test format lint vet check demo bench soak tidy
+.PHONY: all build test format lint vet check demo bench day soak tidy
 
 all: check test
 
@@ -35,6 +35,9 @@
 bench: build
 	bin/hornbeam-standin bench
 
+day: build
+	bin/hornbeam-soak --per-second 0 --length 20s --table
+
 soak: build
 	bin/hornbeam-soak --seeds 3
 
--- a/cmd/hornbeam-soak/main.go
+++ b/cmd/hornbeam-soak/main.go
@@ -16,6 +16,8 @@
 	"github.com/urfave/cli/v3"
 
 	"hornbeamcroft/cmd/hornbeam-soak/soaker"
+	"hornbeamcroft/cmd/hornbeam-soak/summarizer"
+	"hornbeamcroft/platform/standin/caller"
 )
 
 func main() {
@@ -32,7 +34,8 @@
 			&cli.IntFlag{Name: "hosts", Usage: "number of hosts", Value: 5},
 			&cli.IntFlag{Name: "callers", Usage: "callers on each host", Value: 3},
 			&cli.DurationFlag{Name: "length", Usage: "time in which faults begin", Value: 12 * time.Second},
-			&cli.Float64Flag{Name: "per-second", Usage: "mean number of steps that begin each second", Value: 0.7},
+			&cli.Float64Flag{Name: "per-second", Usage: "mean number of steps that begin each second; 0 plays a calm day", Value: 0.7},
+			&cli.BoolFlag{Name: "table", Usage: "print what callers saw of each kind of request"},
 		},
 		Action: run,
 	}
@@ -75,6 +78,11 @@
 	}
 	fmt.Printf("seed %d: %d steps, %d requests, %.3f served, %.3f in calm, %d findings\n",
 		seed, len(r.Steps), r.Requests, r.Served, r.Calm, len(r.Findings))
+	if cmd.Bool("table") {
+		if err := table(s.Outcomes()); err != nil {
+			return false, err
+		}
+	}
 	folder := filepath.Join(cmd.String("out"), "seed-"+strconv.FormatUint(seed, 10))
 	if len(r.Findings) == 0 {
 		return false, os.RemoveAll(folder)
@@ -88,3 +96,12 @@
 	}
 	return true, os.WriteFile(filepath.Join(folder, "report.json"), data, 0o600)
 }
+
+// table prints a page of results.
+func table(outcomes []caller.Outcome) error {
+	var sum summarizer.Summarizer
+	for _, o := range outcomes {
+		sum.Add(o)
+	}
+	return sum.Write(os.Stdout)
+}
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -40,8 +40,12 @@
 	seriesGap   = 700 * time.Millisecond
 )
 
-// Plan draws the steps of a run of the given length on the hosts; about perSecond of them start each second.
+// Plan draws the steps of a run of the given length on the hosts; about perSecond of them start each second, none if it is
+// zero.
 func Plan(seed uint64, hosts int, length time.Duration, perSecond float64) []Step {
+	if perSecond <= 0 {
+		return nil
+	}
 	rnd := rand.New(rand.NewPCG(seed, 0))
 	kinds := Planned
 	if rnd.Float64() >= plannedShare {
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -102,6 +102,7 @@
 		time.Sleep(time.Until(start.Add(step.At)))
 		faults.Go(func() { s.strike(step) })
 	}
+	time.Sleep(time.Until(start.Add(s.Length)))
 	faults.Wait()
 	time.Sleep(calmTime)
 	calm := time.Now().Add(-calmCheck)
