--- a/placer/placer.go
+++ b/placer/placer.go
@@ -21,10 +21,11 @@
 	// another zone is paid for by the byte.
 	zoneShare = 0.05
 	zoneTime  = 3 * time.Millisecond
-	// failingCost is the part of the time left that an upstream costs for its share of failed calls: a tenth of them
-	// outweighs the way to another zone. It is at most failingMost, so that calls do not crowd at one of several upstreams
-	// that all fail often.
-	failingCost = 2
+	// failingCost is the part of the time left that an upstream costs for its share of failed calls beyond failingFree,
+	// which one failure among good calls leaves for a moment: a tenth of them outweighs the way to another zone. It is at
+	// most failingMost, so that calls do not crowd at one of several upstreams that all fail often.
+	failingFree = 0.05
+	failingCost = 2.5
 	failingMost = 0.5
 	// onceTime is the least time left that the cost of failures of a call counts with which may run once only: its failure
 	// cannot be made good by a repeat, however short its objective is.
@@ -227,7 +228,8 @@
 	if c.Once {
 		stake = max(stake, onceTime)
 	}
-	return min(float64(m.load.Failing)/1000*failingCost, failingMost) * float64(stake)
+	share := max(0, float64(m.load.Failing)/1000-failingFree)
+	return min(share*failingCost, failingMost) * float64(stake)
 }
 
 // use returns the calls that the member has, and how many may run at once.
