--- /dev/null
+++ b/server/memberframes.go
@@ -0,0 +1,99 @@
+package server
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft/connector"
+	"hornbeamcroft/framer"
+	"hornbeamcroft/tracker"
+)
+
+// frameType returns the frame type of a tracker message.
+func frameType(msg tracker.Message) framer.Type {
+	switch msg.(type) {
+	case tracker.Heartbeat:
+		return framer.TypeHeartbeat
+	case tracker.Suspect:
+		return framer.TypeSuspicion
+	case tracker.RosterChange:
+		return framer.TypeRosterChange
+	}
+	return framer.TypeRosterDigest
+}
+
+// send sends a tracker message.
+func (m *membership) send(o tracker.Outgoing) {
+	m.deliver(o.To, o.Address, frameType(o.Message), o.Message)
+}
+
+// deliver sends a message over an existing link, or dials one. What cannot be sent is dropped; the cores repair it.
+func (m *membership) deliver(name, address string, t framer.Type, message any) {
+	l := m.s.links.Peer(name)
+	if l == nil && address != "" {
+		l = m.s.links.Existing(address)
+	}
+	if l != nil {
+		go func() { _ = l.Send(t, message) }()
+		return
+	}
+	if address == "" {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if l, err := m.s.links.Link(ctx, address); err == nil {
+			_ = l.Send(t, message)
+		}
+	}()
+}
+
+func (m *membership) linkUp(l *connector.Link) {
+	m.s.documents.offer(l)
+	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.LinkUp(now, l.Peer.Name) })
+}
+
+// receive decodes a tracker message and passes it in.
+func (m *membership) receive(l *connector.Link, t framer.Type, payload []byte) error {
+	msg, err := decode(t, payload)
+	if err != nil {
+		return err
+	}
+	m.step(func(now time.Duration) []tracker.Outgoing { return m.tracker.Receive(now, l.Peer.Name, msg) })
+	return nil
+}
+
+func decode(t framer.Type, payload []byte) (tracker.Message, error) {
+	switch t {
+	case framer.TypeHeartbeat:
+		return decodeAs[tracker.Heartbeat](payload)
+	case framer.TypeSuspicion:
+		return decodeAs[tracker.Suspect](payload)
+	case framer.TypeRosterChange:
+		return decodeAs[tracker.RosterChange](payload)
+	case framer.TypeRosterDigest:
+		return decodeAs[tracker.RosterDigest](payload)
+	}
+	return nil, errors.Errorf("frame type %d is not expected", t)
+}
+
+// decodeAs decodes a message whose Check has a value receiver.
+func decodeAs[T framer.Checker](payload []byte) (framer.Checker, error) {
+	var v T
+	if err := framer.Decode(payload, any(&v).(framer.Checker)); err != nil {
+		return nil, err
+	}
+	return v, nil
+}
+
+// sendTo sends a control message to a member.
+func (m *membership) sendTo(name string, t framer.Type, message any) {
+	v, ok := m.lookup(name)
+	if !ok {
+		return
+	}
+	m.deliver(name, v.Address, t, message)
+}
