--- a/placer/placer.go
+++ b/placer/placer.go
@@ -22,9 +22,9 @@
 	zoneShare = 0.05
 	zoneTime  = 3 * time.Millisecond
 	// failingCost is the part of the time left that an upstream costs for its share of failed calls beyond failingFree,
-	// which one failure among good calls leaves for a moment: a tenth of them outweighs the way to another zone. It is at
+	// which requests that fail everywhere leave for a moment: a share of 0.12 outweighs the way to another zone. It is at
 	// most failingMost, so that calls do not crowd at one of several upstreams that all fail often.
-	failingFree = 0.05
+	failingFree = 0.08
 	failingCost = 2.5
 	failingMost = 0.5
 	// onceTime is the least time left that the cost of failures of a call counts with which may run once only: its failure
