--- a/runner/watch.go
+++ b/runner/watch.go
@@ -42,7 +42,7 @@
 ) (exchanger.Result, bool) {
 	sent, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := r.watch(id, call, run, cancel)
+	w := r.startWatch(id, call, run, cancel)
 	if w == nil {
 		return r.Exchanger.Exchange(ctx, q), false
 	}
@@ -53,8 +53,8 @@
 	return exchanger.Result{Outcome: exchanger.OutcomeLost, Err: w.gaveUp}, true
 }
 
-// watch returns the watch of a run, or nil if nothing is known of its route or its deadline comes first.
-func (r *Runner) watch(id uint64, call hornbeamcroft.Call, run *tracer.Run, cancel context.CancelFunc) *watch {
+// startWatch returns the watch of a run, or nil if nothing is known of its route or its deadline comes first.
+func (r *Runner) startWatch(id uint64, call hornbeamcroft.Call, run *tracer.Run, cancel context.CancelFunc) *watch {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	patience, known := r.waiter.Patience(call.Type)
