--- a/runner/watch.go
+++ b/runner/watch.go
@@ -84,12 +84,14 @@
 	}
 	freed, lost := w.r.scheduler.Doubt(now, w.id)
 	w.r.spread(freed)
-	if w.repeatable(now) && w.r.allow(w.call, true) {
+	switch {
+	case w.repeatable(now) && w.r.allow(w.call, true):
 		w.gaveUp = &NoAnswerError{Worked: worked, Patience: w.patience}
 		w.cancel()
-		return
-	}
-	if !lost || w.repeatable(now) {
+	case w.repeatable(now):
+		// Each question counts as a repeat that is wanted.
+		w.timer.Reset(w.patience)
+	case !lost:
 		w.timer.Reset(w.patience / patienceShare)
 	}
 }
