runner: a run is given up only if it is sent again, and only good answers say how long runs work

Two faults: the third could not be sent again, so that ending it could only lose the answer; and while most runs fail early (upstreams that refuse, 8.5 s) the usual time is learned from their short runs, so that whole ones, at an upstream that is nearly full, seemed lost. Ruled out: a lost answer (the upstream was at work on all three). Change: a send is given up only if another one may follow; failed runs are not learned from; ten times the usual work in place of six.

--- a/call.go
+++ b/call.go
@@ -64,6 +64,9 @@
 // maxDepthOnWire bounds the depth field of frames from outside; the document's max-depth is checked separately.
 const maxDepthOnWire = 1000
 
+// MaxRuns bounds the sends of a call that may have run.
+const MaxRuns = 3
+
 // Check reports whether the call is well formed.
 func (c Call) Check() error {
 	if c.Service == "" || len(c.Service) > maxNameLength || c.Type == "" || len(c.Type) > maxNameLength {
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -17,13 +17,11 @@
 	start time.Duration
 	// tried are the hosts that the call is not sent to again while there are others.
 	tried []string
-	// ranOn are the hosts on which the call may have run, one entry for each send.
+	// ranOn are the hosts on which the call may have run, one entry for each send. They are at most Route.MaxAttempts
+	// different ones.
 	ranOn []string
 }
 
-// maxRuns bounds the sends of a call that may have run. They go to at most Route.MaxAttempts hosts.
-const maxRuns = 3
-
 func (d *delivery) run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	v := d.c.admit(call, d.rec.Age)
 	if call.Depth == 1 {
@@ -108,7 +106,7 @@
 		return a.Again
 	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated,
 		hornbeamcroft.CodeAnswered:
-		if !call.Idempotent || len(d.ranOn) >= maxRuns {
+		if !call.Idempotent || len(d.ranOn) >= hornbeamcroft.MaxRuns {
 			return false
 		}
 		// Without a load the answer is not from the node beside the upstream, which could have granted a repeat.
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -253,6 +253,14 @@
 	})
 }
 
+// learnWork takes how long a run worked. One that fails ends early. The lock is held.
+func (r *Runner) learnWork(call hornbeamcroft.Call, run *tracer.Run, res exchanger.Result) {
+	if res.Status < 300 {
+		worked, _ := run.Worked(r.Clock.Now())
+		r.waiter.Answered(call.Type, worked)
+	}
+}
+
 func (r *Runner) close(id uint64, run *tracer.Run, call hornbeamcroft.Call, res exchanger.Result) []hornbeamcroft.Reach {
 	r.mu.Lock()
 	delete(r.running, id)
@@ -262,8 +270,7 @@
 	}
 	if res.Outcome == exchanger.OutcomeAnswered {
 		r.down = false
-		worked, _ := run.Worked(r.Clock.Now())
-		r.waiter.Answered(call.Type, worked)
+		r.learnWork(call, run, res)
 	}
 	r.mu.Unlock()
 	if res.Outcome == exchanger.OutcomeAnswered && r.OnCleared != nil {
--- a/runner/watch.go
+++ b/runner/watch.go
@@ -96,9 +96,10 @@
 	}
 }
 
-// repeatable reports whether the call may run again, and a repeat would come in time.
+// repeatable reports whether its sender would send the call again, and the repeat would come in time. Without a repeat the
+// run must go on: its answer may still come.
 func (w *watch) repeatable(now time.Duration) bool {
-	return w.call.Idempotent && w.run.Deadline-now >= w.patience/patienceShare
+	return w.call.Idempotent && w.call.Sends+1 < hornbeamcroft.MaxRuns && w.run.Deadline-now >= w.patience/patienceShare
 }
 
 // end stops the watch and reports whether it gave up the run.
--- a/waiter/waiter.go
+++ b/waiter/waiter.go
@@ -5,9 +5,9 @@
 import "time"
 
 const (
-	// lostFactor is by how much a run outlasts the usual one until its answer is taken as lost. Runs that an upstream
-	// works on for long, and those on an upstream that turns slow, stay below it.
-	lostFactor = 6
+	// lostFactor is by how much a run outlasts the usual one until its answer is taken as lost. The longest runs of a
+	// route, at an upstream that is nearly full, stay below it: to end one of them wastes its work.
+	lostFactor = 10
 	// leastPatience is the shortest time until an answer is taken as lost; it covers pauses of the processes.
 	leastPatience = 100 * time.Millisecond
 	// leastRuns is the number of runs from which on the usual time counts.
