--- a/cmd/hornbeam-standin/fleet/control.go
+++ b/cmd/hornbeam-standin/fleet/control.go
@@ -24,14 +24,19 @@
 
 // WaitFor calls check until it returns nil or ctx ends; then it returns the last error.
 func WaitFor(ctx context.Context, what string, check func() error) error {
+	var last error
 	for {
 		err := check()
 		if err == nil {
 			return nil
 		}
+		if last == nil || ctx.Err() == nil {
+			// The end of ctx hides what was wrong before.
+			last = err
+		}
 		select {
 		case <-ctx.Done():
-			return errors.Wrapf(err, "wait until %s", what)
+			return errors.Wrapf(last, "wait until %s", what)
 		case <-time.After(pollInterval):
 		}
 	}
@@ -166,9 +171,11 @@
 	defer cancel()
 	wait := func(target string) error {
 		return WaitFor(ctx, m.Name+" reaches "+service, func() error {
-			if !m.Node.Running() {
-				cancel()
-				return errors.Errorf("%s ended", m.Node.Name)
+			for _, p := range []*Process{m.Node, m.UpstreamRun} {
+				if !p.Running() {
+					cancel()
+					return errors.Errorf("%s ended", p.Name)
+				}
 			}
 			return probe(ctx, m.Listen, target)
 		})
