fleet: ports come from porter

freeAddresses drew ports as porter does, but did not remember them: fleets that are planned at the same time, or of which a process is being restarted, could get a port of another one. Three scripts of the proofs start their fleets together; with 33 addresses each two of them share one in about one of six starts (calculated). TestPorts failed before.

--- a/cmd/hornbeam-standin/fleet/fleet.go
+++ b/cmd/hornbeam-standin/fleet/fleet.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -12,6 +11,8 @@
 
 	"github.com/go-faster/errors"
 	"golang.org/x/sync/errgroup"
+
+	"hornbeamcroft/platform/standin/porter"
 )
 
 // Fleet is a running deployment. Exported fields of the first group are set before Start and not changed later.
@@ -79,12 +80,12 @@
 	for _, s := range f.Deployment.Services {
 		count += s.Count
 	}
-	ports, err := freeAddresses(1 + count*addressesPerMember)
+	addresses, err := freeAddresses(1 + count*addressesPerMember)
 	if err != nil {
 		return err
 	}
-	f.Store = ports[0]
-	f.addMembers(ports[1:])
+	f.Store = addresses[0]
+	f.addMembers(addresses[1:])
 	return f.write()
 }
 
@@ -221,26 +222,17 @@
 	return late
 }
 
-// Ports are picked below the range from which the system takes ports for outgoing connections, so that no connection
-// takes one between the check and the start.
-const (
-	leastPort = 10_000
-	ports     = 20_000
-)
+// ports are below those of outgoing connections, so that no connection takes one between the check and the start. They are
+// shared by all fleets of the process: one that is not started yet must not lose a port to another.
+var ports = porter.Porter{First: 10_000, Last: 29_999}
 
-// freeAddresses returns addresses on loopback that were free a moment ago.
 func freeAddresses(n int) ([]string, error) {
-	addresses := make([]string, 0, n)
-	for tries := 0; len(addresses) < n; tries++ {
-		if tries > 10*n+100 {
-			return nil, errors.New("no free ports")
-		}
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", leastPort+rand.IntN(ports)))
-		if err != nil {
-			continue
+	addresses := make([]string, n)
+	for i := range addresses {
+		var err error
+		if addresses[i], err = ports.Address(); err != nil {
+			return nil, err
 		}
-		defer func() { _ = l.Close() }()
-		addresses = append(addresses, l.Addr().String())
 	}
 	return addresses, nil
 }
--- a/cmd/hornbeam-standin/fleet/fleet_test.go
+++ b/cmd/hornbeam-standin/fleet/fleet_test.go
@@ -45,3 +45,20 @@
 		})
 	}
 }
+
+// TestPorts guards against a fleet that is not started yet, or restarts a process, and loses a port to another fleet of the
+// same test.
+func TestPorts(t *testing.T) {
+	is := is.New(t)
+	taken := make(map[string]bool)
+	for range 20 {
+		f := Fleet{Deployment: Regie(), Dir: t.TempDir()}
+		is.NoErr(f.Plan())
+		for _, m := range f.Members {
+			for _, address := range []string{m.Listen, m.Operators, m.Upstream, m.Control} {
+				is.True(!taken[address])
+				taken[address] = true
+			}
+		}
+	}
+}
