core: one EndedCode for calls whose context has ended; two further waits use sleeper

forwarder, sender, dispatcher and runner each told a passed deadline from a caller that left; follower and the load's caller had the wait of sleeper again. Behaviour is the same: no context in the code has a cause of its own, so that its error says as much.

--- a/cmd/hornbeam-standin/caller/caller.go
+++ b/cmd/hornbeam-standin/caller/caller.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/google/uuid"
+
+	"hornbeamcroft/sleeper"
 )
 
 // Caller sends actions as Settings describe. It uses net/http directly: the circuit breaker of httpc would hold back
@@ -75,7 +77,7 @@
 	free := make(chan struct{}, maxOutstanding)
 	unsent := 0
 	for n, at := 0, c.gap(0); at < c.Settings.Time; n, at = n+1, at+c.gap(at) {
-		if !sleepUntil(ctx, start.Add(at)) {
+		if !sleeper.Sleep(ctx, time.Until(start.Add(at))) {
 			return unsent
 		}
 		a, nodes := c.next(n, at)
@@ -149,15 +151,3 @@
 	defer c.mu.Unlock()
 	c.actions = append(c.actions, a)
 }
-
-// sleepUntil reports whether t came before ctx ended.
-func sleepUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/code.go
+++ b/code.go
@@ -1,6 +1,11 @@
 package hornbeamcroft
 
-import "strconv"
+import (
+	"context"
+	"strconv"
+
+	"github.com/go-faster/errors"
+)
 
 // Claim states what is known about the execution of a request. Every answer carries exactly one.
 type Claim uint8
@@ -199,6 +204,14 @@
 	return ClaimMayHaveRun
 }
 
+// EndedCode returns the code of a call that ran when its context ended.
+func EndedCode(ctx context.Context) Code {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return CodeDeadlinePassed
+	}
+	return CodeCallerGone
+}
+
 // String returns number and name, for example "205 poison-refused".
 func (c Code) String() string {
 	return strconv.Itoa(int(c)) + " " + c.Info().Name
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -221,11 +221,8 @@
 }
 
 func lost(ctx context.Context) hornbeamcroft.Code {
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return hornbeamcroft.CodeDeadlinePassed
-	case ctx.Err() != nil:
-		return hornbeamcroft.CodeCallerGone
+	if ctx.Err() != nil {
+		return hornbeamcroft.EndedCode(ctx)
 	}
 	return hornbeamcroft.CodeOutcomeUnknown
 }
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -14,6 +14,7 @@
 	"hornbeamcroft/distributor"
 	"hornbeamcroft/editor"
 	"hornbeamcroft/parser"
+	"hornbeamcroft/sleeper"
 )
 
 const (
@@ -63,14 +64,7 @@
 	if f.Wait != nil {
 		return f.Wait(ctx, d)
 	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return sleeper.Wait(ctx, d)
 }
 
 // Read reads the document once, when Actions.ReadStore asks for it or at the start, repairs the store if OnRead asks for it, and returns the store's revision of the read. A
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -145,14 +145,7 @@
 	case errors.Is(err, connector.ErrLinkLost):
 		return f.askOutcome(ctx, t, call, l.Peer.Incarnation), true
 	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}, true
-}
-
-func ended(ctx context.Context) hornbeamcroft.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return hornbeamcroft.CodeDeadlinePassed
-	}
-	return hornbeamcroft.CodeCallerGone
+	return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}, true
 }
 
 // askOutcome asks the executing node over a new link what became of a call whose link was lost. A node that restarted
@@ -181,7 +174,7 @@
 			return a
 		}
 	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}
+	return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}
 }
 
 func deadlineOf(ctx context.Context) time.Time {
--- a/runner/outcome.go
+++ b/runner/outcome.go
@@ -109,10 +109,7 @@
 	case exchanger.OutcomeSpoilt:
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}
 	case exchanger.OutcomeEnded:
-		if context.Cause(ctx) == context.DeadlineExceeded {
-			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlinePassed}
-		}
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeCallerGone}
+		return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}
 	}
 	return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOutcomeUnknown}
 }
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -43,14 +43,7 @@
 	case errors.Is(err, connector.ErrLinkLost):
 		return s.settle(ctx, m, call, l.Peer.Incarnation)
 	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}
-}
-
-func ended(ctx context.Context) hornbeamcroft.Code {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return hornbeamcroft.CodeDeadlinePassed
-	}
-	return hornbeamcroft.CodeCallerGone
+	return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}
 }
 
 // settle finds out what became of a call whose link ended. An idempotent one may be sent elsewhere at once; for another
@@ -77,5 +70,5 @@
 			return a
 		}
 	}
-	return hornbeamcroft.Answer{Code: ended(ctx)}
+	return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}
 }
