--- a/cmd/hornbeamctl/check.go
+++ b/cmd/hornbeamctl/check.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"os"
-	"path/filepath"
 	"strings"
 
 	"github.com/go-faster/errors"
@@ -54,41 +53,24 @@
 		stored := hornbeamcroft.StoredDocument{Revision: 1, Sections: sections}
 		return reportProblems(cmd, len(sections), parser.AsProblems(applier.Check(stored)))
 	}
-	file := cmd.Args().First()
-	if file == "" {
-		return usage("%s needs a FILE", cmd.Name)
-	}
-	text, err := os.ReadFile(file)
+	text, err := readFile(cmd)
 	if err != nil {
-		return usage("%v", err)
+		return err
 	}
 	sections := strings.Count("\n"+string(text), "\n[")
 	switch kind {
 	case ofNode:
 		_, err = loader.Load(text)
 	case ofAgent:
-		err = checkAgent(text)
+		_, _, err = platform.DecodeSettings(text)
 	case ofDeploy:
-		err = checkDeploy(file)
+		return reportProblems(cmd, sections, inspector.Inspector{Files: os.DirFS(".")}.Inspect(text))
 	default:
 		return usage("unknown kind %q: document, node, agent or deploy", kind)
 	}
 	return reportProblems(cmd, sections, parser.AsProblems(err))
 }
 
-func checkAgent(text []byte) error {
-	_, _, err := platform.DecodeSettings(text)
-	return err
-}
-
-func checkDeploy(file string) error {
-	problems, err := inspector.Inspector{Files: os.DirFS("."), CheckSettings: checkAgent}.Inspect(filepath.ToSlash(filepath.Clean(file)))
-	if err != nil || len(problems) == 0 {
-		return err
-	}
-	return problems
-}
-
 // checkJSON is the output of check.
 type checkJSON struct {
 	codeJSON
@@ -122,8 +104,8 @@
 	return nil
 }
 
-// readSections reads the file that the first argument names.
-func readSections(cmd *cli.Command) ([]hornbeamcroft.Section, error) {
+// readFile reads the file that the first argument names.
+func readFile(cmd *cli.Command) ([]byte, error) {
 	file := cmd.Args().First()
 	if file == "" {
 		return nil, usage("%s needs a FILE", cmd.Name)
@@ -132,6 +114,15 @@
 	if err != nil {
 		return nil, usage("%v", err)
 	}
+	return text, nil
+}
+
+// readSections reads the sections of the file that the first argument names.
+func readSections(cmd *cli.Command) ([]hornbeamcroft.Section, error) {
+	text, err := readFile(cmd)
+	if err != nil {
+		return nil, err
+	}
 	sections, err := parser.Split(text)
 	if err != nil {
 		return nil, fail(hornbeamcroft.CodeInvalid, err)
