--- a/leveler/leveler.go
+++ b/leveler/leveler.go
@@ -17,15 +17,23 @@
 
 // Add takes the report of one upstream.
 func (l *Leveler) Add(load hornbeamcroft.Load) {
-	if len(load.Offered) != len(l.offered) || load.Limit == 0 {
+	if !l.AddRoom(load) {
 		return
 	}
-	l.room += load.Room
 	for i, n := range load.Offered {
 		l.offered[i] += n
 	}
 }
 
+// AddRoom takes only the room of an upstream, without its demand. It reports whether the upstream says what it can take.
+func (l *Leveler) AddRoom(load hornbeamcroft.Load) bool {
+	if len(load.Offered) != len(l.offered) || load.Limit == 0 {
+		return false
+	}
+	l.room += load.Room
+	return true
+}
+
 // Pressure returns the most important level of which not all is admitted; what is less important is shed.
 func (l *Leveler) Pressure(service string) hornbeamcroft.Pressure {
 	room := l.room
--- a/throttler/view.go
+++ b/throttler/view.go
@@ -68,8 +68,7 @@
 		case age < viewTime:
 			sum.Add(r.load)
 		case age < avoidedTime && r.load.Failing >= avoidedFailing:
-			r.load.Offered = make([]int, len(r.load.Offered))
-			sum.Add(r.load)
+			sum.AddRoom(r.load)
 		default:
 			delete(v.hosts, host)
 		}
