agent: one count of the known nodes

rank and nodes counted them with one node's difference, before the own record is listed. The interval of polls differs by 12 ms in that case, above 208 nodes.

--- a/agent/follow.go
+++ b/agent/follow.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
+	"hornbeamcroft"
 	"hornbeamcroft/platform"
 	"hornbeamcroft/poller"
 	"hornbeamcroft/randomizer"
@@ -50,32 +53,24 @@
 // routesPeriod returns the time between two turns of a node.
 func routesPeriod(n int) time.Duration { return min(time.Duration(n)*routesCheck, maxPeriod) }
 
-// rank returns the place of this node among the known ones, and their number.
+// rank returns the place of this node among the known ones by name, and their number.
 func (a *Agent) rank() (rank, n int) {
 	a.membersMu.Lock()
 	defer a.membersMu.Unlock()
-	own := a.Settings.Agent.Name
-	n = 1
-	for _, m := range a.locator.Members() {
-		if m.Name == own {
-			continue
-		}
-		n++
-		if m.Name < own {
-			rank++
-		}
+	members := a.locator.Members()
+	rank, listed := slices.BinarySearchFunc(members, a.Settings.Agent.Name, func(m hornbeamcroft.Member, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+	if listed {
+		return rank, len(members)
 	}
-	return rank, n
+	return rank, len(members) + 1
 }
 
 // recordsInterval returns the mean time between two lists of the records.
-func (a *Agent) recordsInterval() time.Duration { return max(a.nodes()*recordsPollNode, recordsPoll) }
-
-// nodes returns the number of known nodes, as a factor.
-func (a *Agent) nodes() time.Duration {
-	a.membersMu.Lock()
-	defer a.membersMu.Unlock()
-	return time.Duration(len(a.locator.Members()))
+func (a *Agent) recordsInterval() time.Duration {
+	_, n := a.rank()
+	return max(time.Duration(n)*recordsPollNode, recordsPoll)
 }
 
 // onStoreLost logs the loss of the store by one of its users.
