platform: one entry that cannot be read no longer takes out the fleet

Cause: DecodeRoutes returned an error for the whole configuration if one route had an unknown kind, or one field of a wrong type. Ruled out: a fault of the store or of the watch; the value was read and rejected each time.

Change: the entries are decoded one by one. A route that cannot be read beyond host and prefix is kept as unreadable and refused as not run (code 220), because the route of a shorter prefix may lead to another service; without host and prefix it is left out. Services and limits that cannot be read have their defaults. Each such entry is logged when the version comes into force, counted, and listed on the new status page of an agent; check --of routes reports it beforehand. Names of more than 128 bytes are refused here; peers closed the link over them before.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -50,6 +50,10 @@
 // stoppingRetryAfter is the retry delay given to callers that the node refuses because its process is about to exit.
 const stoppingRetryAfter = 500 * time.Millisecond
 
+// unreadableRetryAfter is the retry delay given to callers of a route that this node cannot read. A node of another version
+// may be able to.
+const unreadableRetryAfter = time.Second
+
 // serve routes a request that entered the system at this node, delivers it to an upstream and returns the answer.
 func (a *Agent) serve(ctx context.Context, in hornbeamcroft.Incoming) hornbeamcroft.Answer {
 	r := a.routes.Load()
@@ -59,6 +63,11 @@
 		a.recordUnrouted(in, r, answer)
 		return answer
 	}
+	if route.Unreadable {
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeRouteUnreadable, RetryAfter: unreadableRetryAfter}
+		a.recordRejected(in.Attempt, answer, nil)
+		return answer
+	}
 	call := a.newCall(in, route, service)
 	isChild := a.runner.Inherit(&call)
 	if !isChild && a.refusingCallers.Load() {
--- a/agent/listen.go
+++ b/agent/listen.go
@@ -30,7 +30,10 @@
 		{Name: "readiness", Address: cfg.Readiness, Routes: platform.ReadinessRoutes(a.ready)},
 		{
 			Name: "metrics", Address: cfg.Metrics,
-			Routes: []rest.Route{{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics}},
+			Routes: []rest.Route{
+				{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
+				{Method: http.MethodGet, Path: "/status", Handler: a.serveStatus},
+			},
 		},
 	} {
 		if _, err := l.Open(serverErrs); err != nil {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -79,6 +79,7 @@
 	if r := a.routes.Load(); r != nil {
 		m.gauge("routes/version", r.table.Version)
 		m.gauge("routes/age-ms", time.Since(r.since).Milliseconds())
+		m.gauge("routes/problems", int64(len(r.table.Problems)))
 	}
 	a.membersMu.Lock()
 	m.gauge("members/known", int64(len(a.locator.Members())))
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -30,6 +30,7 @@
 func (a *Agent) acceptRoutes(configuration []byte, source string) {
 	t, err := platform.DecodeRoutes(configuration)
 	if err != nil {
+		a.metrics.count("routes/rejected")
 		a.Log.Warn().Str("source", source).Err(err).Msg("routes: not accepted")
 		return
 	}
@@ -45,16 +46,32 @@
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
 	}
-	a.Log.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Str("source", source).Msg("routes: in force")
+	a.Log.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Int("problems", len(t.Problems)).
+		Str("source", source).Msg("routes: in force")
+	a.logRoutesProblems(t)
 	a.broadcastNodeState()
 }
 
-// matchRoute returns the route for the host and the path, and the service that the route's weights select for this request.
+// maxLoggedProblems is the maximum number of entries of one configuration that are logged as unreadable.
+const maxLoggedProblems = 50
+
+// logRoutesProblems logs which entries of a configuration that came into force could not be read.
+func (a *Agent) logRoutesProblems(t hornbeamcroft.RouteTable) {
+	for _, p := range t.Problems[:min(len(t.Problems), maxLoggedProblems)] {
+		a.Log.Warn().Int64("version", t.Version).Str("entry", p.Entry).Str("reason", p.Reason).Msg("routes: entry not read")
+	}
+}
+
+// matchRoute returns the route for the host and the path, and the service that the route's weights select for this request. An
+// unreadable route has no service.
 func (r *activeRoutes) matchRoute(host, path string) (hornbeamcroft.Route, string, bool) {
 	route, ok := r.router.Match(host, path)
 	if !ok {
 		return route, "", false
 	}
+	if route.Unreadable {
+		return route, "", true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return route, r.router.Service(route), true
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -150,8 +150,11 @@
 	return defaultProbedSlots
 }
 
-// probeOnce requests the upstream's health path and applies the answer.
+// probeOnce requests the upstream's health path and applies the answer. It does nothing if the path is not known.
 func (a *Agent) probeOnce(ctx context.Context, path string) {
+	if path == "" {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, platform.HealthTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Settings.Agent.Upstream+path, nil)
--- a/cmd/hornbeamctl/check.go
+++ b/cmd/hornbeamctl/check.go
@@ -23,6 +23,7 @@
 	kindNode     = "node"
 	kindAgent    = "agent"
 	kindDeploy   = "deploy"
+	kindRoutes   = "routes"
 )
 
 func checkCommand() *cli.Command {
@@ -34,10 +35,11 @@
 			"the store nor nodes. Exit status 0 if the file is valid, 1 if not.\n\n" +
 			"A deploy file is checked together with its templates, which are filled in for an example host. The\n" +
 			"paths of templates are relative to the working directory of the command.\n\n" +
+			"A configuration of routes is valid if a node can read each entry. A node puts the others in force.\n\n" +
 			"Examples: hornbeamctl check document.ini\n" +
 			"          hornbeamctl check --of deploy deploy/system.toml",
 		Flags: []cli.Flag{&cli.StringFlag{
-			Name: "of", Value: kindDocument, Usage: "`KIND` of file: document, node or agent for settings, deploy",
+			Name: "of", Value: kindDocument, Usage: "`KIND` of file: document, node or agent for settings, deploy, routes",
 		}},
 		Action: check,
 	}
@@ -65,12 +67,27 @@
 		_, _, err = platform.DecodeSettings(text)
 	case kindDeploy:
 		return reportProblems(cmd, sections, inspector.Inspector{Files: os.DirFS(".")}.Inspect(text))
+	case kindRoutes:
+		return reportRoutes(cmd, text)
 	default:
-		return usageErrorf("unknown kind %q: must be one of document, node, agent, deploy", kind)
+		return usageErrorf("unknown kind %q: must be one of document, node, agent, deploy, routes", kind)
 	}
 	return reportProblems(cmd, sections, parser.AsProblems(err))
 }
 
+// reportRoutes reports the entries of a configuration of routes that a node cannot read.
+func reportRoutes(cmd *cli.Command, text []byte) error {
+	table, err := platform.DecodeRoutes(text)
+	if err != nil {
+		return reportProblems(cmd, 0, parser.Problems{{Section: "routes", Allowed: err.Error()}})
+	}
+	var problems parser.Problems
+	for _, p := range table.Problems {
+		problems = append(problems, parser.Problem{Section: p.Entry, Allowed: p.Reason})
+	}
+	return reportProblems(cmd, len(table.Routes)+len(table.Services), problems)
+}
+
 // checkJSON is the JSON output of the check command.
 type checkJSON struct {
 	codeJSON
--- a/code.go
+++ b/code.go
@@ -65,6 +65,7 @@
 	CodeServicePressedBelow   Code = 217
 	CodeFencedAfterLinkLoss   Code = 218
 	CodeUpstreamNotRegistered Code = 219
+	CodeRouteUnreadable       Code = 220
 )
 
 // Results of requests whose outcome is unknown.
@@ -145,6 +146,7 @@
 	{CodeServicePressedBelow, "service-pressed-below", 503, "A service further down would shed the request."},
 	{CodeFencedAfterLinkLoss, "fenced-after-link-loss", 503, "The call was fenced by an outcome query before it arrived."},
 	{CodeUpstreamNotRegistered, "upstream-not-registered", 503, "The node has not yet reached its own upstream."},
+	{CodeRouteUnreadable, "route-unreadable", 503, "The node cannot read the configuration of the route."},
 	{CodeOutcomeUnknown, "outcome-unknown", 502, "The answer was lost; the request may have run."},
 	{CodeUpstreamCrashed, "upstream-crashed", 502, "The upstream crashed while it ran the request."},
 	{CodeDeadlinePassed, "deadline-passed", 504, "The deadline passed while the request was running."},
--- a/route.go
+++ b/route.go
@@ -24,6 +24,10 @@
 	// Objective is the latency objective: the time within which a request should be answered.
 	Objective  time.Duration
 	Importance Importance
+	// Unreadable is true if the configuration of the route could not be read beyond its host and prefix. Requests that match
+	// it are refused as not run, because a route with a shorter prefix may lead to another service. The fields that follow
+	// the prefix are not set then.
+	Unreadable bool
 }
 
 // Target is one of the services to which a route sends requests.
@@ -40,13 +44,24 @@
 	Routes   []Route
 	Services map[string]ServicePolicy
 	Limits   CallerLimits
+	// Problems lists the entries that could not be read, or only in part, ordered by entry. They do not affect the others.
+	Problems []EntryProblem
+}
+
+// EntryProblem states why an entry of a configuration could not be read, for example because it is of a newer format.
+type EntryProblem struct {
+	// Entry is the kind and the name of the entry, for example "route pay".
+	Entry string `json:"entry"`
+	// Reason states what could not be read, and the effect.
+	Reason string `json:"reason"`
 }
 
 // ServicePolicy is the operators' configuration of the upstreams of a service.
 type ServicePolicy struct {
-	// HealthPath is the path to which health probes of the upstreams are sent.
+	// HealthPath is the path to which health probes of the upstreams are sent; empty if it is not known, so that none are
+	// sent.
 	HealthPath string
-	// MaxConnections is the number of connections that one upstream accepts from all callers; at least 1.
+	// MaxConnections is the number of connections that one upstream accepts from all callers; zero if it is not known.
 	MaxConnections int
 }
 
@@ -68,23 +83,48 @@
 		return errors.Errorf("routes: version %d: must be at least 1", t.Version)
 	}
 	for _, r := range t.Routes {
-		if err := t.checkRoute(r); err != nil {
+		if err := r.Check(t.Services); err != nil {
 			return errors.Wrapf(err, "route %s", r.Name)
 		}
 	}
 	return nil
 }
 
-func (t RouteTable) checkRoute(r Route) error {
-	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
-		return errors.Errorf("prefix %q: must begin and end with a slash", r.Prefix)
+// Check returns an error if requests of the route cannot be served with the services.
+func (r Route) Check(services map[string]ServicePolicy) error {
+	if err := r.checkPath(); err != nil || r.Unreadable {
+		return err
+	}
+	if r.Name == "" || len(r.Name) > maxNameLength {
+		return errors.Errorf("name of %d bytes: must be 1 to %d", len(r.Name), maxNameLength)
 	}
 	if r.Timeout <= 0 || r.Objective <= 0 || r.MaxAttempts < 1 {
 		return errors.New("timeout, objective and attempts must be above 0")
 	}
+	if err := r.checkTargets(services); err != nil {
+		return err
+	}
+	return r.Importance.Check()
+}
+
+// checkPath returns an error if requests cannot be matched to the route.
+func (r Route) checkPath() error {
+	if r.Host == "" {
+		return errors.New("host is missing")
+	}
+	if !strings.HasPrefix(r.Prefix, "/") || !strings.HasSuffix(r.Prefix, "/") {
+		return errors.Errorf("prefix %q: must begin and end with a slash", r.Prefix)
+	}
+	return nil
+}
+
+func (r Route) checkTargets(services map[string]ServicePolicy) error {
 	sum := 0.0
 	for _, target := range r.Targets {
-		if _, ok := t.Services[target.Service]; !ok {
+		if len(target.Service) > maxNameLength {
+			return errors.Errorf("service name of %d bytes: must be at most %d", len(target.Service), maxNameLength)
+		}
+		if _, ok := services[target.Service]; !ok {
 			return errors.Errorf("service %q is not defined", target.Service)
 		}
 		if target.Weight < 0 {
@@ -95,5 +135,5 @@
 	if sum <= 0 {
 		return errors.New("no target with a weight above 0")
 	}
-	return r.Importance.Check()
+	return nil
 }
