connector: silence of a link is measured on the monotonic clock

Cause: the times of the last frame and the last ping were kept as Unix time. A time of day that jumps forward by 5 s while a ping was under way closed a sound link as silent, and all its idempotent calls failed; one that jumps back let a dead link live 5 s longer. Ruled out: other timers; the remaining uses of the time of day are listed with the effect of a step.

Change: both are kept since the opening of the link. TestWallClock names the files that may use the time of day; it failed for the three files of connector and passes now.

--- a/connector/connector.go
+++ b/connector/connector.go
@@ -124,7 +124,7 @@
 			return
 		case now := <-t.C:
 			for _, l := range c.Links() {
-				l.checkSilence(now)
+				l.checkSilence(now.Sub(l.openedAt))
 			}
 		}
 	}
@@ -287,10 +287,8 @@
 		runningCalls:   make(map[uint64]runningCall),
 		usedCredit:     make(chan struct{}, peer.Credit),
 		done:           make(chan struct{}),
+		openedAt:       time.Now(),
 	}
-	now := time.Now().UnixNano()
-	l.lastReadAt.Store(now)
-	l.lastPingAt.Store(now)
 	conn.SetReadLimit(framer.MaxDocumentFrame)
 	c.mu.Lock()
 	if c.links == nil {
--- a/connector/link.go
+++ b/connector/link.go
@@ -43,8 +43,11 @@
 	usedCredit chan struct{}
 	done       chan struct{}
 	ended      atomic.Bool
-	lastReadAt atomic.Int64
-	lastPingAt atomic.Int64
+	openedAt   time.Time
+	// lastRead and lastPing are when a frame arrived and when a ping was sent, in nanoseconds since openedAt on the
+	// monotonic clock.
+	lastRead atomic.Int64
+	lastPing atomic.Int64
 }
 
 // runningCall is a call of the peer that is running on this node.
@@ -235,11 +238,11 @@
 }
 
 // checkSilence closes the link if nothing arrived for the silence timeout and since the last ping; otherwise it sends a
-// ping if one is due. No ping is due if a frame arrived less than half an interval ago.
-func (l *Link) checkSilence(now time.Time) {
-	lastReadAt := time.Unix(0, l.lastReadAt.Load())
-	lastPingAt := time.Unix(0, l.lastPingAt.Load())
-	if lastPingAt.After(lastReadAt) && now.Sub(lastReadAt) > l.connector.silenceTimeout() {
+// ping if one is due. No ping is due if a frame arrived less than half an interval ago. The time now is since openedAt.
+func (l *Link) checkSilence(now time.Duration) {
+	lastRead := time.Duration(l.lastRead.Load())
+	lastPing := time.Duration(l.lastPing.Load())
+	if lastPing > lastRead && now-lastRead > l.connector.silenceTimeout() {
 		l.connector.ClosedSilent.Add(1)
 		l.Close(errors.New("no frame received within the silence timeout"))
 		return
@@ -248,9 +251,9 @@
 	if l.inFlight() > 0 {
 		interval = l.connector.silenceTimeout() / pingsPerSilenceTimeout
 	}
-	if now.Sub(lastPingAt) < interval || now.Sub(lastReadAt) < interval/2 {
+	if now-lastPing < interval || now-lastRead < interval/2 {
 		return
 	}
-	l.lastPingAt.Store(now.UnixNano())
-	go func() { _ = l.Send(framer.TypePing, framer.Ping{N: uint64(now.UnixNano())}) }()
+	l.lastPing.Store(int64(now))
+	go func() { _ = l.Send(framer.TypePing, framer.Ping{N: uint64(now)}) }()
 }
--- a/connector/read.go
+++ b/connector/read.go
@@ -18,7 +18,7 @@
 			l.Close(errors.Wrap(err, "read"))
 			return
 		}
-		l.lastReadAt.Store(time.Now().UnixNano())
+		l.lastRead.Store(int64(time.Since(l.openedAt)))
 		l.connector.BytesIn.Add(int64(len(frame)))
 		if err := l.handleFrame(frame); err != nil {
 			l.connector.Log.Warn().Str("peer", l.Peer.Name).Err(err).Msg("connector: frame not handled, link closed")
