deduper: incarnations of a sender are not ordered

Cause: a node's incarnation is its time of start. After a restart with the clock set back it is lower than before, and its peers took all its non-idempotent calls for those of an ended process: answered "outcome unknown" and not run, for up to two hours. Ruled out: links, whose proof does not depend on the order.

Change: each incarnation of a sender has a table of its own. A late frame of the process before is still recognized.

--- a/deduper/calls.go
+++ b/deduper/calls.go
@@ -68,16 +68,25 @@
 	// Retention is the time after the deadline of a call for which its outcome is kept; zero means 30 s.
 	Retention time.Duration
 
-	senders       map[string]*senderCalls
+	senders       map[senderID]*senderCalls
 	entries       int
 	lastSweep     time.Duration
 	droppedSender bool
 }
 
+// senderID is one incarnation of a sender. Incarnations are only compared for equality: a node whose clock was set back
+// before it restarted has a lower one than before.
+type senderID struct {
+	name        string
+	incarnation uint64
+}
+
+// sender returns the incarnation of the sender of the call.
+func (id CallID) sender() senderID { return senderID{id.Sender, id.Incarnation} }
+
 // senderCalls holds the calls of one incarnation of a sender.
 type senderCalls struct {
-	incarnation uint64
-	calls       map[uint64]*callRecord
+	calls map[uint64]*callRecord
 	// unknownUpTo is the highest call id whose entry may have been removed. A call with an id up to this one and
 	// without an entry may have run.
 	unknownUpTo uint64
@@ -93,10 +102,7 @@
 // Begin records the arrival of a call frame and returns its status, with the answer for CallAnswered. The caller must
 // run the call only if the status is CallNew. The deadline is on the monotonic clock.
 func (c *Calls) Begin(now time.Duration, id CallID, deadline time.Duration) (CallStatus, hornbeamcroft.Answer) {
-	s, ok := c.callsOf(now, id, max(id.ID, 1)-1)
-	if !ok {
-		return CallOutcomeUnknown, hornbeamcroft.Answer{}
-	}
+	s := c.callsOf(now, id, max(id.ID, 1)-1)
 	if e := s.calls[id.ID]; e != nil {
 		return e.status, e.answer
 	}
@@ -113,9 +119,9 @@
 
 // Finish records the outcome of a call that Begin reported as new.
 func (c *Calls) Finish(now time.Duration, id CallID, a hornbeamcroft.Answer) {
-	s := c.senders[id.Sender]
-	if s == nil || s.incarnation != id.Incarnation {
-		return // the sender has restarted and sends no outcome query for this call
+	s := c.senders[id.sender()]
+	if s == nil {
+		return // the sender was removed, because it has sent nothing for so long that it has given the call up
 	}
 	if e := s.calls[id.ID]; e != nil && e.status == CallRunning {
 		e.status, e.answer, e.expiresAt = CallAnswered, a, max(e.expiresAt, now+c.retention())
@@ -129,10 +135,7 @@
 	if incarnation != c.Incarnation {
 		return CallOutcomeUnknown, hornbeamcroft.Answer{}
 	}
-	s, ok := c.callsOf(now, id, id.ID)
-	if !ok {
-		return CallOutcomeUnknown, hornbeamcroft.Answer{}
-	}
+	s := c.callsOf(now, id, id.ID)
 	if e := s.calls[id.ID]; e != nil {
 		return e.status, e.answer
 	}
@@ -144,29 +147,22 @@
 	return CallFenced, hornbeamcroft.Answer{}
 }
 
-// callsOf returns the calls of the incarnation of the sender in id; false if a newer incarnation of the sender is
-// known, since the calls of an older one are no longer recorded. If Tick has removed any sender, a new entry may
-// replace a removed one, so calls with ids up to unknownUpTo count as possibly run.
-func (c *Calls) callsOf(now time.Duration, id CallID, unknownUpTo uint64) (*senderCalls, bool) {
+// callsOf returns the calls of the incarnation of the sender in id. If Tick has removed any sender, a new entry may replace
+// a removed one, so calls with ids up to unknownUpTo count as possibly run.
+func (c *Calls) callsOf(now time.Duration, id CallID, unknownUpTo uint64) *senderCalls {
 	if c.senders == nil {
-		c.senders = map[string]*senderCalls{}
+		c.senders = map[senderID]*senderCalls{}
 	}
-	s := c.senders[id.Sender]
-	if s != nil && s.incarnation > id.Incarnation {
-		return nil, false
-	}
-	if s == nil || s.incarnation < id.Incarnation {
-		if s != nil {
-			c.entries -= len(s.calls)
-		}
-		s = &senderCalls{incarnation: id.Incarnation, calls: map[uint64]*callRecord{}}
+	s := c.senders[id.sender()]
+	if s == nil {
+		s = &senderCalls{calls: map[uint64]*callRecord{}}
 		if c.droppedSender {
 			s.unknownUpTo = unknownUpTo
 		}
-		c.senders[id.Sender] = s
+		c.senders[id.sender()] = s
 	}
 	s.lastUsedAt = now
-	return s, true
+	return s
 }
 
 func (c *Calls) retention() time.Duration {
