locator: a restarted member counts although its clock was set back

Cause: records were ordered by the time of start. After a restart with the clock set back, the record and the notices of the new process were ignored while the old record stood in the store, which the new process keeps there under its name. A member that had been stopped as planned stayed "stopping", so that it got no calls any more. The record of the previous process was also ignored by the node itself, so that it assumed 8 slots until the first heartbeat.

Change: what happens later decides: a handshake ends another incarnation of its member, and so does a record that replaces another in the store. A record of another incarnation does not override an open link. TestClockStep shows what a step does to the time slots of watches: no gap above two intervals.

--- a/agent/members.go
+++ b/agent/members.go
@@ -51,7 +51,7 @@
 func (a *Agent) setPreviousRecord(m hornbeamcroft.Member) {
 	a.membersMu.Lock()
 	defer a.membersMu.Unlock()
-	if m.Incarnation < a.incarnation {
+	if m.Incarnation != a.incarnation {
 		a.previousRecord = m
 	}
 }
@@ -125,6 +125,9 @@
 func (a *Agent) onUp(l *connector.Link) {
 	a.Log.Info().Str("peer", l.Peer.Name).Bool("dialed", l.Dialed).Uint64("incarnation", l.Peer.Incarnation).
 		Msg("links: open")
+	a.membersMu.Lock()
+	a.locator.Introduce(l.Peer.Name, l.Peer.Incarnation)
+	a.membersMu.Unlock()
 	a.send(l, framer.TypeNodeState, a.newNodeState())
 	if m := (childCalls{Routes: a.courier.LearnedRoutes()}); len(m.Routes) > 0 && m.Check() == nil {
 		a.send(l, framer.TypeChildCalls, m)
--- a/agent/timeslot_test.go
+++ b/agent/timeslot_test.go
@@ -39,3 +39,44 @@
 		}
 	}
 }
+
+// TestClockStep guards against a node whose time of day jumps by 5 s, forward or backward, whose watch lasts longer than two
+// periods, or that leaves a gap of more than two intervals in which no node restarts its watch.
+func TestClockStep(t *testing.T) {
+	const step = 5 * time.Second
+	rnd := rand.New(rand.NewPCG(2, 2))
+	for _, n := range []int{2, 13, 60} {
+		period := routesPeriod(n)
+		for range 200 {
+			start := time.Duration(rnd.Int64N(int64(time.Hour))) + time.Minute
+			stepped, steppedAt := rnd.IntN(n), start+time.Duration(rnd.Int64N(int64(period)))
+			skew := step
+			if rnd.IntN(2) == 0 {
+				skew = -step
+			}
+			var restarts []time.Duration
+			for rank := range n {
+				for at := start; at < start+3*period; {
+					wall := at
+					if rank == stepped && at >= steppedAt {
+						wall += skew
+					}
+					wait := untilTimeSlot(wall, period, minWatch, rank, n)
+					if wait < minWatch || wait > period+minWatch+period {
+						t.Fatalf("%d nodes: a watch lasts %s", n, wait)
+					}
+					at += wait
+					restarts = append(restarts, at)
+				}
+			}
+			slices.Sort(restarts)
+			last := start + minWatch
+			for _, restart := range restarts {
+				if gap := restart - last; gap > 2*routesRestartInterval && restart < start+2*period {
+					t.Fatalf("%d nodes: no watch is restarted for %s", n, gap)
+				}
+				last = restart
+			}
+		}
+	}
+}
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -28,6 +28,11 @@
 	// listed is true while the store has a record of the member, and linked while a link with it is open.
 	listed bool
 	linked bool
+	// listedIncarnation is the incarnation in the last record of the store; zero if there was none.
+	listedIncarnation uint64
+	// endedIncarnation is an incarnation of the member that a later one has replaced; zero if none is known. Incarnations of
+	// one member do not always rise, because a host's clock may be set back before its node restarts.
+	endedIncarnation uint64
 	// missingSince is when the member lost both its record and its link; zero while it has one of them.
 	missingSince time.Duration
 }
@@ -52,11 +57,27 @@
 // Put records that the store has a record of the member.
 func (l *Locator) Put(now time.Duration, m hornbeamcroft.Member) {
 	e := l.entry(m.Name)
-	e.listed = true
-	l.merge(e, m)
+	if e.listedIncarnation != m.Incarnation && e.listedIncarnation == e.member.Incarnation && !e.linked {
+		e.endedIncarnation = e.member.Incarnation // the store holds the record of a later start
+	}
+	e.listed, e.listedIncarnation = true, m.Incarnation
+	// A link shows which incarnation runs; a record may be that of a previous one.
+	if !e.linked || m.Incarnation == e.member.Incarnation {
+		l.merge(e, m)
+	}
 	l.updateMissing(now, e)
 }
 
+// Introduce records that the incarnation of a member has completed the handshake of a link. Another incarnation that is
+// known has ended.
+func (l *Locator) Introduce(name string, incarnation uint64) {
+	e := l.entries[name]
+	if e == nil || e.member.Incarnation == incarnation {
+		return
+	}
+	e.endedIncarnation = e.member.Incarnation
+}
+
 // Remove records that the store no longer has a record of the member.
 func (l *Locator) Remove(now time.Duration, name string) {
 	if e := l.entries[name]; e != nil {
@@ -106,7 +127,7 @@
 // merge stores m in e if it is newer. It drops an older member with the same address: addresses of hosts that have
 // ended are reused.
 func (l *Locator) merge(e *entry, m hornbeamcroft.Member) {
-	if e.member.Name != "" && !m.Newer(e.member) {
+	if e.member.Name != "" && !e.isNewer(m) {
 		return
 	}
 	e.member = m
@@ -118,6 +139,19 @@
 	}
 }
 
+// isNewer reports whether m replaces the known member.
+func (e *entry) isNewer(m hornbeamcroft.Member) bool {
+	if e.endedIncarnation != 0 && m.Incarnation != e.member.Incarnation {
+		if m.Incarnation == e.endedIncarnation {
+			return false
+		}
+		if e.member.Incarnation == e.endedIncarnation {
+			return true
+		}
+	}
+	return m.Newer(e.member)
+}
+
 // updateMissing sets or clears the time since which the member is missing.
 func (l *Locator) updateMissing(now time.Duration, e *entry) {
 	if e.listed || e.linked {
--- a/locator/locator_test.go
+++ b/locator/locator_test.go
@@ -52,3 +52,51 @@
 	l.Put(0, member("b", "1", 3))
 	is.Equal(names(&l), "b")
 }
+
+// TestClockSetBack guards against a node that is ignored after a restart because its clock was set back before, so that its
+// incarnation is lower than that of the process before.
+func TestClockSetBack(t *testing.T) {
+	before := hornbeamcroft.Member{Name: "a", Address: "1", Incarnation: 9, Sequence: 5, Stopping: true}
+	after := hornbeamcroft.Member{Name: "a", Address: "1", Incarnation: 4}
+	check := func(t *testing.T, l *Locator, want uint64) {
+		t.Helper()
+		m, _ := l.Member("a")
+		is.New(t).Equal(m.Incarnation, want)
+	}
+	t.Run("record", func(t *testing.T) {
+		var l Locator
+		l.ReplaceRecords(0, []hornbeamcroft.Member{before})
+		l.ReplaceRecords(time.Second, []hornbeamcroft.Member{after})
+		check(t, &l, 4)
+	})
+	t.Run("link", func(t *testing.T) {
+		var l Locator
+		l.ReplaceRecords(0, []hornbeamcroft.Member{before})
+		l.ApplyNotice(0, before)
+		l.Introduce("a", 4) // the old link may still be open: its host lost power
+		l.ApplyNotice(time.Second, after)
+		check(t, &l, 4)
+		l.ApplyNotice(time.Second, before) // a late notice of the previous process
+		check(t, &l, 4)
+		l.ReplaceRecords(time.Second, []hornbeamcroft.Member{before}) // an old copy of the store
+		check(t, &l, 4)
+		l.Unlink(2*time.Second, "a")
+		l.ReplaceRecords(2*time.Second, []hornbeamcroft.Member{before})
+		check(t, &l, 4)
+	})
+	t.Run("link before record", func(t *testing.T) {
+		var l Locator
+		l.Introduce("a", 4)
+		l.ApplyNotice(0, after)
+		l.ReplaceRecords(time.Second, []hornbeamcroft.Member{before})
+		check(t, &l, 4)
+	})
+	t.Run("clock set forward", func(t *testing.T) {
+		var l Locator
+		l.ReplaceRecords(0, []hornbeamcroft.Member{after})
+		l.Introduce("a", 9)
+		l.ApplyNotice(0, before)
+		l.ReplaceRecords(time.Second, []hornbeamcroft.Member{after})
+		check(t, &l, 9)
+	})
+}
