observer: a restarted upstream counts although its clock was set back

Cause: an announcement of another start of the upstream counted only if its time of start was later. After a crash and a restart with the clock set back, all heartbeats of the new process were stale, and the upstream was never used again.

Change: a start that seems to be older replaces the known one if it has answered a call, or if it announces itself three times over 2 s or more while the known one is silent. Delayed announcements of an ended start arrive together, or beside those of the present one, and stay without effect. TestClockSetBack failed and passes now.

--- a/observer/observer.go
+++ b/observer/observer.go
@@ -14,6 +14,15 @@
 // maxSlots is the maximum number of slots that an announcement may give.
 const maxSlots = 1 << 20
 
+const (
+	// contenderAnnouncements and contenderTime are how many announcements of another start of the upstream must arrive, and
+	// over which time, while the known one is silent, before the other replaces it although it seems to be older. Its time
+	// of start is a time of day, and the clock may have been set back. Delayed announcements of a start that has ended
+	// arrive together.
+	contenderAnnouncements = 3
+	contenderTime          = 2 * time.Second
+)
+
 // Announcement describes an upstream. The upstream sends it as a heartbeat.
 type Announcement struct {
 	// Instance usually identifies one start of the upstream, but an upstream may restart under the same id.
@@ -95,6 +104,18 @@
 	sequence int64
 	// onlyProbed is true if the start is known from a health probe only, whose answer does not contain the time of the start.
 	onlyProbed bool
+	contender  contender
+	// answered is the id of another instance that has answered at the upstream's address; empty if there is none.
+	answered string
+}
+
+// contender is a start of the upstream that seems to be older than the known one but sends announcements.
+type contender struct {
+	instance       string
+	born, sequence int64
+	// announcements is the number of announcements since the time since, without one of the known start.
+	announcements int
+	since         time.Duration
 }
 
 // Upstream returns the present state.
@@ -111,10 +132,11 @@
 		return OutcomeStale
 	case same && !o.onlyProbed && a.Sequence <= o.sequence:
 		return OutcomeStale
-	case !same && a.Born <= o.upstream.Born:
+	case !same && a.Born <= o.upstream.Born && a.Instance != o.answered && !o.replaces(now, a):
 		return OutcomeStale
 	}
 	before := o.upstream
+	o.contender, o.answered = contender{}, ""
 	o.sequence, o.onlyProbed = a.Sequence, false
 	o.upstream = Upstream{
 		Instance: a.Instance, Born: a.Born, Slots: a.Slots, State: hornbeamcroft.MemberServing, ColdUntil: now + a.ColdRemaining,
@@ -131,6 +153,22 @@
 	return OutcomeUnchanged
 }
 
+// replaces records an announcement of a start that seems to be older than the known one. It reports whether that start is
+// the present one nevertheless.
+func (o *Observer) replaces(now time.Duration, a Announcement) bool {
+	c := &o.contender
+	if a.Instance != c.instance || a.Born != c.born {
+		*c = contender{instance: a.Instance, born: a.Born, sequence: a.Sequence, announcements: 1, since: now}
+		return false
+	}
+	if a.Sequence <= c.sequence {
+		return false
+	}
+	c.sequence = a.Sequence
+	c.announcements++
+	return c.announcements >= contenderAnnouncements && now-c.since >= contenderTime
+}
+
 // ApplyDeparture applies a notification that an instance leaves. The time born is zero if the notification does not name
 // the start.
 func (o *Observer) ApplyDeparture(instance string, born int64) Outcome {
@@ -169,5 +207,6 @@
 		return false
 	}
 	o.upstream.State = hornbeamcroft.MemberLeft
+	o.answered = instance
 	return true
 }
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -50,3 +51,39 @@
 	is.True(o.MarkReplaced("b"))
 	is.Equal(o.Upstream().State, hornbeamcroft.MemberLeft)
 }
+
+// TestClockSetBack guards against an upstream that is never used after a restart because the clock of its host was set back
+// before, so that it seems to have started earlier than the process before it.
+func TestClockSetBack(t *testing.T) {
+	is := is.New(t)
+	start := func() *Observer {
+		o := &Observer{Service: "s", Address: "1"}
+		is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 10_000, 9)), OutcomeStarted)
+		return o
+	}
+	const interval = 1500 * time.Millisecond
+	for _, instance := range []string{"b", "a"} { // an upstream may restart under its id
+		o := start()
+		is.Equal(o.ApplyAnnouncement(interval, heartbeat(instance, 5_000, 0)), OutcomeStale)
+		is.Equal(o.ApplyAnnouncement(2*interval, heartbeat(instance, 5_000, 1)), OutcomeStale)
+		is.Equal(o.ApplyAnnouncement(3*interval, heartbeat(instance, 5_000, 2)), OutcomeStarted)
+		is.Equal(o.ApplyAnnouncement(4*interval, heartbeat(instance, 5_000, 3)), OutcomeUnchanged)
+	}
+
+	// Once the other instance has answered a call, its announcement counts at once.
+	o := start()
+	is.True(o.MarkReplaced("b"))
+	is.Equal(o.ApplyAnnouncement(interval, heartbeat("b", 5_000, 0)), OutcomeStarted)
+
+	// Announcements of a previous start that were delayed arrive together, or beside those of the present one.
+	o = start()
+	for sequence := range int64(5) {
+		is.Equal(o.ApplyAnnouncement(interval, heartbeat("b", 5_000, sequence)), OutcomeStale)
+	}
+	o = start()
+	for i := range int64(5) {
+		now := time.Duration(i) * interval
+		is.Equal(o.ApplyAnnouncement(now, heartbeat("b", 5_000, i)), OutcomeStale)
+		is.Equal(o.ApplyAnnouncement(now, heartbeat("a", 10_000, 10+i)), OutcomeUnchanged)
+	}
+}
