exchanger: answers without end are bounded; no attempt twice on a connection

Interim answers had no bound on their number. Besides, a second copy of a refusal that arrives late on a connection in use again was taken for the answer to a retry of the same attempt, which runs: the caller was told "not run".

Change: heads and interim answers of an exchange have a bound in bytes, a number and a time from the first byte; a body must make progress and is reserved from an account of memory as it arrives; chunk lines and trailers are bounded by net/http. Afterwards the connection is closed and the outcome is "may have run". A connection that carried a refused or failed attempt is not used for it again. A full connection limit no longer refuses a call while idle connections exist. Most answers arrive in one read and set no deadline.

--- a/call.go
+++ b/call.go
@@ -68,6 +68,9 @@
 	// Weight is the number of requests that the call represents in estimates of the demand: the inverse of the probability
 	// with which its request was admitted. Zero means 1.
 	Weight float32 `cbor:"25,keyasint,omitempty"`
+	// Memory is the account of the memory that the bodies of the call and of its answer hold in this process; nil if they are
+	// not accounted for.
+	Memory Memory `cbor:"-"`
 }
 
 // maxDepthOnWire is the maximum depth accepted in a frame from another node. The document's max-depth is checked separately.
--- /dev/null
+++ b/exchanger/answer.go
@@ -0,0 +1,79 @@
+package exchanger
+
+import (
+	"io"
+	"net"
+	"net/http"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft/bodyreader"
+)
+
+const (
+	// maxSkippedAnswers bounds the number of answers to other attempts that are read and skipped before the expected
+	// one.
+	maxSkippedAnswers = 4
+	// maxInterimAnswers bounds the number of interim answers (1xx) before the final one.
+	maxInterimAnswers = 16
+)
+
+var (
+	errAnswerMismatch = errors.New("answer of the upstream names another attempt")
+	errManyInterim    = errors.Errorf("more than %d interim answers", maxInterimAnswers)
+)
+
+// readAnswer reads answers until it finds the one that names the attempt of the request.
+func (c *conn) readAnswer(request Request, headerNames HeaderNames, maxBody int) Result {
+	for skipped := 0; ; skipped++ {
+		r, err := c.readResponse(request.Message.Method)
+		if err != nil {
+			return Result{Outcome: readErrorOutcome(err), Err: err}
+		}
+		matches := r.Header.Get(headerNames.Attempt) == request.Attempt
+		body, err := c.readBody(r, bodyreader.BodyReader{Limit: maxBody, Memory: request.Memory})
+		switch {
+		case errors.Is(err, bodyreader.ErrNoMemory):
+			return Result{Outcome: OutcomeNoMemory, Err: err}
+		case !matches && (err != nil || r.Close || skipped == maxSkippedAnswers):
+			return Result{Outcome: OutcomeMalformed, Err: errAnswerMismatch}
+		case !matches:
+			continue
+		case err != nil:
+			return Result{Outcome: OutcomeMalformed, Err: err}
+		}
+		c.reusable = !r.Close && r.ProtoAtLeast(1, 1) && c.reader.Buffered() == 0
+		c.idleTimeout = idleTimeout(r.Header)
+		return newResult(r, body, headerNames)
+	}
+}
+
+// readResponse reads the head of the next answer, skipping interim responses (1xx) except 101 Switching Protocols.
+func (c *conn) readResponse(method string) (*http.Response, error) {
+	for range maxInterimAnswers + 1 {
+		c.source.startHead()
+		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil || r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
+			return r, err
+		}
+	}
+	return nil, errManyInterim
+}
+
+// readErrorOutcome returns OutcomeLost if the read failed because the connection ended, or OutcomeMalformed if the
+// bytes received are not an HTTP response.
+func readErrorOutcome(err error) Outcome {
+	var op *net.OpError
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) {
+		return OutcomeLost
+	}
+	return OutcomeMalformed
+}
+
+// readBody returns the whole body. The body of an answer without a length ends with the connection; it is complete only if
+// the connection was closed in an orderly way. The body is not closed, because Close would read a body that was given up to
+// its end.
+func (c *conn) readBody(r *http.Response, reader bodyreader.BodyReader) ([]byte, error) {
+	c.source.startBody()
+	return reader.Read(r.Body, r.ContentLength)
+}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -28,21 +27,19 @@
 	// maxInlineBody is the size in bytes up to which a body is written before the answer is read. Writing a longer one
 	// may block until the upstream reads it, which it may do only after it has answered.
 	maxInlineBody = 16 << 10
-	// maxSkippedAnswers bounds the number of answers to other attempts that are read and skipped before the expected
-	// one.
-	maxSkippedAnswers = 4
-	bufferSize        = 4 << 10
+	bufferSize    = 4 << 10
 )
 
-var (
-	errTooManyConnections = errors.New("connection limit of the upstream reached")
-	errAnswerMismatch     = errors.New("answer of the upstream names another attempt")
-)
+var errTooManyConnections = errors.New("connection limit of the upstream reached")
 
 // conn is one connection to the upstream. It carries one request at a time.
 type conn struct {
-	net    net.Conn
+	net net.Conn
+	// source bounds what reader takes from net.
+	source *boundedSource
 	reader *bufio.Reader
+	// refused holds the attempts whose answers on this connection may lead to another send.
+	refused attemptRing
 	// reusable is true if the connection can carry another request.
 	reusable    bool
 	idleSince   time.Time
@@ -65,7 +62,8 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the upstream")
 	}
-	return &conn{net: n, reader: bufio.NewReaderSize(n, bufferSize), idleTimeout: defaultIdleTimeout}, nil
+	source := &boundedSource{net: n}
+	return &conn{net: n, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // abort closes the connection, which makes a running exchange fail.
@@ -109,14 +107,19 @@
 // exchange sends the request and reads its answer. It sets reusable.
 func (c *conn) exchange(request Request, headerNames HeaderNames, maxBody int) Result {
 	c.reusable = false
+	c.source.startAnswer()
 	written, err := c.write(request)
 	if err != nil {
 		return Result{Outcome: OutcomeLost, Err: err}
 	}
 	res := c.readAnswer(request, headerNames, maxBody)
+	c.source.clearDeadline()
 	if !c.reusable {
 		return res
 	}
+	if res.Outcome != OutcomeAnswered || res.Status >= http.StatusInternalServerError {
+		c.refused.add(request.Attempt)
+	}
 	select {
 	case err := <-written:
 		c.reusable = err == nil
@@ -163,68 +166,6 @@
 	return b
 }
 
-// readAnswer reads answers until it finds the one that names the attempt of the request.
-func (c *conn) readAnswer(request Request, headerNames HeaderNames, maxBody int) Result {
-	for skipped := 0; ; skipped++ {
-		r, err := c.readResponse(request.Message.Method)
-		if err != nil {
-			return Result{Outcome: c.readErrorOutcome(err), Err: err}
-		}
-		matches := r.Header.Get(headerNames.Attempt) == request.Attempt
-		body, err := readBody(r, maxBody)
-		switch {
-		case !matches && (err != nil || r.Close || skipped == maxSkippedAnswers):
-			return Result{Outcome: OutcomeMalformed, Err: errAnswerMismatch}
-		case !matches:
-			continue
-		case err != nil:
-			return Result{Outcome: OutcomeMalformed, Err: err}
-		}
-		c.reusable = !r.Close && r.ProtoAtLeast(1, 1) && c.reader.Buffered() == 0
-		c.idleTimeout = idleTimeout(r.Header)
-		return newResult(r, body, headerNames)
-	}
-}
-
-// readResponse reads the head of the next answer, skipping interim responses (1xx) except 101 Switching Protocols.
-func (c *conn) readResponse(method string) (*http.Response, error) {
-	for {
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			return r, err
-		}
-	}
-}
-
-// readErrorOutcome returns OutcomeLost if the read failed because the connection ended, or OutcomeMalformed if the
-// bytes received are not an HTTP response.
-func (c *conn) readErrorOutcome(err error) Outcome {
-	var op *net.OpError
-	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) {
-		return OutcomeLost
-	}
-	return OutcomeMalformed
-}
-
-// readBody returns the whole body, of at most limit bytes. The body of an answer without a length ends with the
-// connection; it is complete only if the connection was closed in an orderly way.
-func readBody(r *http.Response, limit int) ([]byte, error) {
-	defer func() { _ = r.Body.Close() }()
-	if r.ContentLength > int64(limit) {
-		return nil, errors.Errorf("answer body of %d bytes exceeds the limit of %d", r.ContentLength, limit)
-	}
-	if n := r.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err == nil && len(body) > limit {
-		return nil, errors.Errorf("answer body exceeds the limit of %d bytes", limit)
-	}
-	return body, err
-}
-
 // newResult returns the result of a complete answer.
 func newResult(r *http.Response, body []byte, headerNames HeaderNames) Result {
 	res := Result{
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,11 +45,13 @@
 	OutcomeMalformed
 	// OutcomeContextEnded means that the context ended before an answer; the request may have run.
 	OutcomeContextEnded
+	// OutcomeNoMemory means that the answer was not read because no memory was left for its body; the request may have run.
+	OutcomeNoMemory
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "not-sent", "not-run", "wrong-instance", "lost", "spoilt", "ended"}[o]
+	return [...]string{"answered", "not-sent", "not-run", "wrong-instance", "lost", "spoilt", "ended", "no-memory"}[o]
 }
 
 // Request is a request to the upstream.
@@ -57,6 +60,8 @@
 	Body    []byte
 	// Attempt is the attempt id that the answer must carry in the field HeaderNames.Attempt.
 	Attempt string
+	// Memory is the account from which the body of the answer is reserved; nil if it is not accounted for.
+	Memory hornbeamcroft.Memory
 }
 
 // Result is an answer and what is known about the execution of its request.
@@ -110,7 +115,7 @@
 
 // Exchange sends the request and waits for its answer or for the end of ctx.
 func (e *Exchanger) Exchange(ctx context.Context, request Request) Result {
-	c, err := e.acquire(ctx)
+	c, err := e.acquire(ctx, request.Attempt)
 	if err != nil {
 		if ctx.Err() != nil {
 			return Result{Outcome: OutcomeContextEnded, Err: err}
@@ -126,10 +131,11 @@
 	return res
 }
 
-// acquire returns a usable idle connection, or opens a new one.
-func (e *Exchanger) acquire(ctx context.Context) (*conn, error) {
+// acquire returns a usable idle connection, or opens a new one. It does not return a connection on which the same attempt
+// was sent before: a second copy of the first answer, which may arrive late, would be taken for the answer to this send.
+func (e *Exchanger) acquire(ctx context.Context, attempt string) (*conn, error) {
 	for {
-		c := e.popIdle()
+		c := e.popIdleFor(attempt)
 		if c == nil {
 			break
 		}
@@ -138,13 +144,9 @@
 		}
 		e.closeConn(c)
 	}
-	e.mu.Lock()
-	if e.limit > 0 && e.open >= e.limit {
-		e.mu.Unlock()
+	if !e.countOpen() {
 		return nil, errTooManyConnections
 	}
-	e.open++
-	e.mu.Unlock()
 	c, err := dial(ctx, e.Address)
 	if err != nil {
 		e.mu.Lock()
@@ -156,6 +158,37 @@
 	return c, nil
 }
 
+// countOpen counts a connection that is about to be opened. It returns false if the limit is reached. At the limit, it closes
+// an idle connection to make room.
+func (e *Exchanger) countOpen() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.limit > 0 && e.open >= e.limit {
+		if len(e.idle) == 0 {
+			return false
+		}
+		_ = e.idle[0].net.Close()
+		e.idle = slices.Delete(e.idle, 0, 1)
+		e.open--
+	}
+	e.open++
+	return true
+}
+
+// popIdleFor removes the most recently used idle connection that has not carried the attempt before and returns it, or nil
+// if there is none.
+func (e *Exchanger) popIdleFor(attempt string) *conn {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for i, c := range slices.Backward(e.idle) {
+		if !c.refused.contains(attempt) {
+			e.idle = slices.Delete(e.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
 // popIdle removes the most recently used idle connection and returns it, or nil if there is none.
 func (e *Exchanger) popIdle() *conn {
 	e.mu.Lock()
--- /dev/null
+++ b/exchanger/source.go
@@ -0,0 +1,105 @@
+package exchanger
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-faster/errors"
+)
+
+const (
+	// maxHeadBytes bounds the heads of all answers of one exchange together: status lines, header fields and interim
+	// answers.
+	maxHeadBytes = 128 << 10
+	// maxHeadTime bounds the time from the first byte of a head to its end.
+	maxHeadTime = 2 * time.Second
+	// A body must grow by minBodyProgress bytes in each progressTime or be complete.
+	minBodyProgress = 1 << 10
+	progressTime    = 2 * time.Second
+)
+
+// Reasons why an answer is not read to its end although the upstream goes on sending.
+var (
+	errHeadTooLarge = errors.Errorf("heads of the answer exceed %d bytes", maxHeadBytes)
+	errHeadTooSlow  = errors.Errorf("head of the answer takes more than %s", maxHeadTime)
+	errBodyTooSlow  = errors.Errorf("body of the answer grows by less than %d bytes in %s", minBodyProgress, progressTime)
+)
+
+// boundedSource reads from a connection to the upstream. It bounds the size and the time of heads and the least progress of
+// bodies, because an upstream in trouble may send bytes without end. Most answers arrive in one read, for which it sets no
+// deadline.
+type boundedSource struct {
+	net net.Conn
+	// headLeft is the number of bytes that the heads of the present exchange may still have.
+	headLeft int
+	// inHead is true while a head is expected or read, begun once a byte of the head or a read of the body has been tried.
+	inHead, begun bool
+	// hasDeadline is true while the connection has a read deadline.
+	hasDeadline bool
+	// mark is the number of body bytes that must arrive until the present read deadline; bodyBytes have arrived.
+	mark, bodyBytes int
+}
+
+// startAnswer prepares for the answer of a new exchange.
+func (s *boundedSource) startAnswer() { s.headLeft = maxHeadBytes }
+
+// startHead prepares for a head. The wait for its first byte has no limit here, because the upstream is running the request.
+func (s *boundedSource) startHead() {
+	s.inHead, s.begun = true, false
+	s.clearDeadline()
+}
+
+// startBody prepares for a body.
+func (s *boundedSource) startBody() {
+	s.inHead, s.bodyBytes, s.mark = false, 0, 0
+	s.clearDeadline()
+}
+
+// clearDeadline removes the read deadline, if there is one.
+func (s *boundedSource) clearDeadline() {
+	if s.hasDeadline {
+		s.hasDeadline = false
+		_ = s.net.SetReadDeadline(time.Time{}) // fails only if the connection is closed, as the next read will
+	}
+}
+
+// setDeadline sets the read deadline.
+func (s *boundedSource) setDeadline(d time.Duration) {
+	s.hasDeadline = true
+	_ = s.net.SetReadDeadline(time.Now().Add(d)) // fails only if the connection is closed, as the next read will
+}
+
+// Read implements io.Reader.
+func (s *boundedSource) Read(p []byte) (int, error) {
+	if s.inHead {
+		return s.readHead(p)
+	}
+	if s.bodyBytes >= s.mark {
+		s.mark = s.bodyBytes + minBodyProgress
+		s.setDeadline(progressTime)
+	}
+	n, err := s.net.Read(p)
+	s.bodyBytes += n
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errBodyTooSlow
+	}
+	return n, err
+}
+
+// readHead reads a part of a head. The bytes are counted before they are kept.
+func (s *boundedSource) readHead(p []byte) (int, error) {
+	if s.headLeft == 0 {
+		return 0, errHeadTooLarge
+	}
+	if s.begun && !s.hasDeadline {
+		s.setDeadline(maxHeadTime)
+	}
+	n, err := s.net.Read(p[:min(len(p), s.headLeft)])
+	s.begun = true
+	s.headLeft -= n
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		err = errHeadTooSlow
+	}
+	return n, err
+}
--- /dev/null
+++ b/exchanger/trouble_test.go
@@ -0,0 +1,198 @@
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/reserver"
+)
+
+// endlessAnswer is an answer of which the last part repeats without end.
+type endlessAnswer struct{ name, begin, repeat string }
+
+// endlessAnswers has an answer without end for each place of an HTTP message.
+var endlessAnswers = []endlessAnswer{
+	{"status line", "HTTP/1.1 200 ", "x"},
+	{"field name", "HTTP/1.1 200 OK\r\n", "x"},
+	{"field value", "HTTP/1.1 200 OK\r\nX: ", "x"},
+	{"many fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+	{"interim answers", "", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"},
+	{"interim fields", "HTTP/1.1 103 Early Hints\r\n", "X: y\r\n"},
+	{"body with length", "HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 1000000000\r\n\r\n", "x"},
+	{"body to the end", "HTTP/1.1 200 OK\r\nAttempt: a\r\nConnection: close\r\n\r\n", "x"},
+	{"chunked body", "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nabcd\r\n"},
+	{"chunk extension", "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n4;", "x"},
+	{"chunk size", "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	{"trailer", "HTTP/1.1 200 OK\r\nAttempt: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X: y\r\n"},
+	{"answers to other attempts", "", "HTTP/1.1 200 OK\r\nAttempt: b\r\nContent-Length: 1\r\n\r\nx"},
+	{"no HTTP", "", "x"},
+}
+
+// serveEndless starts an upstream that sends the answer until the other side closes, in pieces of the given size with the pause
+// between them. It returns its address.
+func serveEndless(t *testing.T, a endlessAnswer, piece int, pause time.Duration) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	repeated := bytes.Repeat([]byte(a.repeat), max(piece/len(a.repeat), 1))
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+					return
+				}
+				_, err := io.WriteString(c, a.begin)
+				for ; err == nil; time.Sleep(pause) {
+					_, err = c.Write(repeated)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+// TestEndless guards against an upstream that floods or trickles without end and fills the memory, or holds the request beyond
+// the bounds.
+func TestEndless(t *testing.T) {
+	const (
+		bodyLimit = 4 << 20
+		// maxAllocated bounds all allocations of one exchange: the largest body with the copies of its growth, and the heads.
+		maxAllocated = 4 * bodyLimit
+	)
+	for _, a := range endlessAnswers {
+		t.Run("flood/"+a.name, func(t *testing.T) {
+			is := is.New(t)
+			r := &reserver.Reserver{Limit: bodyLimit}
+			e := &Exchanger{Address: serveEndless(t, a, 1<<16, 0), HeaderNames: headerNames, MaxBody: 1 << 30}
+			var before, after runtime.MemStats
+			runtime.ReadMemStats(&before)
+			begin := time.Now()
+			res := sendWithMemory(e, r.Open(), 5*time.Second)
+			runtime.ReadMemStats(&after)
+			is.True(res.Outcome == OutcomeMalformed || res.Outcome == OutcomeNoMemory)
+			is.True(res.Err != nil)
+			is.True(time.Since(begin) < maxHeadTime)
+			is.True(after.TotalAlloc-before.TotalAlloc < maxAllocated)
+			open, _ := e.Counts()
+			is.Equal(open, 0) // the connection is closed
+		})
+	}
+	for _, a := range endlessAnswers {
+		t.Run("trickle/"+a.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			r := &reserver.Reserver{Limit: bodyLimit}
+			e := &Exchanger{Address: serveEndless(t, a, 1, 100*time.Millisecond), HeaderNames: headerNames, MaxBody: 1 << 30}
+			begin := time.Now()
+			res := sendWithMemory(e, r.Open(), 20*time.Second)
+			is.Equal(res.Outcome.String(), OutcomeMalformed.String())
+			// A head may take maxHeadTime; a body may begin then.
+			is.True(time.Since(begin) < maxHeadTime+2*progressTime)
+		})
+	}
+}
+
+// sendWithMemory sends a GET request for the attempt "a" whose answer is reserved from the account.
+func sendWithMemory(e *Exchanger, memory hornbeamcroft.Memory, limit time.Duration) Result {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	return e.Exchange(ctx, Request{
+		Attempt: "a", Memory: memory, Message: hornbeamcroft.Message{Method: http.MethodGet, Host: "h", Target: "/"},
+	})
+}
+
+// TestLargeAnswer guards against bounds that refuse an honest answer.
+func TestLargeAnswer(t *testing.T) {
+	is := is.New(t)
+	const size = 8 << 20
+	body := strings.Repeat("x", size)
+	e := newExchanger(t, fmt.Sprintf("HTTP/1.1 200 OK\nAttempt: a\nContent-Length: %d\n\n%s", size, body),
+		"HTTP/1.1 200 OK\nAttempt: a\nX: "+strings.Repeat("y", 60<<10)+"\nContent-Length: 2\n\nok")
+	e.MaxBody = size
+	r := &reserver.Reserver{Limit: 2 * size}
+	is.Equal(len(sendWithMemory(e, r.Open(), 5*time.Second).Body), size)
+	is.Equal(string(sendWithMemory(e, r.Open(), 5*time.Second).Body), "ok")
+}
+
+// TestIdleAfterSlowAnswer guards against a connection that is not used again because a deadline of its last answer has passed.
+func TestIdleAfterSlowAnswer(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = c.Close() }()
+		reader := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(reader); err != nil {
+				return
+			}
+			for _, part := range []string{"HTTP/1.1 200 OK\r\nAttempt: a\r\n", "Content-Length: 4\r\n\r\nab", "cd"} {
+				_, _ = io.WriteString(c, part)
+				time.Sleep(50 * time.Millisecond)
+			}
+		}
+	}()
+	e := &Exchanger{Address: l.Addr().String(), HeaderNames: headerNames, MaxBody: 1 << 20}
+	is.Equal(string(exchange(t, e, "a").Body), "abcd")
+	time.Sleep(progressTime + maxHeadTime/4)
+	is.Equal(string(exchange(t, e, "a").Body), "abcd")
+	is.Equal(e.Opened.Load(), int64(1))
+}
+
+// TestLateSecondAnswer guards against a second copy of a refusal, which arrives late on a connection in use again, that is
+// taken for the answer to another send of the same attempt, which runs.
+func TestLateSecondAnswer(t *testing.T) {
+	is := is.New(t)
+	refusal := "HTTP/1.1 503 No\r\nAttempt: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer func() { _ = l.Close() }()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				reader := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					if _, err := http.ReadRequest(reader); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, refusal) // to a second send on this connection, the late copy
+				}
+			}()
+		}
+	}()
+	e := &Exchanger{Address: l.Addr().String(), HeaderNames: headerNames, MaxBody: 1 << 20}
+	is.Equal(exchange(t, e, "a").Outcome, OutcomeNotRun)
+	is.Equal(exchange(t, e, "a").Outcome, OutcomeNotRun)
+	is.Equal(e.Opened.Load(), int64(2))                        // each send on a connection that has not carried the attempt
+	is.Equal(exchange(t, e, "b").Outcome, OutcomeContextEnded) // a refusal of another attempt is passed over
+}
--- a/message.go
+++ b/message.go
@@ -40,6 +40,9 @@
 	Body    []byte
 	// Remaining is how long the caller waits for the answer; zero if the request does not carry that time.
 	Remaining time.Duration
+	// Memory is the account of the memory that the bodies of the request and of its answer hold; nil if they are not
+	// accounted for.
+	Memory Memory
 }
 
 // Load is the load of an upstream. The upstream's node reports it, so that senders can choose the upstream for their calls.
