platform, connector: memory of bodies is reserved before they are held

Cause: the ingress read a whole body, in a buffer that grew by copies, and reserved memory for it afterwards; links allocated the announced body without a reserve; a caller that stopped sending held its body and its connection without end, since only the header had a time limit; a frame was copied twice on each side.

Change: one account a request, from a limit for the process (a quarter of memory-mb), for its body and its answer, at the ingress and at the upstream's node. Bodies are reserved and allocated by their declared length up to 256 KiB, and beyond as they arrive. A body must grow by 1 KiB in 3 s and arrive before the caller's deadline; else 408 (code 411). A refused body is answered at once, before 100-continue if one is expected. Frames are encoded into and read into shared buffers.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/recaller"
 	"hornbeamcroft/recorder"
+	"hornbeamcroft/reserver"
 	"hornbeamcroft/router"
 	"hornbeamcroft/runner"
 	"hornbeamcroft/sender"
@@ -38,7 +39,8 @@
 	keyPrefix = "hornbeamcroft/members/"
 	// maxAnswerBody is the maximum size of the body of an upstream's answer, in bytes.
 	maxAnswerBody = 64 << 20
-	// bodyMemoryDivisor divides the memory limit: the bodies of requests in flight may take a quarter of it.
+	// bodyMemoryDivisor divides the memory limit: the bodies of requests in flight and of their answers may take a quarter of
+	// it.
 	bodyMemoryDivisor = 4
 	// linkSilenceTimeout is how long a link may deliver nothing with a ping outstanding before it is closed. It is well
 	// below the deadlines of requests.
@@ -91,8 +93,8 @@
 	recorder  *recorder.Recorder
 	ingress   *acceptor.Acceptor
 	metrics   *metricSet
-	// bodyBytes is the size of the request bodies in flight, in bytes.
-	bodyBytes atomic.Int64
+	// bodies limits the memory that the bodies of requests and answers hold.
+	bodies *reserver.Reserver
 	// stopping is set when a planned stop begins.
 	stopping atomic.Bool
 	// refusingCalls is set when the node stops accepting calls from other nodes.
@@ -177,6 +179,7 @@
 	a.incarnation = uint64(a.started.UnixMicro())
 	a.metrics = newMetricSet()
 	a.recorder = &recorder.Recorder{Log: a.Log.Logger}
+	a.bodies = &reserver.Reserver{Limit: int64(cfg.MemoryMB) << 20 / bodyMemoryDivisor}
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchHold: a.routesWatchHold}
 	a.store.Open()
@@ -185,7 +188,7 @@
 		Clock: a.clock, Calls: &deduper.Calls{Incarnation: a.incarnation, Retention: outcomeRetention},
 	}
 	a.links = &connector.Connector{
-		Self: a.hello, Key: []byte(cfg.ClusterKey), MaxBody: func() int { return maxAnswerBody },
+		Self: a.hello, Key: []byte(cfg.ClusterKey), MaxBody: func() int { return maxAnswerBody }, Memory: a.bodies,
 		OnCall: a.onCall, OnOutcome: a.recaller.Outcome, OnMessage: a.onMessage, OnUp: a.onUp, OnDown: a.onDown,
 		SilenceTimeout: linkSilenceTimeout, Log: a.Log.Logger,
 	}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -18,7 +18,7 @@
 // newIngressHandler returns the HTTP handler for requests of callers and calls of the local upstream.
 func (a *Agent) newIngressHandler() *platform.IngressHandler {
 	return &platform.IngressHandler{
-		Serve: a.serve, Limits: a.callerLimits, Stopping: a.stopping.Load, ReserveBody: a.reserveBody, OnRejected: a.recordRejected,
+		Serve: a.serve, Limits: a.callerLimits, Stopping: a.stopping.Load, Memory: a.bodies, OnRejected: a.recordRejected,
 	}
 }
 
@@ -36,17 +36,6 @@
 	return l.HeaderTime, l.IdleTime
 }
 
-// reserveBody reserves memory for a request body of the given size. It returns the function that releases the memory, or
-// false if the bodies in flight would exceed their share of the memory limit.
-func (a *Agent) reserveBody(bytes int) (func(), bool) {
-	limit := int64(a.Settings.Agent.MemoryMB) << 20 / bodyMemoryDivisor
-	if a.bodyBytes.Add(int64(bytes)) > limit {
-		a.bodyBytes.Add(int64(-bytes))
-		return nil, false
-	}
-	return func() { a.bodyBytes.Add(int64(-bytes)) }, true
-}
-
 // stoppingRetryAfter is the retry delay given to callers that the node refuses because its process is about to exit.
 const stoppingRetryAfter = 500 * time.Millisecond
 
@@ -105,7 +94,7 @@
 	return hornbeamcroft.Call{
 		Request: requestID(in.Attempt), Attempt: in.Attempt, Service: service, Type: route.Name,
 		Importance: route.Importance, Depth: 1, Remaining: remaining, Objective: min(route.Objective, remaining),
-		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Origin: a.Settings.Agent.Service,
+		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory, Origin: a.Settings.Agent.Service,
 		Fingerprint: fingerprint(in, a.Settings.Agent.Service),
 	}
 }
@@ -148,11 +137,6 @@
 	if a.refusingCalls.Load() {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
 	}
-	release, ok := a.reserveBody(len(call.Body))
-	if !ok {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeOverloaded}
-	}
-	defer release()
 	if call.Idempotent {
 		return a.runner.Run(ctx, call)
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -74,7 +74,8 @@
 	m.gauge("links/bytes-in", a.links.BytesIn.Load())
 	m.gauge("links/bytes-out", a.links.BytesOut.Load())
 	m.gauge("way-in/in-flight", int64(a.ingress.InFlight()))
-	m.gauge("way-in/body-bytes", a.bodyBytes.Load())
+	m.gauge("way-in/body-bytes", a.bodies.Reserved())
+	m.gauge("bodies/refused", a.bodies.Refused())
 	m.gauge("process/goroutines", int64(runtime.NumGoroutine()))
 	if r := a.routes.Load(); r != nil {
 		m.gauge("routes/version", r.table.Version)
--- a/code.go
+++ b/code.go
@@ -94,6 +94,7 @@
 	CodeUnauthorized       Code = 408
 	CodeHeaderTooLarge     Code = 409
 	CodeNoRoute            Code = 410
+	CodeBodyTooSlow        Code = 411
 )
 
 // Results of operators' commands.
@@ -167,6 +168,7 @@
 	{CodeUnauthorized, "unauthorized", 401, "The credential is missing or wrong."},
 	{CodeHeaderTooLarge, "header-too-large", 431, "The header is larger than allowed."},
 	{CodeNoRoute, "no-route", 404, "No route of the configuration matches host and path."},
+	{CodeBodyTooSlow, "body-too-slow", 408, "The body did not arrive in time."},
 	{CodeAccepted, "accepted", 0, "The change is accepted."},
 	{CodeInvalid, "invalid", 1, "The document is invalid; nothing was written."},
 	{CodeConflict, "conflict", 3, "Another change of the same section was accepted first; nothing was written."},
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -20,6 +20,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/framer"
+	"hornbeamcroft/reserver"
 )
 
 // Time limits and intervals of links.
@@ -73,7 +74,10 @@
 	OnDown func(l *Link)
 	// SilenceTimeout is the time without received frames after which a link with an unanswered ping is closed; 1.5 s if zero.
 	SilenceTimeout time.Duration
-	Log            *log.Logger
+	// Memory limits the memory that the bodies of received calls, and of answers to calls with an account, hold; nil for no
+	// limit.
+	Memory *reserver.Reserver
+	Log    *log.Logger
 
 	// Counters for metrics: links opened, links closed for silence, and answers that arrived after their call was given
 	// up.
@@ -282,7 +286,7 @@
 		Dialed:         dialed,
 		connector:      c,
 		conn:           conn,
-		pendingAnswers: make(map[uint64]chan hornbeamcroft.Answer),
+		pendingAnswers: make(map[uint64]pendingAnswer),
 		partialBodies:  make(map[partialBodyKey]*partialBody),
 		runningCalls:   make(map[uint64]runningCall),
 		usedCredit:     make(chan struct{}, peer.Credit),
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -160,7 +160,7 @@
 	is.Equal(a.ClosedSilent.Load(), int64(1))
 	replacement, err := a.Link(context.Background(), proxy.address)
 	is.NoErr(err)
-	answer, err := replacement.Outcome(context.Background(), framer.OutcomeQuery{Sender: "a", Incarnation: 1, ID: 2})
+	answer, err := replacement.Outcome(context.Background(), framer.OutcomeQuery{Sender: "a", Incarnation: 1, ID: 2}, nil)
 	is.NoErr(err)
 	is.Equal(answer.Code, hornbeamcroft.CodeConfirmedNotRun)
 }
--- a/connector/handshake.go
+++ b/connector/handshake.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/rand"
 	"crypto/sha256"
@@ -75,11 +76,11 @@
 }
 
 func writeHandshakeFrame(conn *websocket.Conn, t framer.Type, v any) error {
-	frame, err := framer.Encode(t, v)
-	if err != nil {
+	var buf bytes.Buffer
+	if err := framer.Encode(&buf, t, v); err != nil {
 		return err
 	}
-	if err := conn.WriteMessage(websocket.BinaryMessage, frame); err != nil {
+	if err := conn.WriteMessage(websocket.BinaryMessage, buf.Bytes()); err != nil {
 		return errors.Wrap(err, "handshake")
 	}
 	return nil
--- a/connector/link.go
+++ b/connector/link.go
@@ -33,7 +33,7 @@
 	writeMu sync.Mutex
 
 	mu             sync.Mutex
-	pendingAnswers map[uint64]chan hornbeamcroft.Answer
+	pendingAnswers map[uint64]pendingAnswer
 	partialBodies  map[partialBodyKey]*partialBody
 	runningCalls   map[uint64]runningCall
 	closeErr       error
@@ -50,26 +50,19 @@
 	lastPing atomic.Int64
 }
 
+// pendingAnswer is a call or an outcome query that waits for its answer.
+type pendingAnswer struct {
+	answer chan hornbeamcroft.Answer
+	// memory is the account for the answer's body; nil if it is not accounted for.
+	memory hornbeamcroft.Memory
+}
+
 // runningCall is a call of the peer that is running on this node.
 type runningCall struct {
 	cancel     context.CancelFunc
 	idempotent bool
 }
 
-// partialBodyKey identifies a body that is being received: that of the call or of the answer with the id.
-type partialBodyKey struct {
-	id     uint64
-	answer bool
-}
-
-// partialBody is a received call or answer whose body is still incomplete. Length is the announced length in bytes.
-type partialBody struct {
-	call   hornbeamcroft.Call
-	answer hornbeamcroft.Answer
-	body   []byte
-	length int
-}
-
 // Ended reports whether the link is closed.
 func (l *Link) Ended() bool {
 	return l.ended.Load()
@@ -89,6 +82,9 @@
 	}
 	l.mu.Lock()
 	l.closeErr = reason
+	for key := range l.partialBodies {
+		l.dropPartialBody(key)
+	}
 	l.mu.Unlock()
 	_ = l.conn.Close()
 	close(l.done)
@@ -111,14 +107,15 @@
 
 // Send encodes v and writes it as one frame of type t. A failed write closes the link.
 func (l *Link) Send(t framer.Type, v any) error {
-	frame, err := framer.Encode(t, v)
-	if err != nil {
+	buf := takeFrameBuffer()
+	defer returnFrameBuffer(buf)
+	if err := framer.Encode(buf, t, v); err != nil {
 		return err
 	}
 	if t > framer.TypeAnswer {
-		l.connector.ControlOut.Add(int64(len(frame)))
+		l.connector.ControlOut.Add(int64(buf.Len()))
 	}
-	return l.write(frame)
+	return l.write(buf.Bytes())
 }
 
 func (l *Link) write(frame []byte) error {
@@ -137,16 +134,18 @@
 // Call sends the call and waits for its answer. If ctx ends first, Call sends a cancellation to the peer and returns
 // the error of the context; the call may have run nevertheless.
 func (l *Link) Call(ctx context.Context, call hornbeamcroft.Call) (hornbeamcroft.Answer, error) {
-	return l.roundTrip(ctx, call.ID, func() error { return l.sendCall(call) })
+	return l.roundTrip(ctx, call.ID, call.Memory, func() error { return l.sendCall(call) })
 }
 
-// Outcome asks for the outcome of a call that was in flight on an earlier link to the same node.
-func (l *Link) Outcome(ctx context.Context, q framer.OutcomeQuery) (hornbeamcroft.Answer, error) {
-	return l.roundTrip(ctx, q.ID, func() error { return l.Send(framer.TypeOutcomeQuery, q) })
+// Outcome asks for the outcome of a call that was in flight on an earlier link to the same node. Memory is the account of the
+// call.
+func (l *Link) Outcome(ctx context.Context, q framer.OutcomeQuery, memory hornbeamcroft.Memory) (hornbeamcroft.Answer, error) {
+	return l.roundTrip(ctx, q.ID, memory, func() error { return l.Send(framer.TypeOutcomeQuery, q) })
 }
 
 // roundTrip takes one unit of the peer's credit, sends a call or an outcome query and waits for the answer with the id.
-func (l *Link) roundTrip(ctx context.Context, id uint64, send func() error) (hornbeamcroft.Answer, error) {
+func (l *Link) roundTrip(ctx context.Context, id uint64, memory hornbeamcroft.Memory, send func() error,
+) (hornbeamcroft.Answer, error) {
 	var none hornbeamcroft.Answer
 	select {
 	case l.usedCredit <- struct{}{}:
@@ -158,7 +157,7 @@
 	defer func() { <-l.usedCredit }()
 	ch := make(chan hornbeamcroft.Answer, 1)
 	l.mu.Lock()
-	l.pendingAnswers[id] = ch
+	l.pendingAnswers[id] = pendingAnswer{answer: ch, memory: memory}
 	l.mu.Unlock()
 	defer l.removePending(id)
 	if l.Ended() {
--- a/connector/read.go
+++ b/connector/read.go
@@ -2,32 +2,48 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft"
 	"hornbeamcroft/framer"
+	"hornbeamcroft/reserver"
 )
 
 // readLoop reads and handles frames until reading or handling one fails, then closes the link.
 func (l *Link) readLoop() {
 	for {
-		_, frame, err := l.conn.ReadMessage()
+		_, r, err := l.conn.NextReader()
 		if err != nil {
 			l.Close(errors.Wrap(err, "read"))
 			return
 		}
-		l.lastRead.Store(int64(time.Since(l.openedAt)))
-		l.connector.BytesIn.Add(int64(len(frame)))
-		if err := l.handleFrame(frame); err != nil {
-			l.connector.Log.Warn().Str("peer", l.Peer.Name).Err(err).Msg("connector: frame not handled, link closed")
-			l.Close(err)
+		if !l.readFrame(r) {
 			return
 		}
 	}
 }
 
+// readFrame reads and handles one frame. If that fails, it closes the link and returns false.
+func (l *Link) readFrame(r io.Reader) bool {
+	buf := takeFrameBuffer()
+	defer returnFrameBuffer(buf)
+	if _, err := buf.ReadFrom(r); err != nil {
+		l.Close(errors.Wrap(err, "read"))
+		return false
+	}
+	l.lastRead.Store(int64(time.Since(l.openedAt)))
+	l.connector.BytesIn.Add(int64(buf.Len()))
+	if err := l.handleFrame(buf.Bytes()); err != nil {
+		l.connector.Log.Warn().Str("peer", l.Peer.Name).Err(err).Msg("connector: frame not handled, link closed")
+		l.Close(err)
+		return false
+	}
+	return true
+}
+
 func (l *Link) handleFrame(frame []byte) error {
 	t, payload, err := framer.Split(frame)
 	if err != nil {
@@ -75,23 +91,19 @@
 		go l.sendAnswer(hornbeamcroft.Answer{ID: call.ID, Code: hornbeamcroft.CodeBodyTooLarge, UnspentRetries: call.RetryBudget})
 		return nil
 	}
-	if call.BodyLength == len(call.Body) {
-		l.runCall(call)
-		return nil
+	account := l.openAccount()
+	if account != nil {
+		call.Memory = account
 	}
-	return l.addPartialBody(partialBodyKey{call.ID, false}, &partialBody{call: call, length: call.BodyLength})
-}
-
-// maxPartialBodies is the maximum number of bodies that are being received on one link at a time.
-const maxPartialBodies = 256
-
-func (l *Link) addPartialBody(key partialBodyKey, p *partialBody) error {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if len(l.partialBodies) >= maxPartialBodies {
-		return errors.Errorf("peer sends more than %d bodies at the same time", maxPartialBodies)
+	if call.BodyLength != len(call.Body) {
+		p := &partialBody{call: call, account: account, memory: call.Memory, length: call.BodyLength}
+		return l.addPartialBody(partialBodyKey{call.ID, false}, p)
+	}
+	if account != nil && !account.Reserve(len(call.Body)) {
+		go l.refuseCall(call, account)
+		return nil
 	}
-	l.partialBodies[key] = p
+	l.runCall(call, account)
 	return nil
 }
 
@@ -107,64 +119,28 @@
 		l.deliverAnswer(a)
 		return nil
 	}
-	return l.addPartialBody(partialBodyKey{a.ID, true}, &partialBody{answer: a, length: a.BodyLength})
-}
-
-// handleBody appends a chunk to its body and handles the call or answer when the body is complete. A chunk with an
-// unknown id belongs to a call that was given up and is dropped.
-func (l *Link) handleBody(payload []byte) error {
-	var b framer.Body
-	if err := framer.Decode(payload, &b); err != nil {
-		return err
-	}
-	key := partialBodyKey{b.ID, b.Answer}
 	l.mu.Lock()
-	p := l.partialBodies[key]
-	if p == nil {
-		l.mu.Unlock()
-		return nil
-	}
-	if b.Offset != len(p.body) || len(p.body)+len(b.Data) > p.length {
-		l.mu.Unlock()
-		return errors.Errorf("body chunk has offset %d after %d of %d bytes", b.Offset, len(p.body), p.length)
-	}
-	p.body = append(p.body, b.Data...)
-	if b.Last {
-		delete(l.partialBodies, key)
-	}
+	memory := l.pendingAnswers[a.ID].memory
 	l.mu.Unlock()
-	if !b.Last {
-		return nil
-	}
-	if len(p.body) != p.length {
-		return errors.Errorf("body ended after %d of %d bytes", len(p.body), p.length)
-	}
-	if b.Answer {
-		p.answer.Body = p.body
-		l.deliverAnswer(p.answer)
-		return nil
-	}
-	p.call.Body = p.body
-	l.runCall(p.call)
-	return nil
+	return l.addPartialBody(partialBodyKey{a.ID, true}, &partialBody{answer: a, memory: memory, length: a.BodyLength})
 }
 
 // deliverAnswer passes an answer to the call or outcome query with the same id. If that was given up, the answer is
 // counted as late and dropped.
 func (l *Link) deliverAnswer(a hornbeamcroft.Answer) {
 	l.mu.Lock()
-	ch := l.pendingAnswers[a.ID]
+	p, ok := l.pendingAnswers[a.ID]
 	delete(l.pendingAnswers, a.ID)
 	l.mu.Unlock()
-	if ch == nil {
+	if !ok {
 		l.connector.LateAnswers.Add(1)
 		return
 	}
-	ch <- a
+	p.answer <- a
 }
 
-// runCall runs a call of the peer in its own goroutine and sends the answer.
-func (l *Link) runCall(call hornbeamcroft.Call) {
+// runCall runs a call of the peer in its own goroutine, sends the answer and closes the account; the account may be nil.
+func (l *Link) runCall(call hornbeamcroft.Call, account *reserver.Account) {
 	ctx, cancel := context.WithTimeout(context.Background(), call.Remaining)
 	l.mu.Lock()
 	l.runningCalls[call.ID] = runningCall{cancel: cancel, idempotent: call.Idempotent}
@@ -178,6 +154,7 @@
 			delete(l.runningCalls, call.ID)
 			l.mu.Unlock()
 			cancel()
+			closeAccount(account)
 		}()
 		a := l.connector.OnCall(ctx, l.Peer, call)
 		a.ID = call.ID
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -180,7 +180,7 @@
 		}
 		a, err := link.Outcome(ctx, framer.OutcomeQuery{
 			Sender: f.Name, Incarnation: f.Incarnation, ID: call.ID, Remaining: time.Until(deadlineOf(ctx)),
-		})
+		}, call.Memory)
 		if err == nil {
 			return a
 		}
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -4,6 +4,7 @@
 package framer
 
 import (
+	"bytes"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -172,7 +173,7 @@
 }
 
 var (
-	encMode = must(cbor.EncOptions{Sort: cbor.SortNone, IndefLength: cbor.IndefLengthForbidden}.EncMode())
+	encMode = must(cbor.EncOptions{Sort: cbor.SortNone, IndefLength: cbor.IndefLengthForbidden}.UserBufferEncMode())
 	decMode = must(cbor.DecOptions{
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
@@ -189,15 +190,13 @@
 	return v
 }
 
-// Encode returns a frame of type t that carries the value v.
-func Encode(t Type, v any) ([]byte, error) {
-	b, err := encMode.Marshal(v)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode frame")
+// Encode writes a frame of type t that carries the value v to buf.
+func Encode(buf *bytes.Buffer, t Type, v any) error {
+	buf.WriteByte(byte(t))
+	if err := encMode.MarshalToBuffer(v, buf); err != nil {
+		return errors.Wrap(err, "encode frame")
 	}
-	frame := make([]byte, 0, len(b)+1)
-	frame = append(frame, byte(t))
-	return append(frame, b...), nil
+	return nil
 }
 
 // Split returns the type and the encoded value of a frame. It fails if the type is unknown or the frame exceeds the
@@ -220,7 +219,7 @@
 	return t, frame[1:], nil
 }
 
-// Decode decodes the payload that Split returned into v and validates v.
+// Decode decodes the payload that Split returned into v and validates v. The value does not refer to the payload afterwards.
 func Decode(payload []byte, v Checker) error {
 	if err := decMode.Unmarshal(payload, v); err != nil {
 		return errors.Wrap(err, "decode frame")
--- a/sender/sender.go
+++ b/sender/sender.go
@@ -69,7 +69,7 @@
 		deadline, _ := ctx.Deadline()
 		a, err := l.Outcome(ctx, framer.OutcomeQuery{
 			Sender: s.Name, Incarnation: s.Incarnation, ID: call.ID, Remaining: time.Until(deadline),
-		})
+		}, call.Memory)
 		if err == nil {
 			return a
 		}
