finisher: a planned stop cuts no request that was accepted

Cause: Shutdown of net/http closes the listening socket, which resets the connections in its accept queue, and ends, without an answer, a connection whose request is read after that (conn.serve checks shuttingDown after readRequest). Ruled out: the drain before it, which waits for all requests in flight; the requests lost were never handed to the handler.

Change: package finisher, for both interfaces. A socket filter lets the kernel ignore new handshakes while those under way end, the queue is emptied, the socket is closed, requests on open connections are answered, and only idle connections without received bytes are closed. The filter needs a socket without Multipath TCP, which Go's listeners have by default. Where it is not supported, the queue is emptied before the close.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -6,11 +6,12 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"hornbeamcroft/finisher"
 )
 
 const (
@@ -33,30 +34,25 @@
 	Limits func() (header, idle time.Duration)
 
 	server   *http.Server
+	finisher finisher.Finisher
 	inFlight atomic.Int64
-
-	mu    sync.Mutex
-	conns map[net.Conn]connState
-}
-
-// connState is the state of a connection and the time at which the connection entered it.
-type connState struct {
-	state http.ConnState
-	since time.Time
 }
 
 // Open starts to listen and serves in the background. If the server fails later, fail is called with the error.
 func (a *Acceptor) Open(fail func(error)) error {
-	l, err := net.Listen("tcp", a.Address)
+	cfg := net.ListenConfig{}
+	cfg.SetMultipathTCP(false) // a socket with Multipath TCP cannot have the filter of a planned stop
+	l, err := cfg.Listen(context.Background(), "tcp", a.Address)
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	a.conns = make(map[net.Conn]connState)
 	a.server = &http.Server{
-		Handler: http.HandlerFunc(a.serve), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes, ConnState: a.track,
+		Handler: http.HandlerFunc(a.serve), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes,
 	}
+	a.finisher.Server = a.server
+	a.finisher.Attach()
 	go func() {
-		if err := a.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := a.server.Serve(l); !a.finisher.Finished() {
 			fail(errors.Wrap(err, "serve "+a.Address))
 		}
 	}()
@@ -72,17 +68,6 @@
 // InFlight returns the number of requests in flight.
 func (a *Acceptor) InFlight() int { return int(a.inFlight.Load()) }
 
-// track records a change of a connection's state.
-func (a *Acceptor) track(c net.Conn, state http.ConnState) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if state == http.StateClosed || state == http.StateHijacked {
-		delete(a.conns, c)
-		return
-	}
-	a.conns[c] = connState{state: state, since: time.Now()}
-}
-
 // Run closes connections that exceed the limits, until ctx ends.
 func (a *Acceptor) Run(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
@@ -106,17 +91,14 @@
 	if header <= 0 {
 		header = maxHeaderTime
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for c, s := range a.conns {
-		age := now.Sub(s.since)
+	a.finisher.CloseConns(func(state http.ConnState, since time.Time) bool {
+		age := now.Sub(since)
 		// A connection is in StateNew until the header of its first request is complete.
-		if s.state == http.StateIdle && age > idle || s.state == http.StateNew && age > max(header, idle) {
-			_ = c.Close()
-		}
-	}
+		return state == http.StateIdle && age > idle || state == http.StateNew && age > max(header, idle)
+	})
 }
 
-// Shutdown stops listening, closes idle connections and waits for requests in flight until ctx ends. It returns the error of
-// ctx if requests are still in flight then.
-func (a *Acceptor) Shutdown(ctx context.Context) error { return a.server.Shutdown(ctx) }
+// Shutdown takes the connections that callers have opened, stops listening and returns when all requests are answered and all
+// connections are closed. When ctx ends, it cuts off the requests that are left and returns the error of ctx. The handler should
+// set "Connection: close" meanwhile.
+func (a *Acceptor) Shutdown(ctx context.Context) error { return a.finisher.Finish(ctx) }
--- a/agent/stop.go
+++ b/agent/stop.go
@@ -23,7 +23,7 @@
 	// stopPollInterval is the interval at which a planned stop checks whether its next step is due.
 	stopPollInterval = 20 * time.Millisecond
 	// shutdownTimeout is the maximum time for closing the callers' connections.
-	shutdownTimeout = 200 * time.Millisecond
+	shutdownTimeout = 300 * time.Millisecond
 )
 
 // stop carries out a planned stop. The readiness probe fails from the beginning, but the node works as usual while callers
--- a/cmd/hornbeam-node/main.go
+++ b/cmd/hornbeam-node/main.go
@@ -2,6 +2,9 @@
 // upstream on a planned stop.
 package main
 
+// A listening socket with Multipath TCP cannot have the filter that a planned stop needs (package finisher).
+//go:debug multipathtcp=0
+
 import (
 	"context"
 	"fmt"
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -13,6 +13,8 @@
 	"github.com/zeromicro/go-zero/core/proc"
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
+
+	"hornbeamcroft/finisher"
 )
 
 const (
@@ -51,21 +53,24 @@
 		return nil, errors.Wrap(err, "listen")
 	}
 	_ = probe.Close()
-	ready := make(chan *http.Server, 1)
+	f := &finisher.Finisher{}
+	ready := make(chan struct{})
 	go func() {
 		defer func() {
-			if p := recover(); p != nil {
+			if p := recover(); p != nil && !f.Finished() {
 				serverErrs <- errors.Errorf("listen on %s: %v", l.Address, p)
 			}
 		}()
 		server.StartWithOpts(func(httpServer *http.Server) {
 			httpServer.ReadHeaderTimeout = readHeaderTimeout
 			httpServer.MaxHeaderBytes = maxHeaderBytes
-			ready <- httpServer
+			f.Server = httpServer
+			f.Attach()
+			close(ready)
 		})
 	}()
-	httpServer := <-ready
-	return func(ctx context.Context) { _ = httpServer.Shutdown(ctx) }, nil
+	<-ready
+	return func(ctx context.Context) { _ = f.Finish(ctx) }, nil
 }
 
 // build returns the rest server with all of go-zero's middlewares off: its load shedder, circuit breaker and timeout would
