finisher: wait for the accept loop; a queue is emptied however long that takes

Three gaps: an accept queue that took more than 30 ms to empty was reset; a connection between accept and its first state was not counted; Finish right after the start of a server did not know its listener yet. A request of which a part had arrived on a new connection counted as none.

Change: with the filter in place, the queue is emptied without a bound of its own; Finish waits until the server serves and, after the close, until its accept loop has ended; a new connection with received bytes is kept until its request is served. The directive for sockets without Multipath TCP stands before the package clause, where Go accepts it.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -51,11 +51,11 @@
 	}
 	a.finisher.Server = a.server
 	a.finisher.Attach()
-	go func() {
+	go a.finisher.Run(func() {
 		if err := a.server.Serve(l); !a.finisher.Finished() {
 			fail(errors.Wrap(err, "serve "+a.Address))
 		}
-	}()
+	})
 	return nil
 }
 
--- a/cmd/hornbeam-node/main.go
+++ b/cmd/hornbeam-node/main.go
@@ -1,10 +1,10 @@
+// A listening socket with Multipath TCP cannot have the filter that a planned stop needs (package finisher).
+//go:debug multipathtcp=0
+
 // Command hornbeam-node runs beside one upstream. It routes, admits, retries and deduplicates requests, and drains the
 // upstream on a planned stop.
 package main
 
-// A listening socket with Multipath TCP cannot have the filter that a planned stop needs (package finisher).
-//go:debug multipathtcp=0
-
 import (
 	"context"
 	"fmt"
--- a/finisher/finisher.go
+++ b/finisher/finisher.go
@@ -18,8 +18,8 @@
 	pollInterval     = time.Millisecond
 )
 
-// Finisher ends one server. Set the exported fields, then call Attach before the server serves. Responses that are sent
-// while Finish runs should have "Connection: close".
+// Finisher ends one server. Set the exported fields, call Attach, and serve within Run. Responses that are sent while Finish
+// runs should have "Connection: close".
 type Finisher struct {
 	Server *http.Server
 
@@ -27,6 +27,8 @@
 	listener net.Listener
 	conns    map[net.Conn]connState
 	finished bool
+	// began is closed when the server serves, ended when Run has returned.
+	began, ended chan struct{}
 }
 
 // connState is the state of a connection and the time at which the connection entered it.
@@ -38,12 +40,13 @@
 // Attach sets the hooks of the server by which the Finisher knows its listener and connections. Hooks that are set
 // already are called, too.
 func (f *Finisher) Attach() {
-	f.conns = make(map[net.Conn]connState)
+	f.init()
 	baseContext, hook := f.Server.BaseContext, f.Server.ConnState
 	f.Server.BaseContext = func(l net.Listener) context.Context {
 		f.mu.Lock()
 		f.listener = l
 		f.mu.Unlock()
+		close(f.began)
 		if baseContext != nil {
 			return baseContext(l)
 		}
@@ -57,6 +60,23 @@
 	}
 }
 
+// init creates the channels once, for Attach may be called within Run.
+func (f *Finisher) init() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.conns == nil {
+		f.conns = make(map[net.Conn]connState)
+		f.began, f.ended = make(chan struct{}), make(chan struct{})
+	}
+}
+
+// Run calls serve, which must serve until the listener is closed. Call it once.
+func (f *Finisher) Run(serve func()) {
+	f.init()
+	defer close(f.ended)
+	serve()
+}
+
 // track records a change of a connection's state.
 func (f *Finisher) track(c net.Conn, state http.ConnState) {
 	f.mu.Lock()
@@ -81,10 +101,16 @@
 func (f *Finisher) Finish(ctx context.Context) error {
 	f.mu.Lock()
 	f.finished = true
-	l := f.listener
 	f.mu.Unlock()
-	if l != nil {
-		f.closeListener(ctx, l)
+	select {
+	case <-f.began:
+		f.closeListener(ctx)
+	case <-f.ended:
+	case <-ctx.Done():
+	}
+	select { // the last accepted connection is tracked before the server ends
+	case <-f.ended:
+	case <-ctx.Done():
 	}
 	t := time.NewTicker(pollInterval)
 	defer t.Stop()
@@ -112,13 +138,20 @@
 
 // closeListener closes the listening socket once all callers that have begun a handshake are accepted. Others are refused
 // as soon as it is closed.
-func (f *Finisher) closeListener(ctx context.Context, l net.Listener) {
+func (f *Finisher) closeListener(ctx context.Context) {
+	f.mu.Lock()
+	l := f.listener
+	f.mu.Unlock()
 	if queue, ok := newAcceptQueue(l); ok {
+		queueCtx, cancel := context.WithCancel(ctx)
+		defer cancel()
 		if queue.refuseHandshakes() {
 			wait(ctx, handshakeTime)
+		} else {
+			time.AfterFunc(handshakeTime, cancel) // the queue may never be empty while handshakes go on
 		}
-		for end := time.Now().Add(handshakeTime); queue.length() > 0 && time.Now().Before(end); {
-			wait(ctx, pollInterval)
+		for queueCtx.Err() == nil && queue.length() > 0 {
+			wait(queueCtx, pollInterval)
 		}
 	}
 	_ = l.Close()
@@ -134,15 +167,16 @@
 	}
 }
 
-// closeQuiet closes the connections that wait for a request and returns how many others are open. A connection on which bytes
-// have arrived is about to be served.
+// closeQuiet closes the connections that wait for a request and returns how many others are open. A connection on which a
+// request has begun to arrive is served.
 func (f *Finisher) closeQuiet(now time.Time) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	open := 0
 	for c, s := range f.conns {
-		quiet := s.state == http.StateIdle || s.state == http.StateNew && now.Sub(s.since) > firstRequestTime
-		if !quiet || hasData(c) {
+		quiet := s.state == http.StateIdle && !hasData(c) ||
+			s.state == http.StateNew && now.Sub(s.since) > firstRequestTime && bytesReceived(c) == 0
+		if !quiet {
 			open++
 			continue
 		}
--- a/finisher/finisher_test.go
+++ b/finisher/finisher_test.go
@@ -45,7 +45,7 @@
 		_, _ = io.WriteString(w, "ok")
 	})}
 	s.Attach()
-	go func() { _ = s.Server.Serve(l) }()
+	go s.Run(func() { _ = s.Server.Serve(l) })
 	return s
 }
 
--- a/finisher/socket.go
+++ b/finisher/socket.go
@@ -60,18 +60,34 @@
 
 // hasData reports whether bytes have arrived on the connection that were not read yet.
 func hasData(c net.Conn) bool {
+	n := 0
+	control(c, func(fd int) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	return n > 0
+}
+
+// bytesReceived returns the number of bytes that have arrived on the connection; zero if the platform does not report it.
+func bytesReceived(c net.Conn) uint64 {
+	n := uint64(0)
+	control(c, func(fd int) {
+		if info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			n = info.Bytes_received
+		}
+	})
+	return n
+}
+
+// control calls fn with the file descriptor of the connection, if it has one and is open.
+func control(c net.Conn, fn func(fd int)) {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return
 	}
-	n := 0
-	_ = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-	})
-	return n > 0
+	_ = raw.Control(func(fd uintptr) { fn(int(fd)) }) // fails if the connection is closed, which track will report
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -55,7 +55,7 @@
 	_ = probe.Close()
 	f := &finisher.Finisher{}
 	ready := make(chan struct{})
-	go func() {
+	go f.Run(func() {
 		defer func() {
 			if p := recover(); p != nil && !f.Finished() {
 				serverErrs <- errors.Errorf("listen on %s: %v", l.Address, p)
@@ -68,7 +68,7 @@
 			f.Attach()
 			close(ready)
 		})
-	}()
+	})
 	<-ready
 	return func(ctx context.Context) { _ = f.Finish(ctx) }, nil
 }
