requester: a newer configuration is requested from one peer at a time

Cause, by reading and from the prices of the large site: each announcement of a newer version was answered with a request, so that a node got a whole copy of the configuration from each peer whose own watch was quicker.

Also a test of finisher that lost its connection to the garbage collector holds it now: that was the one unexplained failure of TestBoundedStop.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -27,6 +27,7 @@
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/recaller"
 	"hornbeamcroft/recorder"
+	"hornbeamcroft/requester"
 	"hornbeamcroft/reserver"
 	"hornbeamcroft/router"
 	"hornbeamcroft/runner"
@@ -65,6 +66,7 @@
 	routesMu sync.Mutex
 	// configurationBytes is the configuration of routes in force, byte for byte as it was stored.
 	configurationBytes []byte
+	requester          requester.Requester
 	limitsOnce         sync.Once
 
 	membersMu        sync.Mutex
@@ -256,6 +258,7 @@
 		}
 		a.recaller.Tick()
 		a.tickMembers()
+		a.requestRoutes()
 	}
 }
 
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -41,6 +41,7 @@
 		return
 	}
 	a.configurationBytes = configuration
+	a.requester.Applied(t.Version)
 	a.routes.Store(&activeRoutes{router: router.New(t), table: t, since: time.Now(), source: source})
 	a.routesMu.Unlock()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
@@ -85,10 +86,25 @@
 	return 0
 }
 
-// compareRoutes requests the peer's configuration if its version is higher than the one in force here.
+// compareRoutes records the version that a peer has in force, so that a newer one is requested from it or another peer.
 func (a *Agent) compareRoutes(l *connector.Link, peerVersion int64) {
-	if have := a.routesVersion(); peerVersion > have {
-		a.send(l, framer.TypeRoutesQuery, routesQuery{Have: have})
+	a.routesMu.Lock()
+	a.requester.Announced(a.clock.Now(), l.Peer.Name, peerVersion, l.Peer.Zone == a.Settings.Agent.Zone)
+	a.routesMu.Unlock()
+	a.requestRoutes()
+}
+
+// requestRoutes requests the configuration from a peer if a request is due.
+func (a *Agent) requestRoutes() {
+	a.routesMu.Lock()
+	name, due := a.requester.Due(a.clock.Now())
+	a.routesMu.Unlock()
+	if !due {
+		return
+	}
+	if l := a.links.LinkTo(name); l != nil {
+		a.metrics.count("routes/requested")
+		a.send(l, framer.TypeRoutesQuery, routesQuery{Have: a.routesVersion()})
 	}
 }
 
--- a/finisher/finisher_test.go
+++ b/finisher/finisher_test.go
@@ -153,6 +153,7 @@
 	s := startServer(t)
 	c, err := net.Dial("tcp", s.address)
 	is.NoErr(err)
+	defer func() { _ = c.Close() }() // without a use below, the collector would close it
 	_, err = io.WriteString(c, "GET / HT")
 	is.NoErr(err)
 	time.Sleep(20 * time.Millisecond)
