enroller: a stop does not wait for the delay after a failed call; profiles of agents

Cause: a change of the record during the delay after a failed call made Run wait for the rest of the delay, 500 ms, also when its context ended. Change: the wake is ignored during the delay and the end of the context is not. TestStopAfterFailure failed (0.51 s) and passes.

Agents serve /debug/pprof/ on their metrics address, by package profiler, which the own interface now uses, too.

--- a/agent/listen.go
+++ b/agent/listen.go
@@ -9,6 +9,7 @@
 
 	"hornbeamcroft/listener"
 	"hornbeamcroft/platform"
+	"hornbeamcroft/profiler"
 )
 
 // listenInternal opens the listening sockets for links of other nodes, announcements of the local upstream, readiness probes
@@ -30,10 +31,10 @@
 		{Name: "readiness", Address: cfg.Readiness, Routes: platform.ReadinessRoutes(a.ready)},
 		{
 			Name: "metrics", Address: cfg.Metrics,
-			Routes: []rest.Route{
-				{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
-				{Method: http.MethodGet, Path: "/status", Handler: a.serveStatus},
-			},
+			Routes: append(profiler.Profiler{}.Routes(),
+				rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
+				rest.Route{Method: http.MethodGet, Path: "/status", Handler: a.serveStatus},
+			),
 		},
 	} {
 		if _, err := l.Open(serverErrs); err != nil {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -112,14 +112,14 @@
 			e.storeLost = false
 			e.OnStoreRecovered()
 		}
+		wake := e.wakeChan()
+		if err != nil {
+			wake = nil // after a failed call, Set and ReportMissing must not shorten the delay before the next one
+		}
 		t := time.NewTimer(wait)
 		select {
 		case <-t.C:
-		case <-e.wakeChan():
-			if err != nil {
-				// After a failed call, Set and ReportMissing must not shorten the delay before the next one.
-				<-t.C
-			}
+		case <-wake:
 		case <-ctx.Done():
 		}
 		t.Stop()
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -122,3 +122,19 @@
 	f.enroller.ReportMissing(revision + 1)
 	f.await(t, "one", recoveryTime)
 }
+
+// TestStopAfterFailure guards against a stop that waits for the delay after a failed call, since the process must exit before
+// the platform kills it.
+func TestStopAfterFailure(t *testing.T) {
+	const maxStopTime = 300 * time.Millisecond // revoking the lease may take 150 ms
+	is := is.New(t)
+	f := start(t)
+	f.store.SetFaults(storeserver.Faults{Busy: true})
+	f.enroller.Set([]byte("two"))
+	time.Sleep(100 * time.Millisecond)
+	f.enroller.Set([]byte("three")) // wakes Run during the delay
+	time.Sleep(50 * time.Millisecond)
+	begin := time.Now()
+	f.stop()
+	is.True(time.Since(begin) < maxStopTime)
+}
--- a/server/listen.go
+++ b/server/listen.go
@@ -4,7 +4,6 @@
 	"crypto/subtle"
 	"net"
 	"net/http"
-	"net/http/pprof"
 	"strings"
 
 	"github.com/zeromicro/go-zero/rest"
@@ -12,6 +11,7 @@
 
 	"hornbeamcroft/drainer"
 	"hornbeamcroft/listener"
+	"hornbeamcroft/profiler"
 )
 
 // listenPublic opens the listener for external callers, the local upstream and links of other nodes.
@@ -48,27 +48,12 @@
 		{Method: http.MethodGet, Path: "/slo", Handler: s.requireKey(s.serveSLO)},
 		{Method: http.MethodPost, Path: "/drain", Handler: s.requireKey(s.serveDrain)},
 	}
-	for _, name := range []string{"profile", "heap", "goroutine", "trace"} {
-		routes = append(routes, rest.Route{
-			Method: http.MethodGet, Path: "/debug/pprof/" + name, Handler: s.requireKey(profileHandler(name)),
-		})
-	}
+	routes = append(routes, profiler.Profiler{Guard: s.requireKey}.Routes()...)
 	return listener.Listener{
 		Name: "hornbeam-node-operators", Address: s.Settings.Node.OperatorsListen, Routes: routes,
 	}.Open(serveErrs)
 }
 
-// profileHandler returns the handler of a runtime profile.
-func profileHandler(name string) http.HandlerFunc {
-	switch name {
-	case "profile":
-		return pprof.Profile
-	case "trace":
-		return pprof.Trace
-	}
-	return pprof.Handler(name).ServeHTTP
-}
-
 // requireKey rejects requests without the operators' key.
 func (s *Server) requireKey(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
