breaker: an outage of the store costs stale lists, not lists and writes

Cause: while the store turned a host away, the user that watches the configuration listed it every 0.4 to 0.8 s, and the record's lease and write were tried every 0.5 s, each at the full price of a call. Ruled out: watches; a node makes one for each change and each time slot.

Change: package breaker between the store and its users. A watch that was refused goes on where it ended instead of listing first.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/acceptor"
+	"hornbeamcroft/breaker"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/courier"
 	"hornbeamcroft/deduper"
@@ -92,9 +93,11 @@
 	recaller  *recaller.Recaller
 	enroller  *enroller.Enroller
 	store     *platform.Store
-	recorder  *recorder.Recorder
-	ingress   *acceptor.Acceptor
-	metrics   *metricSet
+	// storeBreaker passes the calls of all users on to store.
+	storeBreaker *breaker.Breaker
+	recorder     *recorder.Recorder
+	ingress      *acceptor.Acceptor
+	metrics      *metricSet
 	// bodies limits the memory that the bodies of requests and answers hold.
 	bodies *reserver.Reserver
 	// stopping is set when a planned stop begins.
@@ -185,6 +188,7 @@
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchHold: a.routesWatchHold}
 	a.store.Open()
+	a.storeBreaker = &breaker.Breaker{Store: a.store, Clock: a.clock}
 	a.exchanger = &exchanger.Exchanger{Address: cfg.Upstream, HeaderNames: platform.HeaderNames(), MaxBody: maxAnswerBody}
 	a.recaller = &recaller.Recaller{
 		Clock: a.clock, Calls: &deduper.Calls{Incarnation: a.incarnation, Retention: outcomeRetention},
@@ -207,7 +211,7 @@
 	}
 	a.runner.Levels = a.courier.Levels
 	a.enroller = &enroller.Enroller{
-		Store: a.store, Key: keyPrefix + cfg.Name, OnStoreLost: a.onStoreLost("record"), OnStoreRecovered: a.onStoreRecovered("record"),
+		Store: a.storeBreaker, Key: keyPrefix + cfg.Name, OnStoreLost: a.onStoreLost("record"), OnStoreRecovered: a.onStoreRecovered("record"),
 		OnWritten: func(revision int64) {
 			a.Log.Info().Int64("revision", revision).Msg("enroller: record written")
 		},
--- a/agent/follow.go
+++ b/agent/follow.go
@@ -34,12 +34,12 @@
 // followStore polls the node records and watches the configuration of routes in the store until ctx ends.
 func (a *Agent) followStore(ctx context.Context) {
 	records := &poller.Poller{
-		Store: a.store, Prefix: keyPrefix, Interval: a.recordsInterval, Rand: randomizer.Randomizer{},
+		Store: a.storeBreaker, Prefix: keyPrefix, Interval: a.recordsInterval, Rand: randomizer.Randomizer{},
 		OnList: a.onRecords, OnStoreLost: a.onStoreLost("members"), OnStoreRecovered: a.onStoreRecovered("members"),
 	}
 	go records.Run(ctx)
 	routes := &subscriber.Subscriber{
-		Store: a.store, Prefix: platform.KeyConfiguration, Rand: randomizer.Randomizer{},
+		Store: a.storeBreaker, Prefix: platform.KeyConfiguration, Rand: randomizer.Randomizer{},
 		OnList: a.onRoutesList, OnEvent: a.onRoutesEvent,
 		OnStoreLost: a.onStoreLost("routes"), OnStoreRecovered: a.onStoreRecovered("routes"), OnWatchEnded: a.onWatchEnded("routes"),
 	}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -28,7 +28,8 @@
 	// OnList is called with all entries after each list, OnEvent with each change, in the order of their revisions.
 	OnList  func(entries []hornbeamcroft.Entry)
 	OnEvent func(e hornbeamcroft.Event)
-	// OnStoreLost is called when the store stops answering, OnStoreRecovered when it answers again.
+	// OnStoreLost is called when the store stops answering, OnStoreRecovered when a list or an event shows that it answers
+	// again.
 	OnStoreLost      func(err error)
 	OnStoreRecovered func()
 	// OnWatchEnded is called with the error by which a watch ended, before the keys are listed again.
@@ -45,7 +46,7 @@
 	for ctx.Err() == nil {
 		if relist {
 			if err := s.listEntries(ctx); err != nil {
-				s.handleListError(ctx, err)
+				s.handleUnreachable(ctx, err)
 				continue
 			}
 			relist = false
@@ -57,6 +58,9 @@
 		case errors.Is(err, hornbeamcroft.ErrHistoryGone):
 			s.OnWatchEnded(err)
 			relist = true
+		case errors.Is(err, hornbeamcroft.ErrStoreUnreachable):
+			// The next watch begins where this one ended, also after an outage, so that no list is needed.
+			s.handleUnreachable(ctx, err)
 		case err != nil:
 			s.OnWatchEnded(err)
 			// The store may have ended an idle watch although it is reachable. A list shows at once whether it answers.
@@ -72,23 +76,29 @@
 	if err != nil {
 		return err
 	}
+	s.reportRecovered()
+	s.revision = max(s.revision, revision)
+	s.OnList(entries)
+	return nil
+}
+
+// reportRecovered calls OnStoreRecovered if the store was reported as lost.
+func (s *Subscriber) reportRecovered() {
 	if s.unreachable {
 		s.unreachable = false
 		s.OnStoreRecovered()
 	}
-	s.revision = max(s.revision, revision)
-	s.OnList(entries)
-	return nil
 }
 
 func (s *Subscriber) handleEvent(e hornbeamcroft.Event) {
 	s.backoff = 0
+	s.reportRecovered()
 	s.revision = max(s.revision, e.Entry.ModRevision)
 	s.OnEvent(e)
 }
 
-// handleListError reports the store as lost, unless it is already, and waits before the next list.
-func (s *Subscriber) handleListError(ctx context.Context, err error) {
+// handleUnreachable reports the store as lost, unless it is already, and waits before the next call.
+func (s *Subscriber) handleUnreachable(ctx context.Context, err error) {
 	if !s.unreachable {
 		s.unreachable = true
 		s.OnStoreLost(err)
