hornbeam-node: the collector follows the host's memory limit

An agent sets the memory limit of the Go runtime to 60 % of memory-mb, so that a burst of garbage is collected before the platform ends the process. Below it nothing changes.

--- a/cmd/hornbeam-node/agent.go
+++ b/cmd/hornbeam-node/agent.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -21,6 +22,10 @@
 // without a SIGHUP.
 const settingsPollInterval = 5 * time.Second
 
+// collectorShare is the share of the host's memory, in percent, above which the garbage collector runs more often. The rest is
+// for what it does not count: received bytes that were not read yet, and the code.
+const collectorShare = 60
+
 // agentCommand returns the subcommand that runs the node on a platform.
 func agentCommand() *cli.Command {
 	return &cli.Command{
@@ -48,6 +53,7 @@
 	if cmd.Bool("check") {
 		return nil
 	}
+	debug.SetMemoryLimit(int64(cfg.Agent.MemoryMB) << 20 * collectorShare / 100)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	l, flush := logger.NewAsync(os.Stdout, cfg.Log.Level)
