publisher: an older member list never follows a newer one

Cause, by reading: server's membership.step and agent's publishMembers took the members under their lock and passed them on after it, so that a goroutine that was held up could pass an older list on after a newer one.

Change: package publisher passes values on one at a time, in order, for both interfaces.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -24,6 +24,7 @@
 	"hornbeamcroft/logger"
 	"hornbeamcroft/observer"
 	"hornbeamcroft/platform"
+	"hornbeamcroft/publisher"
 	"hornbeamcroft/randomizer"
 	"hornbeamcroft/rationer"
 	"hornbeamcroft/recaller"
@@ -70,9 +71,10 @@
 	requester          requester.Requester
 	limitsOnce         sync.Once
 
-	membersMu        sync.Mutex
-	locator          locator.Locator
-	publishedVersion uint64
+	membersMu sync.Mutex
+	locator   locator.Locator
+	// members passes on the members of locator.
+	members *publisher.Publisher[[]hornbeamcroft.Member]
 	// previousRecord is the record that a previous process of this node left in the store.
 	previousRecord   hornbeamcroft.Member
 	storeUnreachable atomic.Bool
@@ -210,6 +212,7 @@
 		Rationer: a.newRationer(rationer.SenderShare),
 	}
 	a.runner.Levels = a.courier.Levels
+	a.members = a.newMembersPublisher()
 	a.enroller = &enroller.Enroller{
 		Store: a.storeBreaker, Key: keyPrefix + cfg.Name, OnStoreLost: a.onStoreLost("record"), OnStoreRecovered: a.onStoreRecovered("record"),
 		OnWritten: func(revision int64) {
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -201,5 +201,5 @@
 		}
 	}
 	a.membersMu.Unlock()
-	a.publishMembers()
+	a.members.Update()
 }
--- a/agent/members.go
+++ b/agent/members.go
@@ -11,6 +11,7 @@
 	"hornbeamcroft"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
+	"hornbeamcroft/publisher"
 )
 
 const (
@@ -44,7 +45,7 @@
 	if !ownListed {
 		a.enroller.ReportMissing(revision)
 	}
-	a.publishMembers()
+	a.members.Update()
 }
 
 // setPreviousRecord keeps the record m of this node if a previous process wrote it.
@@ -71,26 +72,31 @@
 	return m, true
 }
 
-// publishMembers passes the members to the courier and the number of the service's hosts to the runner, if the members have
-// changed since the last call.
-func (a *Agent) publishMembers() {
-	a.membersMu.Lock()
-	version := a.locator.Version()
-	if version == a.publishedVersion {
-		a.membersMu.Unlock()
-		return
-	}
-	a.publishedVersion = version
-	members := a.locator.Members()
-	a.membersMu.Unlock()
-	a.courier.Update(members)
-	hosts := 0
-	for _, m := range members {
-		if m.Service == a.Settings.Agent.Service {
-			hosts++
-		}
+// newMembersPublisher returns the publisher that passes the members to the courier and the number of the service's hosts to the
+// runner.
+func (a *Agent) newMembersPublisher() *publisher.Publisher[[]hornbeamcroft.Member] {
+	return &publisher.Publisher[[]hornbeamcroft.Member]{
+		Version: func() uint64 {
+			a.membersMu.Lock()
+			defer a.membersMu.Unlock()
+			return a.locator.Version()
+		},
+		Load: func() []hornbeamcroft.Member {
+			a.membersMu.Lock()
+			defer a.membersMu.Unlock()
+			return a.locator.Members()
+		},
+		Publish: func(members []hornbeamcroft.Member) {
+			a.courier.Update(members)
+			hosts := 0
+			for _, m := range members {
+				if m.Service == a.Settings.Agent.Service {
+					hosts++
+				}
+			}
+			a.runner.SetHosts(hosts)
+		},
 	}
-	a.runner.SetHosts(hosts)
 }
 
 // tickMembers drops the members that have been missing for too long.
@@ -98,7 +104,7 @@
 	a.membersMu.Lock()
 	a.locator.Tick(a.clock.Now(), a.storeUnreachable.Load())
 	a.membersMu.Unlock()
-	a.publishMembers()
+	a.members.Update()
 }
 
 // onNodeState updates what is known of a member from the state that it sent over a link. A state about another member than
@@ -115,7 +121,7 @@
 		a.Log.Info().Str("member", n.Member.Name).Str("service", n.Member.Service).Str("state", n.Member.State.String()).
 			Uint64("incarnation", n.Member.Incarnation).Uint64("sequence", n.Member.Sequence).Msg("members: heard over a link")
 	}
-	a.publishMembers()
+	a.members.Update()
 	a.courier.SetLinked(n.Member.Name, !l.Ended())
 	a.courier.RecordLoad(n.Member.Name, n.Load)
 	a.compareRoutes(l, n.Routes)
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -111,7 +111,7 @@
 	a.membersMu.Lock()
 	a.locator.ApplyNotice(a.clock.Now(), m)
 	a.membersMu.Unlock()
-	a.publishMembers()
+	a.members.Update()
 }
 
 // probeUntilKnown sends health probes to the local upstream until the upstream is known to this process. After a restart
--- a/server/members.go
+++ b/server/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/publisher"
 	"hornbeamcroft/tracker"
 )
 
@@ -24,6 +25,8 @@
 	// views are the views that the tracker returned when its ChangeCount was changeCount.
 	changeCount uint64
 	views       []tracker.View
+	// publisher passes views on.
+	publisher *publisher.Publisher[[]tracker.View]
 	// routable holds the members that may receive new work, by service.
 	routable map[string][]hornbeamcroft.Member
 	// dialing holds the addresses to which a link is being dialed.
@@ -47,10 +50,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &membership{
+	m := &membership{
 		s: s, tracker: t, dialing: make(map[string]bool),
 		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}, nil
+	}
+	m.publisher = &publisher.Publisher[[]tracker.View]{Version: m.version, Load: m.allViews, Publish: m.publish}
+	return m, nil
 }
 
 // run ticks the tracker and keeps the links and the document up to date, until ctx ends.
@@ -73,16 +78,12 @@
 func (m *membership) step(fn func(now time.Duration) []tracker.Outgoing) {
 	m.mu.Lock()
 	out := fn(m.s.clock.Now())
-	changed := m.tracker.ChangeCount() != m.changeCount
-	if changed {
+	if m.tracker.ChangeCount() != m.changeCount {
 		m.changeCount = m.tracker.ChangeCount()
 		m.views = m.tracker.Members()
 	}
-	views := m.views
 	m.mu.Unlock()
-	if changed {
-		m.publish(views)
-	}
+	m.publisher.Update()
 	for _, o := range out {
 		m.send(o)
 	}
@@ -251,6 +252,13 @@
 	return m.tracker.Self()
 }
 
+// version returns the number of changes of the views.
+func (m *membership) version() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.changeCount
+}
+
 // allViews returns the views of all known members.
 func (m *membership) allViews() []tracker.View {
 	m.mu.Lock()
