receiver: a rejected resend does not claim "not run"

Cause: refusalCode kept the claim of codes from 400 up, and took a type that it did not know yet for idempotent: a resend that was too large, malformed or of a removed type was answered "not run", although its first send may have run at another node. Change: every claim of "not run" to a resend whose type is not known to be idempotent becomes earlier-send-unknown. TestRejectedResend failed in three cases and passes. TestFirstDocument expected such a claim (401 for a resend of an unknown type); it now expects that the resend is forwarded and answered, which is what it guards.

--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -79,21 +79,20 @@
 }
 
 // refusalCode returns the code of a refusal by this node. For a resend that may be non-idempotent, it replaces a code
-// that claims "not run", because an earlier send of the key may have run. Without a document, the node does not know
-// whether the request type is idempotent.
+// that claims "not run", because an earlier send of the key may have run.
 func (v *Receiver) refusalCode(r *http.Request, call hornbeamcroft.Call, code hornbeamcroft.Code) hornbeamcroft.Code {
 	resend := r.Header.Get(dispatcher.HeaderIdempotencyKey) != "" && r.Header.Get(HeaderAttempt) != "1"
-	idempotent := call.Idempotent && code != hornbeamcroft.CodeNoDocument
-	if resend && !idempotent && code < hornbeamcroft.CodeOutcomeUnknown {
+	if resend && !call.Idempotent && code.Claim() == hornbeamcroft.ClaimNotRun {
 		return hornbeamcroft.CodeEarlierSendUnknown
 	}
 	return code
 }
 
-// parse reads and checks the request, and returns the call and its parents. A code other than zero refuses the call.
+// parse reads and checks the request, and returns the call and its parents. A code other than zero refuses the call. Its
+// Idempotent is true only if the node knows that the request type is idempotent.
 func (v *Receiver) parse(r *http.Request, service, requestType string,
 ) (hornbeamcroft.Call, []*registrar.RunningCall, hornbeamcroft.Code) {
-	call := hornbeamcroft.Call{Service: service, Type: requestType, Idempotent: true, FirstSend: true}
+	call := hornbeamcroft.Call{Service: service, Type: requestType, FirstSend: true}
 	doc := v.awaitDocument(r)
 	if doc == nil {
 		return call, nil, hornbeamcroft.CodeNoDocument
@@ -105,6 +104,7 @@
 	if !ok {
 		return call, nil, hornbeamcroft.CodeUnknownRequestType
 	}
+	call.Idempotent = t.Idempotent
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(doc.Platform.MaxBody)+1))
 	if err != nil {
 		return call, nil, hornbeamcroft.CodeMalformed
@@ -116,7 +116,6 @@
 	if !ok {
 		return call, nil, hornbeamcroft.CodeMalformed
 	}
-	call.Idempotent = t.Idempotent
 	call.Remaining = remaining
 	call.Body = body
 	call.ContentType = r.Header.Get("Content-Type")
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -1,6 +1,7 @@
 package receiver
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -12,6 +13,8 @@
 	"github.com/matryer/is"
 
 	"hornbeamcroft"
+	"hornbeamcroft/dispatcher"
+	"hornbeamcroft/registrar"
 )
 
 // TestNoDocumentClaim guards against the claim "not run" for a resend at a node that has just started and has no
@@ -40,7 +43,8 @@
 	is := is.New(t)
 	accepted := make(chan struct{})
 	var doc atomic.Pointer[hornbeamcroft.Document]
-	v := &Receiver{Clock: fixedClock{}, Document: doc.Load, HasDocument: accepted}
+	v := newReceiver(doc.Load)
+	v.HasDocument = accepted
 	r := httptest.NewRequest(http.MethodPost, "/call/s/t", strings.NewReader("x"))
 	r.Header.Set("Idempotency-Key", "k")
 	r.Header.Set(HeaderAttempt, "2")
@@ -55,10 +59,59 @@
 		t.Fatalf("refused with %s before the first document", w.Header().Get(HeaderCode))
 	case <-time.After(documentWait / 10):
 	}
-	doc.Store(&hornbeamcroft.Document{Services: map[string]hornbeamcroft.Service{"s": {}}})
+	doc.Store(testDocument())
 	close(accepted)
 	<-done
-	is.Equal(w.Header().Get(HeaderCode), strconv.Itoa(int(hornbeamcroft.CodeUnknownRequestType)))
+	is.Equal(w.Header().Get(HeaderCode), strconv.Itoa(int(hornbeamcroft.CodeAnswered)))
+}
+
+// testDocument returns a document with the non-idempotent request type s/t and the idempotent one s/get.
+func testDocument() *hornbeamcroft.Document {
+	d := &hornbeamcroft.Document{
+		Services: map[string]hornbeamcroft.Service{"s": {}},
+		RequestTypes: map[string]hornbeamcroft.RequestType{
+			"s/t":   {Timeout: time.Second, Importance: hornbeamcroft.ImportanceCritical},
+			"s/get": {Timeout: time.Second, Importance: hornbeamcroft.ImportanceCritical, Idempotent: true},
+		},
+	}
+	d.Platform.MaxBody = 100
+	return d
+}
+
+// newReceiver returns a Receiver that forwards to an upstream which answers each call.
+func newReceiver(document func() *hornbeamcroft.Document) *Receiver {
+	return &Receiver{
+		Clock: fixedClock{}, Document: document, Calls: registrar.New(fixedClock{}, 1), Refuses: func(bool) bool { return false },
+		Forward: func(context.Context, []*registrar.RunningCall, hornbeamcroft.Call) hornbeamcroft.Answer {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: http.StatusOK}
+		},
+	}
+}
+
+// TestRejectedResend guards against the claim "not run" for a resend that is rejected because of its content or of a changed
+// document. An earlier send of the key may have run at a node with another document, or with its whole body.
+func TestRejectedResend(t *testing.T) {
+	for name, c := range map[string]struct{ path, attempt, body, timeout, want string }{
+		"first send, too large":        {"t", "1", strings.Repeat("x", 101), "", "406"},
+		"resend, too large":            {"t", "2", strings.Repeat("x", 101), "", "308"},
+		"resend, malformed timeout":    {"t", "2", "x", "soon", "308"},
+		"resend, type removed":         {"gone", "2", "x", "", "308"},
+		"first send, type removed":     {"gone", "1", "x", "", "401"},
+		"idempotent resend, too large": {"get", "2", strings.Repeat("x", 101), "", "406"},
+		"resend, accepted":             {"t", "2", "x", "", "100"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := httptest.NewRequest(http.MethodPost, "/call/s/"+c.path, strings.NewReader(c.body))
+			r.Header.Set("Idempotency-Key", "k")
+			r.Header.Set(HeaderAttempt, c.attempt)
+			if c.timeout != "" {
+				r.Header.Set(dispatcher.HeaderTimeout, c.timeout)
+			}
+			w := httptest.NewRecorder()
+			newReceiver(testDocument).Serve(w, r, "s", c.path)
+			is.New(t).Equal(w.Header().Get(HeaderCode), c.want)
+		})
+	}
 }
 
 // fixedClock is a clock whose time does not change.
