loader: the cluster key of an agent is not shown in errors

Cause: the key was read as a text, whose value is part of the problem when it is too long. TestSecretsNotShown failed for a key of 6,000 bytes and passes now.

--- a/loader/agent.go
+++ b/loader/agent.go
@@ -101,7 +101,7 @@
 			Metrics:        c.address("agent", "metrics", true),
 			Upstream:       c.address("agent", "upstream", false),
 			Introducers:    c.commaAddresses("agent", "introducers"),
-			ClusterKey:     c.text("agent", "cluster-key", false),
+			ClusterKey:     c.optionalKey("agent", "cluster-key"),
 			MemoryMB:       c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
 			Bounds:         c.file.Section("agent").Key("bounds").String(),
 		},
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -194,11 +194,17 @@
 	}
 }
 
-// text reads a text. A required text must have 1 to 128 bytes, an optional one 0 to 4096 bytes. The problem of a text
+// secretValue stands for the value of a secret key in messages.
+const secretValue = "(not shown)"
+
+// maxTextLength is the maximum length of an optional text in bytes.
+const maxTextLength = 4096
+
+// text reads a text. A required text must have 1 to 128 bytes, an optional one at most maxTextLength. The problem of a text
 // that is too long states 1 to 128 bytes in both cases.
 func (c *checker) text(section, key string, required bool) string {
 	v := c.file.Section(section).Key(key).String()
-	if len(v) > 4096 || (required && (v == "" || len(v) > 128)) {
+	if len(v) > maxTextLength || (required && (v == "" || len(v) > 128)) {
 		c.reject(section, key, v, "1 to 128 bytes")
 	}
 	return v
@@ -208,8 +214,16 @@
 func (c *checker) sharedKey(section, key string) string {
 	v := c.file.Section(section).Key(key).String()
 	if len(v) < minKeyLength {
-		// The value is secret and must not appear in the message.
-		c.reject(section, key, "(not shown)", "at least "+strconv.Itoa(minKeyLength)+" bytes")
+		c.reject(section, key, secretValue, "at least "+strconv.Itoa(minKeyLength)+" bytes")
+	}
+	return v
+}
+
+// optionalKey reads a secret key of at most maxTextLength bytes; empty if it is not set.
+func (c *checker) optionalKey(section, key string) string {
+	v := c.file.Section(section).Key(key).String()
+	if len(v) > maxTextLength {
+		c.reject(section, key, secretValue, "at most "+strconv.Itoa(maxTextLength)+" bytes")
 	}
 	return v
 }
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -54,3 +54,16 @@
 		}
 	}
 }
+
+// TestSecretsNotShown guards against a secret key in an error message, which ends up in logs.
+func TestSecretsNotShown(t *testing.T) {
+	is := is.New(t)
+	secret := strings.Repeat("s3cret", 1000)
+	_, err := LoadAgent([]byte("[agent]\ncluster-key = " + secret + "\n"))
+	is.True(err != nil)
+	is.True(strings.Contains(err.Error(), "cluster-key"))
+	is.True(!strings.Contains(err.Error(), "s3cret"))
+	_, err = Load([]byte("[security]\ncluster-key = s3cret\n"))
+	is.True(err != nil)
+	is.True(!strings.Contains(err.Error(), "s3cret"))
+}
