--- a/connector/connector.go
+++ b/connector/connector.go
@@ -7,7 +7,6 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -161,53 +160,6 @@
 	}
 }
 
-// Link returns the dialed link to the address and dials if there is none. Concurrent callers share one dial. For
-// redialDelay after a failed dial, it returns the error of that dial.
-func (c *Connector) Link(ctx context.Context, address string) (*Link, error) {
-	c.mu.Lock()
-	if c.dialStates == nil {
-		c.dialStates = make(map[string]*dialState)
-	}
-	d := c.dialStates[address]
-	if d == nil {
-		d = &dialState{}
-		c.dialStates[address] = d
-	}
-	c.mu.Unlock()
-
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if d.link != nil && !d.link.Ended() {
-		return d.link, nil
-	}
-	if d.err != nil && time.Since(d.failedAt) < redialDelay {
-		return nil, d.err
-	}
-	l, err := c.dial(ctx, address)
-	if err != nil {
-		d.link, d.err, d.failedAt = nil, err, time.Now()
-		return nil, err
-	}
-	d.link, d.err = l, nil
-	return l, nil
-}
-
-// DialedLink returns the open dialed link to the address, or nil if there is none or a dial is in progress. It does not
-// block.
-func (c *Connector) DialedLink(address string) *Link {
-	c.mu.Lock()
-	d := c.dialStates[address]
-	c.mu.Unlock()
-	if d == nil || !d.mu.TryLock() {
-		return nil
-	}
-	defer d.mu.Unlock()
-	if d.link == nil || d.link.Ended() {
-		return nil
-	}
-	return d.link
-}
-
 // LinkTo returns an open link to the named node, dialed or accepted, or nil if there is none.
 func (c *Connector) LinkTo(name string) *Link {
 	c.mu.Lock()
@@ -220,101 +172,6 @@
 	return nil
 }
 
-func (c *Connector) dial(ctx context.Context, address string) (*Link, error) {
-	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	dialer := websocket.Dialer{
-		HandshakeTimeout: handshakeTimeout,
-		ReadBufferSize:   4096,
-		WriteBufferSize:  4096,
-		WriteBufferPool:  upgrader.WriteBufferPool,
-		TLSClientConfig:  c.TLS,
-		NetDialContext:   (&net.Dialer{Timeout: handshakeTimeout}).DialContext,
-	}
-	scheme := "ws"
-	if c.TLS != nil {
-		scheme = "wss"
-	}
-	conn, resp, err := dialer.DialContext(ctx, scheme+"://"+address+"/link", nil)
-	if resp != nil && resp.Body != nil {
-		_ = resp.Body.Close()
-	}
-	if err != nil {
-		return nil, errors.Wrap(err, "dial")
-	}
-	return c.startLink(conn, true)
-}
-
-// Accept upgrades an HTTP request to a link and returns when the link has closed.
-func (c *Connector) Accept(w http.ResponseWriter, r *http.Request) {
-	c.mu.Lock()
-	reject := c.inboundCount >= maxInboundLinks || c.shutDown
-	if !reject {
-		c.inboundCount++
-	}
-	c.mu.Unlock()
-	if reject {
-		http.Error(w, "too many links", http.StatusServiceUnavailable)
-		return
-	}
-	defer func() {
-		c.mu.Lock()
-		c.inboundCount--
-		c.mu.Unlock()
-	}()
-	conn, err := upgrader.Upgrade(w, r, nil)
-	if err != nil {
-		return
-	}
-	l, err := c.startLink(conn, false)
-	if err != nil {
-		c.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg("connector: link rejected")
-		return
-	}
-	<-l.done
-}
-
-// startLink performs the handshake on conn and registers the link. It closes conn if the handshake fails.
-func (c *Connector) startLink(conn *websocket.Conn, dialed bool) (*Link, error) {
-	peer, err := c.handshake(conn, dialed)
-	if err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	l := &Link{
-		Peer:           peer,
-		Dialed:         dialed,
-		connector:      c,
-		conn:           conn,
-		pendingAnswers: make(map[uint64]pendingAnswer),
-		partialBodies:  make(map[partialBodyKey]*partialBody),
-		runningCalls:   make(map[uint64]runningCall),
-		usedCredit:     make(chan struct{}, peer.Credit),
-		done:           make(chan struct{}),
-		openedAt:       time.Now(),
-	}
-	conn.SetReadLimit(framer.MaxDocumentFrame)
-	c.mu.Lock()
-	if c.links == nil {
-		c.links = make(map[*Link]struct{})
-		c.linksByPeer = make(map[string][]*Link)
-	}
-	closed := c.shutDown
-	c.links[l] = struct{}{}
-	c.linksByPeer[peer.Name] = append(c.linksByPeer[peer.Name], l)
-	c.mu.Unlock()
-	c.Opened.Add(1)
-	go l.readLoop()
-	if closed {
-		l.Close(errors.New("node is shutting down"))
-		return l, nil
-	}
-	if c.OnUp != nil {
-		c.OnUp(l)
-	}
-	return l, nil
-}
-
 func (c *Connector) removeLink(l *Link) {
 	c.mu.Lock()
 	delete(c.links, l)
