--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"hornbeamcroft/arbiter"
 	"hornbeamcroft/balancer"
 	"hornbeamcroft/connector"
+	"hornbeamcroft/deduper"
 	"hornbeamcroft/dispatcher"
 	"hornbeamcroft/executor"
 	"hornbeamcroft/fifoadmitter"
