--- a/cmd/hornbeam-soak/soak_test.go
+++ b/cmd/hornbeam-soak/soak_test.go
@@ -78,6 +78,17 @@
 	}
 }
 
+// TestMutantsMatch guards against mutants whose text no longer occurs in the source, so that they test nothing.
+func TestMutantsMatch(t *testing.T) {
+	files, err := filepath.Glob("testdata/mutants/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no files in testdata/mutants", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) { mutate(t, file) })
+	}
+}
+
 // runSoak runs one seed and returns its findings.
 func runSoak(t *testing.T, node string, seed uint64, length time.Duration) []judge.Finding {
 	t.Helper()
