--- a/exchanger/trouble_test.go
+++ b/exchanger/trouble_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -196,3 +198,77 @@
 	is.Equal(e.Opened.Load(), int64(2))                        // each send on a connection that has not carried the attempt
 	is.Equal(exchange(t, e, "b").Outcome, OutcomeContextEnded) // a refusal of another attempt is passed over
 }
+
+// TestManyEndless guards against upstreams that flood at the same time and together hold more than the limit of the process, and
+// against an honest answer that finds no memory afterwards.
+func TestManyEndless(t *testing.T) {
+	const (
+		upstreams = 100
+		limit     = 16 << 20
+		// maxHeld bounds the growth of the heap: the reserved bodies, their copies while they grow, the heads, and what the
+		// collector has not collected yet.
+		maxHeld = 8 * limit
+	)
+	is := is.New(t)
+	r := &reserver.Reserver{Limit: limit}
+	var before runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	var peak atomic.Uint64
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-done:
+				return
+			case <-time.After(time.Millisecond):
+			}
+			var now runtime.MemStats
+			runtime.ReadMemStats(&now)
+			peak.Store(max(peak.Load(), now.HeapAlloc))
+		}
+	}()
+	var wg sync.WaitGroup
+	for i := range upstreams {
+		address := serveEndless(t, endlessAnswers[i%len(endlessAnswers)], 1<<14, 0)
+		wg.Go(func() {
+			e := &Exchanger{Address: address, HeaderNames: headerNames, MaxBody: 1 << 30}
+			account := r.Open()
+			defer account.Close()
+			if res := sendWithMemory(e, account, 20*time.Second); res.Outcome == OutcomeAnswered {
+				t.Error("an endless answer counts as whole")
+			}
+		})
+	}
+	wg.Wait()
+	close(done)
+	t.Logf("%d bytes at the peak above the start", peak.Load()-before.HeapAlloc)
+	is.True(peak.Load() < before.HeapAlloc+maxHeld)
+	is.Equal(r.Reserved(), int64(0))
+	e := newExchanger(t, "HTTP/1.1 200 OK\nAttempt: a\nContent-Length: 2\n\nok")
+	is.Equal(string(sendWithMemory(e, r.Open(), time.Second).Body), "ok")
+}
+
+// FuzzAnswer guards against bytes of an upstream that end the process or are taken for a whole answer to another attempt.
+func FuzzAnswer(f *testing.F) {
+	for _, a := range endlessAnswers {
+		f.Add([]byte(a.begin + a.repeat))
+	}
+	f.Add([]byte("HTTP/1.1 200 OK\r\nAttempt: a\r\nContent-Length: 2\r\n\r\nok"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		client, server := net.Pipe()
+		go func() {
+			_, _ = server.Write(text)
+			_ = server.Close()
+		}()
+		source := &boundedSource{net: client}
+		c := &conn{net: client, source: source, reader: bufio.NewReaderSize(source, bufferSize)}
+		source.startAnswer()
+		request := Request{Attempt: "a", Message: hornbeamcroft.Message{Method: http.MethodGet}}
+		res := c.readAnswer(request, headerNames, 1<<16)
+		_ = client.Close()
+		if res.Outcome == OutcomeAnswered && (!bytes.Contains(text, []byte("a")) || len(res.Body) > len(text)) {
+			t.Errorf("%q is taken for an answer", text)
+		}
+	})
+}
