ejector: an upstream that fails each trial reaches the longest ejection

Cause: the level of an ejection decayed from the start of the last one. Ejections of 80 s last longer than the 60 s after which a level decays, so that the next one was 80 s again and never reached 5 min. It decays from the end now, while the upstream is in use. TestLongEjections failed at 160 s and passes now; the tests of balancer pass.

--- a/ejector/ejector.go
+++ b/ejector/ejector.go
@@ -24,8 +24,8 @@
 	// maxEjectionTime.
 	baseEjectionTime = 5 * time.Second
 	maxEjectionTime  = 5 * time.Minute
-	// levelDecayTime is the time, from the start of the last ejection, after which the duration of the next ejection
-	// halves. It halves again each time levelDecayTime passes.
+	// levelDecayTime is the time, from the end of the last ejection, after which the duration of the next ejection halves. It
+	// halves again each time levelDecayTime passes.
 	levelDecayTime = time.Minute
 )
 
@@ -43,10 +43,10 @@
 type upstream struct {
 	failuresInRow int
 	// calls and failed are the numbers of calls and of failures, weighted by age, at the time lastCall.
-	calls, failed           float64
-	lastCall                time.Duration
-	ejected                 bool
-	ejectedUntil, ejectedAt time.Duration
+	calls, failed float64
+	lastCall      time.Duration
+	ejected       bool
+	ejectedUntil  time.Duration
 	// level is the number of ejections, less those that have decayed; it determines the duration of the next ejection.
 	level int
 }
@@ -202,12 +202,12 @@
 // eject starts an ejection, whose duration doubles with each level.
 func (u *upstream) eject(now time.Duration) {
 	if u.level > 0 {
-		u.level = max(0, u.level-int((now-u.ejectedAt)/levelDecayTime))
+		u.level = max(0, u.level-int(max(now-u.ejectedUntil, 0)/levelDecayTime))
 	}
 	d := baseEjectionTime
 	for i := 0; i < u.level && d < maxEjectionTime; i++ {
 		d *= 2
 	}
-	u.ejected, u.ejectedAt, u.ejectedUntil = true, now, now+min(d, maxEjectionTime)
+	u.ejected, u.ejectedUntil = true, now+min(d, maxEjectionTime)
 	u.level++
 }
--- a/ejector/ejector_test.go
+++ b/ejector/ejector_test.go
@@ -73,6 +73,27 @@
 	is.True(!e.Ejected(3*baseEjectionTime, "0"))
 }
 
+// TestLongEjections guards against an upstream that fails each trial and is nevertheless tried more often than once in
+// maxEjectionTime, and against one that stays at that time although it has worked for long.
+func TestLongEjections(t *testing.T) {
+	is := is.New(t)
+	e := newEjector(4)
+	recordFailures(e, 0, "0", ejectAfterFailures)
+	now := time.Duration(0)
+	for want := baseEjectionTime; want < 4*maxEjectionTime; want *= 2 {
+		d := min(want, maxEjectionTime)
+		is.True(e.Ejected(now+d-1, "0"))
+		is.True(e.TrialDue(now+d, "0"))
+		now += d
+		e.Record(now, "0", true)
+	}
+	now += maxEjectionTime
+	e.Record(now, "0", false)
+	now += 10 * levelDecayTime
+	recordFailures(e, now, "0", ejectAfterFailures)
+	is.True(e.TrialDue(now+baseEjectionTime, "0"))
+}
+
 func ExampleEjector() {
 	e := Ejector{}
 	e.Update([]string{"stock-1", "stock-2", "stock-3"})
