exchanger: answers to HEAD are whole without a body

Cause: the length of an answer to HEAD was taken for that of a body that follows, so that every such answer counted as truncated. Found by reading. TestHead failed and passes now. Names and comments of the bounds of answers made plainer.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -74,6 +74,9 @@
 // the connection was closed in an orderly way. The body is not closed, because Close would read a body that was given up to
 // its end.
 func (c *conn) readBody(r *http.Response, reader bodyreader.BodyReader) ([]byte, error) {
+	if r.Body == http.NoBody {
+		return nil, nil // the length of an answer to HEAD is that of a body which is not sent
+	}
 	c.source.startBody()
 	return reader.Read(r.Body, r.ContentLength)
 }
--- a/exchanger/attempts.go
+++ b/exchanger/attempts.go
@@ -2,10 +2,15 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// maxRefusedAttempts is the number of attempts that a connection remembers. A second copy of an answer that comes after the
+// answers to so many other attempts is not expected.
+const maxRefusedAttempts = 64
+
 // attemptRing remembers the last attempts that were added, by a hash of their ids.
 type attemptRing struct {
-	hashes [64]uint64
-	next   int
+	hashes [maxRefusedAttempts]uint64
+	// next is the index of the oldest entry, which the next attempt replaces.
+	next int
 }
 
 // add adds an attempt in place of the oldest one.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -129,3 +129,14 @@
 		is.Equal(e.Opened.Load(), opened)
 	}
 }
+
+// TestHead guards against an answer to HEAD that counts as truncated because it names the length of the body that GET would have.
+func TestHead(t *testing.T) {
+	is := is.New(t)
+	e := newExchanger(t, "HTTP/1.1 200 OK\nAttempt: a\nContent-Length: 5\n\n")
+	res := e.Exchange(t.Context(), Request{
+		Attempt: "a", Message: hornbeamcroft.Message{Method: http.MethodHead, Host: "h", Target: "/"},
+	})
+	is.Equal(res.Outcome.String(), OutcomeAnswered.String())
+	is.Equal(len(res.Body), 0)
+}
--- a/exchanger/source.go
+++ b/exchanger/source.go
@@ -33,12 +33,13 @@
 	net net.Conn
 	// headLeft is the number of bytes that the heads of the present exchange may still have.
 	headLeft int
-	// inHead is true while a head is expected or read, begun once a byte of the head or a read of the body has been tried.
+	// inHead is true while a head is expected or read, and begun once bytes of it have arrived.
 	inHead, begun bool
 	// hasDeadline is true while the connection has a read deadline.
 	hasDeadline bool
-	// mark is the number of body bytes that must arrive until the present read deadline; bodyBytes have arrived.
-	mark, bodyBytes int
+	// bodyBytes is the number of bytes of the body that have arrived, and mark the number that must have arrived by the
+	// present read deadline.
+	bodyBytes, mark int
 }
 
 // startAnswer prepares for the answer of a new exchange.
