--- a/cmd/hornbeam-node/entries_test.go
+++ b/cmd/hornbeam-node/entries_test.go
@@ -3,13 +3,13 @@
 import (
 	"encoding/json"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"hornbeamcroft/platform/standin/storeserver"
-	"hornbeamcroft/platform/standin/worker"
 )
 
 // TestUnreadableEntries guards against a configuration in which one route cannot be read, or is of an unknown kind, that is
@@ -17,29 +17,12 @@
 func TestUnreadableEntries(t *testing.T) {
 	is := is.New(t)
 	n := startNode(t)
-	route := func(prefix string, fields map[string]any) map[string]any {
-		entry := map[string]any{
-			"host": routeHost, "prefix": prefix, "service": "s", "kind": "idempotent",
-			"timeoutMs": routeTimeout.Milliseconds(), "targetLatencyMs": 200,
-		}
-		for name, value := range fields {
-			entry[name] = value
-		}
-		return entry
-	}
-	put := func(version int, routes map[string]any) {
-		value, err := json.Marshal(map[string]any{
-			"version": version, "routes": routes,
-			"services": map[string]any{"s": map[string]any{"healthPath": worker.HealthPath, "maxConnections": 100}},
-		})
+	put := func(file string) {
+		value, err := os.ReadFile("testdata/entries/" + file)
 		is.NoErr(err)
 		n.store.Put(storeserver.KeyConfiguration, value)
 	}
-	put(1, map[string]any{
-		"all":    route("/", nil),
-		"photos": route("/photos/", map[string]any{"kind": "upload"}),
-		"newer":  route("/newer/", map[string]any{"timeoutMs": "900ms"}),
-	})
+	put("first.json")
 	n.await(t, func() bool { return n.send(http.MethodGet, "/1", "a", time.Second).Status == http.StatusOK })
 	is.Equal(n.send(http.MethodPost, "/photos/1", "b", time.Second).Status, http.StatusOK)
 	o := n.send(http.MethodGet, "/newer/1", "c", time.Second)
@@ -47,7 +30,7 @@
 	is.True(o.RetryAfter > 0)
 
 	// A later version with another unreadable route drops what it does not contain.
-	put(2, map[string]any{"all": route("/", nil), "gone": 7})
+	put("second.json")
 	n.await(t, func() bool { return n.send(http.MethodGet, "/newer/2", "d", time.Second).Status == http.StatusOK })
 
 	var page struct {
--- a/exchanger/trouble_test.go
+++ b/exchanger/trouble_test.go
@@ -45,16 +45,14 @@
 	{"no HTTP", "", "x"},
 }
 
-// serveEndless starts an upstream that sends the answer until the other side closes, in pieces of the given size with the pause
-// between them. It returns its address.
-func serveEndless(t *testing.T, a endlessAnswer, piece int, pause time.Duration) string {
+// serveConns starts an upstream that calls serve for each connection and closes the connection afterwards. It returns its address.
+func serveConns(t *testing.T, serve func(c net.Conn, reader *bufio.Reader)) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = l.Close() })
-	repeated := bytes.Repeat([]byte(a.repeat), max(piece/len(a.repeat), 1))
 	go func() {
 		for {
 			c, err := l.Accept()
@@ -63,19 +61,29 @@
 			}
 			go func() {
 				defer func() { _ = c.Close() }()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, a.begin)
-				for ; err == nil; time.Sleep(pause) {
-					_, err = c.Write(repeated)
-				}
+				serve(c, bufio.NewReader(c))
 			}()
 		}
 	}()
 	return l.Addr().String()
 }
 
+// serveEndless starts an upstream that sends the answer until the other side closes, in pieces of the given size with the pause
+// between them. It returns its address.
+func serveEndless(t *testing.T, a endlessAnswer, piece int, pause time.Duration) string {
+	t.Helper()
+	repeated := bytes.Repeat([]byte(a.repeat), max(piece/len(a.repeat), 1))
+	return serveConns(t, func(c net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, err := io.WriteString(c, a.begin)
+		for ; err == nil; time.Sleep(pause) {
+			_, err = c.Write(repeated)
+		}
+	})
+}
+
 // TestEndless guards against an upstream that floods or trickles without end and fills the memory, or holds the request beyond
 // the bounds.
 func TestEndless(t *testing.T) {
@@ -143,16 +151,7 @@
 // TestIdleAfterSlowAnswer guards against a connection that is not used again because a deadline of its last answer has passed.
 func TestIdleAfterSlowAnswer(t *testing.T) {
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = l.Close() }()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		reader := bufio.NewReader(c)
+	address := serveConns(t, func(c net.Conn, reader *bufio.Reader) {
 		for {
 			if _, err := http.ReadRequest(reader); err != nil {
 				return
@@ -162,8 +161,8 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 		}
-	}()
-	e := &Exchanger{Address: l.Addr().String(), HeaderNames: headerNames, MaxBody: 1 << 20}
+	})
+	e := &Exchanger{Address: address, HeaderNames: headerNames, MaxBody: 1 << 20}
 	is.Equal(string(exchange(t, e, "a").Body), "abcd")
 	time.Sleep(progressTime + maxHeadTime/4)
 	is.Equal(string(exchange(t, e, "a").Body), "abcd")
@@ -175,28 +174,15 @@
 func TestLateSecondAnswer(t *testing.T) {
 	is := is.New(t)
 	refusal := "HTTP/1.1 503 No\r\nAttempt: a\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	defer func() { _ = l.Close() }()
-	go func() {
+	address := serveConns(t, func(c net.Conn, reader *bufio.Reader) {
 		for {
-			c, err := l.Accept()
-			if err != nil {
+			if _, err := http.ReadRequest(reader); err != nil {
 				return
 			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				reader := bufio.NewReader(c)
-				for n := 0; ; n++ {
-					if _, err := http.ReadRequest(reader); err != nil {
-						return
-					}
-					_, _ = io.WriteString(c, refusal) // to a second send on this connection, the late copy
-				}
-			}()
+			_, _ = io.WriteString(c, refusal) // to a second send on this connection, the late copy
 		}
-	}()
-	e := &Exchanger{Address: l.Addr().String(), HeaderNames: headerNames, MaxBody: 1 << 20}
+	})
+	e := &Exchanger{Address: address, HeaderNames: headerNames, MaxBody: 1 << 20}
 	is.Equal(exchange(t, e, "a").Outcome, OutcomeNotRun)
 	is.Equal(exchange(t, e, "a").Outcome, OutcomeNotRun)
 	is.Equal(e.Opened.Load(), int64(2))                        // each send on a connection that has not carried the attempt
