observer, runner: what an upstream states in its answers is logged and counted

Logs and metrics could not tell the three hypotheses on broken limits apart: successes are logged up to 30 a second, and nothing showed what an upstream states. The exchanger now reads both statements, the observer keeps them, and the node logs their changes and, while there is a limit, the sends and repeats of each second. Nothing acts on them yet.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -202,7 +202,8 @@
 	}
 	a.runner = &runner.Runner{
 		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
-		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared, OnInstanceReplaced: a.onInstanceReplaced, OnEnd: a.recordRun,
+		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared, OnInstanceReplaced: a.onInstanceReplaced,
+		OnStatement: a.onStatement, OnEnd: a.recordRun,
 	}
 	send := &sender.Sender{Name: cfg.Name, Incarnation: a.incarnation, Links: a.links}
 	a.courier = &courier.Courier{
@@ -257,12 +258,14 @@
 	const interval = 100 * time.Millisecond
 	t := time.NewTicker(interval)
 	defer t.Stop()
+	var lastRate rateLog
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-t.C:
 		}
+		a.logRate(&lastRate)
 		a.recaller.Tick()
 		a.tickMembers()
 		a.requestRoutes()
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -63,6 +63,10 @@
 	m.gauge("upstream/limit", int64(l.Limit))
 	m.gauge("upstream/hold-us", l.ServiceTime.Microseconds())
 	m.gauge("upstream/failing-thousandths", int64(l.FailureRatio))
+	sends, resends := a.runner.Sends()
+	m.gauge("upstream/sends", sends)
+	m.gauge("upstream/repeats", resends)
+	m.gauge("upstream/rate-limit-thousandths", rateLimitThousandths(a.runner.Upstream().Statement))
 	open, idle := a.exchanger.Counts()
 	m.gauge("upstream/connections-open", int64(open))
 	m.gauge("upstream/connections-idle", int64(idle))
@@ -119,3 +123,14 @@
 		}
 	})
 }
+
+// noRateLimit is the value of the rate limit metric while the upstream states none.
+const noRateLimit = -1
+
+// rateLimitThousandths returns the stated rate limit in thousandths of a call per second, or noRateLimit.
+func rateLimitThousandths(s hornbeamcroft.Statement) int64 {
+	if !s.Limited {
+		return noRateLimit
+	}
+	return int64(s.RateLimit * 1000)
+}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -175,9 +175,11 @@
 	switch {
 	case r.StatusCode == headerNames.MisdirectedStatus && headerNames.MisdirectedStatus != 0:
 		res.Outcome = OutcomeWrongInstance
+		return res
 	case r.Header.Get(headerNames.NotRun) != "":
 		res.Outcome = OutcomeNotRun
 	}
+	res.Statement = statement(r.Header, headerNames)
 	return res
 }
 
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -72,6 +72,9 @@
 	Body    []byte
 	// Instance is the id of the instance that answered; empty if the answer does not name it.
 	Instance string
+	// Statement is what the upstream states about itself. It is nil unless Outcome is OutcomeAnswered or OutcomeNotRun and
+	// the statement can be read.
+	Statement *hornbeamcroft.Statement
 	// Err is the reason why there is no complete answer.
 	Err error
 }
@@ -84,6 +87,9 @@
 	NotRun string
 	// Instance is the field that carries the id of the answering instance.
 	Instance string
+	// RateLimit is the field that states the number of requests per second that the upstream takes, Leaving the field
+	// with the value "1" in all answers of an upstream that is about to end.
+	RateLimit, Leaving string
 	// MisdirectedStatus is the status with which an instance answers a request addressed to another instance; zero if
 	// there is none.
 	MisdirectedStatus int
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -89,6 +89,8 @@
 	State hornbeamcroft.MemberState
 	// ColdUntil is the time until which the upstream is slow after its start, on the monotonic clock of the node.
 	ColdUntil time.Duration
+	// Statement is what the upstream stated in its last answer; empty before the first one.
+	Statement hornbeamcroft.Statement
 }
 
 // Usable reports whether the upstream accepts new calls.
@@ -144,6 +146,9 @@
 	if a.Draining {
 		o.upstream.State = hornbeamcroft.MemberDraining
 	}
+	if same {
+		o.upstream.Statement = before.Statement
+	}
 	switch {
 	case !same:
 		return OutcomeStarted
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -65,6 +65,9 @@
 	// OnInstanceReplaced is called when an instance other than the expected one answered at the address; other is its id,
 	// empty if the answer did not name one.
 	OnInstanceReplaced func(instance, other string)
+	// OnStatement is called when an answer states something else about the upstream than the answer before; to is the
+	// upstream as it was when the call was sent. OnStatement returns before the answer is passed on.
+	OnStatement func(to observer.Upstream, s hornbeamcroft.Statement)
 	// OnEnd is called with the record of each call when it ends.
 	OnEnd func(r Record)
 	// Rationer holds this node's part of the retry budget.
@@ -87,6 +90,8 @@
 	routesWithCalls map[string]bool
 	// crashed is true from the report of a crash until a call is answered again or the instance is replaced.
 	crashed bool
+	// sends counts the calls sent to the upstream since the start, resends those of them that were sent before.
+	sends, resends int64
 }
 
 // SetUpstream sets the state of the upstream. If the upstream is not registered or is draining, SetUpstream refuses the
@@ -225,7 +230,8 @@
 	}
 	started := r.Clock.Now()
 	rec.Waited = started - start
-	instance, run := r.startRun(id, call, start)
+	to, run := r.startRun(id, call, start)
+	instance := to.Instance
 	rec.Instance = instance
 	if run == nil {
 		r.finish(id, hornbeamcroft.Sample{Ignore: true})
@@ -242,20 +248,22 @@
 	if res.Outcome == exchanger.OutcomeWrongInstance {
 		r.OnInstanceReplaced(instance, res.Instance)
 	}
+	r.reportStatement(to, res.Statement)
 	a := answerForResult(ctx, res)
 	a.ServiceCalls = serviceCalls
 	a.RetryGranted = abortedForRetry || r.grantRetry(call, a)
 	return a
 }
 
-// startRun records that the call starts at the upstream. It returns the id of the upstream instance that the call is sent
-// to, and the run. The run is nil if the upstream was deregistered or began to drain after the call was admitted.
-func (r *Runner) startRun(id uint64, call hornbeamcroft.Call, arrived time.Duration) (string, *tracer.Run) {
+// startRun records that the call starts at the upstream. It returns the upstream that the call is sent to, and the run. The
+// run is nil if the upstream was deregistered or began to drain after the call was admitted.
+func (r *Runner) startRun(id uint64, call hornbeamcroft.Call, arrived time.Duration) (observer.Upstream, *tracer.Run) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.unavailableCode() != 0 {
-		return r.upstream.Instance, nil
+		return r.upstream, nil
 	}
+	r.countSend(call)
 	r.running[id] = call.Fingerprint
 	switch now := r.Clock.Now(); {
 	case call.Retry && call.Sends == 0:
@@ -263,7 +271,7 @@
 	case call.Sends == 0:
 		r.Rationer.CountRequest(now, r.Service)
 	}
-	return r.upstream.Instance, r.tracer.Open(tracer.Run{
+	return r.upstream, r.tracer.Open(tracer.Run{
 		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
 		Retry: call.Retry, Weight: call.Weight, Started: r.Clock.Now(),
--- /dev/null
+++ b/runner/statement.go
@@ -0,0 +1,34 @@
+package runner
+
+import (
+	"hornbeamcroft"
+	"hornbeamcroft/observer"
+)
+
+// reportStatement calls OnStatement if the statement, which may be nil, differs from the known one.
+func (r *Runner) reportStatement(to observer.Upstream, s *hornbeamcroft.Statement) {
+	if s == nil || r.OnStatement == nil {
+		return
+	}
+	r.mu.Lock()
+	known := r.upstream.Statement
+	r.mu.Unlock()
+	if *s != known {
+		r.OnStatement(to, *s)
+	}
+}
+
+// countSend counts a call that is sent to the upstream. The caller must hold r.mu.
+func (r *Runner) countSend(call hornbeamcroft.Call) {
+	r.sends++
+	if call.Sends > 0 || call.Retry {
+		r.resends++
+	}
+}
+
+// Sends returns the number of calls sent to the upstream since the start, and how many of them were repeats.
+func (r *Runner) Sends() (sends, resends int64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.sends, r.resends
+}
