scheduler: calls to an upstream that states a rate limit are paced by the node beside it

The upstream's free slots were the only bound, and reports of free slots drew calls to it.

Change: the node beside the upstream, through which every call of every node passes, keeps a token bucket (pacer) at the stated rate. No share of a limit is dealt out, so it does not matter how many nodes there are or whether they know of each other. The scheduler starts a call only with a token. A call that would wait longer than a quarter of its time is refused as not run, so that its sender tries another upstream; the last one that the sender knows lets it wait as long as its objective or deadline allows. Load reports and the admission level count the rate, so that senders place calls elsewhere and requests beyond the capacity are refused where they enter.

Why it works: the count is made where all calls meet, before they are sent.

--- a/call.go
+++ b/call.go
@@ -68,6 +68,8 @@
 	// Weight is the number of requests that the call represents in estimates of the demand: the inverse of the probability
 	// with which its request was admitted. Zero means 1.
 	Weight float32 `cbor:"25,keyasint,omitempty"`
+	// Last is true if the sender knows no other upstream for the call, should this one refuse it.
+	Last bool `cbor:"26,keyasint,omitempty"`
 	// Memory is the account of the memory that the bodies of the call and of its answer hold in this process; nil if they are
 	// not accounted for.
 	Memory Memory `cbor:"-"`
--- a/cmd/hornbeam-node/limits_test.go
+++ b/cmd/hornbeam-node/limits_test.go
@@ -43,6 +43,7 @@
 	}
 	callers.Wait()
 	arrived := n.runsBetween(from, from.Add(limitWindow))
+	t.Logf("%d requests arrived in %s", arrived, limitWindow)
 	is.True(float64(arrived) <= limitFactor*statedLimit*limitWindow.Seconds()+limitAllowance)
 	is.True(float64(arrived) >= 0.8*statedLimit*limitWindow.Seconds()) // the limit is used
 
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -212,8 +212,8 @@
 	return throttler.RetryAfter(c.Rand, c.estimator.SpareTime(route, left))
 }
 
-// pick chooses the host of the next send and counts the send as outstanding.
-func (c *Courier) pick(call hornbeamcroft.Call, exclude func(host string) bool) (hornbeamcroft.Member, bool) {
+// pick chooses the host of the next send and counts the send as outstanding. It sets call.Last if there is no other host.
+func (c *Courier) pick(call *hornbeamcroft.Call, exclude func(host string) bool) (hornbeamcroft.Member, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.placerFor(call.Service)
@@ -223,6 +223,7 @@
 	if ok {
 		p.Start(m.Name)
 	}
+	call.Last = p.Alternatives() == 0
 	return m, ok
 }
 
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -38,7 +38,7 @@
 		return d.finalAnswer(call, hornbeamcroft.Answer{Code: code})
 	}
 	for {
-		m, ok := d.waitForHost(ctx, call)
+		m, ok := d.waitForHost(ctx, &call)
 		if !ok {
 			return d.finalAnswer(call, hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoUpstream, RetryAfter: noHostRetryAfter})
 		}
@@ -71,7 +71,7 @@
 
 // waitForHost picks the host of the next send. If no host is available, it polls for one until a time that depends on the
 // depth of the call. It returns false if it found no host.
-func (d *delivery) waitForHost(ctx context.Context, call hornbeamcroft.Call) (hornbeamcroft.Member, bool) {
+func (d *delivery) waitForHost(ctx context.Context, call *hornbeamcroft.Call) (hornbeamcroft.Member, bool) {
 	maxWait := time.Duration(childHostWait * float64(call.Remaining))
 	if call.Depth == 1 {
 		maxWait = time.Duration(ingressHostWait * float64(call.Objective))
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -162,6 +162,9 @@
 	return remote.Member, true
 }
 
+// Alternatives returns the number of other members that the last call to Pick could have returned.
+func (p *Placer) Alternatives() int { return max(0, len(p.local)+len(p.remote)-1) }
+
 // collectCandidates sets local and remote to the serving, reachable members that the condition and the call allow.
 func (p *Placer) collectCandidates(now time.Duration, r Requirements, allow func(*member) bool) {
 	p.local, p.remote = p.local[:0], p.remote[:0]
--- a/policy.go
+++ b/policy.go
@@ -42,6 +42,8 @@
 	Deadline time.Duration
 	// Weight is the number of requests that the ticket represents in estimates of the demand; zero means 1.
 	Weight float32
+	// Last is true if the sender of the call knows no other upstream to which it could send it.
+	Last bool
 	// Isolated requests an isolated run, during which the upstream runs nothing else.
 	Isolated bool
 	// Objective is the time, on the monotonic clock of the node, at which the latency objective of the whole request is
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -25,7 +25,7 @@
 	r.waiting[id] = ch
 	t := hornbeamcroft.Ticket{
 		ID: id, Importance: call.Importance, Depth: call.Depth, Deadline: now + call.Remaining,
-		Weight: call.Weight,
+		Weight: call.Weight, Last: call.Last,
 	}
 	if call.Objective != 0 {
 		t.Objective = max(now+call.Objective, 1)
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -103,6 +103,7 @@
 	r.upstream = u
 	r.scheduler.Service = r.Service
 	r.scheduler.Slots = u.Slots
+	r.scheduler.SetRateLimit(r.Clock.Now(), u.Statement)
 	if replaced {
 		r.crashed = false
 	}
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -60,7 +60,7 @@
 // advance closes the windows that have ended by now.
 func (e *demandEstimator) advance(now time.Duration, s *Scheduler) {
 	if !e.started {
-		e.started, e.windowStart, e.capacity = true, now, float64(s.Limit())
+		e.started, e.windowStart, e.capacity = true, now, s.capacity(s.smoothedServiceTime())
 	}
 	for n := 0; now-e.windowStart >= demandWindow; n++ {
 		if n == maxIdleWindows {
@@ -79,8 +79,9 @@
 		e.demand[i] += (windowDemand - e.demand[i]) * demandGain
 		e.arrivedWeight[i] = 0
 	}
-	backlog := float64(len(s.queue.entries)) * s.serviceSeconds
-	e.capacity = math.Max(0, float64(s.Limit())*targetUtilization-backlog/drainTime.Seconds())
+	backlog := float64(s.excessWaiting()) * s.serviceSeconds
+	slots := s.capacity(s.smoothedServiceTime())
+	e.capacity = math.Max(0, slots*targetUtilization-backlog/drainTime.Seconds())
 }
 
 // report writes the demand and the capacity into the load.
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -10,6 +10,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/leveler"
+	"hornbeamcroft/pacer"
 )
 
 var _ hornbeamcroft.Admitter = (*Scheduler)(nil)
@@ -51,6 +52,7 @@
 	// Slots is the number of calls that the upstream runs at once, at least 1.
 	Slots int
 
+	pacer   pacer.Pacer
 	queue   queue
 	running map[uint64]runningCall
 	// serviceSeconds is the smoothed service time in seconds, failureRatio the smoothed ratio of failed calls, 0 to 1.
@@ -106,12 +108,20 @@
 	if now+serviceTime/2 >= t.Deadline {
 		return hornbeamcroft.CodeDeadlineTooShort
 	}
-	limit := s.Limit()
-	if s.busySlots() < limit {
+	ahead := s.queue.countBefore(startPriority(now, t))
+	estimatedStart := now
+	if limit := s.Limit(); s.busySlots() >= limit {
+		estimatedStart += serviceTime * time.Duration(ahead+1) / time.Duration(limit)
+	}
+	if wait := s.pacer.Wait(now, ahead); wait > 0 {
+		estimatedStart = max(estimatedStart, now+wait)
+		if wait > maxPaceWait(now, t) {
+			return hornbeamcroft.CodeOverloaded
+		}
+	}
+	if estimatedStart == now {
 		return 0
 	}
-	ahead := s.queue.countBefore(startPriority(now, t))
-	estimatedStart := now + serviceTime*time.Duration(ahead+1)/time.Duration(limit)
 	switch {
 	case estimatedStart+serviceTime/2 >= t.Deadline:
 		return hornbeamcroft.CodeOverloaded
@@ -253,7 +263,7 @@
 	for len(s.queue.entries) > 0 {
 		e := s.queue.entries[0]
 		late := now+serviceTime/2 >= e.ticket.Deadline
-		if !late && s.busySlots() >= s.Limit() {
+		if !late && (s.busySlots() >= s.Limit() || !s.pacer.Take(now)) {
 			break
 		}
 		heap.Pop(&s.queue)
@@ -279,9 +289,10 @@
 func (s *Scheduler) Load(now time.Duration) hornbeamcroft.Load {
 	s.demandEstimator.advance(now, s)
 	l := hornbeamcroft.Load{
-		Running: s.busySlots(), Waiting: len(s.queue.entries), Limit: s.Limit(), ServiceTime: s.serviceTime(now),
+		Running: s.busySlots(), Waiting: len(s.queue.entries),
 		FailureRatio: int(s.currentFailureRatio(now) * 1000),
 	}
+	l.Limit, l.ServiceTime = s.concurrency(now)
 	s.demandEstimator.report(&l)
 	return l
 }
