observer: an upstream that states in its answers that it leaves gets no more calls

What callers saw: nothing yet; the users' rule (DRAIN) binds from the first such answer that was passed on. A node heard of a leave only by a heartbeat, a departure or a health answer, so an upstream that says it in answers alone kept its calls.

Change: the statement marks the upstream as draining, before the answer is passed on; all nodes are told as for a heartbeat. It holds for that start of the upstream: heartbeats that still say ready and answers that were under way do not take it back, the next start is used.

--- a/agent/statement.go
+++ b/agent/statement.go
@@ -27,7 +27,11 @@
 	if !changed {
 		return
 	}
-	a.runner.SetUpstream(u)
+	if before.State != u.State {
+		a.applyUpstream(false)
+	} else {
+		a.runner.SetUpstream(u)
+	}
 	if before.Statement.Limited != s.Limited || before.Statement.Leaving != s.Leaving {
 		a.Log.Info().Str("instance", to.Instance).Bool("leaving", s.Leaving).Bool("limited", s.Limited).
 			Float64("rate-limit", s.RateLimit).Msg("observer: upstream states")
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -148,6 +148,7 @@
 	}
 	if same {
 		o.upstream.Statement = before.Statement
+		o.applyLeaving()
 	}
 	switch {
 	case !same:
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -87,3 +87,18 @@
 		is.Equal(o.ApplyAnnouncement(now, heartbeat("a", 10_000, 10+i)), OutcomeUnchanged)
 	}
 }
+
+// TestLeavingTakenBack guards against a start that has stated that it leaves and is used again after a late heartbeat or answer.
+func TestLeavingTakenBack(t *testing.T) {
+	is := is.New(t)
+	o := Observer{Service: "s", Address: "1"}
+	o.ApplyAnnouncement(0, heartbeat("a", 10, 1))
+	is.True(o.ApplyStatement("a", 10, hornbeamcroft.Statement{Leaving: true}))
+	is.True(!o.Upstream().Usable())
+	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 10, 2)), OutcomeUnchanged)
+	is.True(!o.ApplyStatement("a", 10, hornbeamcroft.Statement{}))
+	is.True(!o.Upstream().Usable())
+	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 11, 0)), OutcomeStarted) // a restart under the same id
+	is.True(!o.ApplyStatement("a", 10, hornbeamcroft.Statement{Leaving: true}))
+	is.True(o.Upstream().Usable())
+}
