courier, runner: a restarted node learns from its senders what its upstream has stated

What callers saw: nothing. A node that restarts beside an upstream with a limit knew nothing of it until the first answer, and nodes that had passed on the limit sent it their calls meanwhile; an upstream that had said it leaves could be used again, since a health answer may still be good.

Cause: what the upstream states lived only in the memory of the node beside it. The record in the store would not do: it may be cut off, lapse or come back older.

Change: answers carry the statement to the sender, which keeps the last one for each host and sends it along with its calls. The node beside the upstream applies it before it admits the call: a limit until the upstream has answered this process, a leave for good, both only for the same start of the upstream. So every node that is bound by a statement brings it with it, without a message that could be late. The state of the upstream passes to the runner under the lock under which it is made: two statements at once could have left the older one in force.

--- a/agent/statement.go
+++ b/agent/statement.go
@@ -19,22 +19,33 @@
 // onStatement applies what the upstream stated about itself in an answer. It is in force before onStatement returns, and so
 // before the answer is passed on.
 func (a *Agent) onStatement(to observer.Upstream, s hornbeamcroft.Statement) {
+	a.applyStatement("answer", func() bool { return a.observer.ApplyStatement(to.Instance, to.Born, s) })
+}
+
+// onReport applies a statement of the upstream of which the sender of a call knows.
+func (a *Agent) onReport(s hornbeamcroft.InstanceStatement) {
+	a.applyStatement("sender", func() bool { return a.observer.ApplyReport(s) })
+}
+
+// applyStatement calls apply, which changes the state of the upstream, and puts a changed state in force.
+func (a *Agent) applyStatement(source string, apply func() bool) {
 	a.upstreamMu.Lock()
 	before := a.observer.Upstream()
-	changed := a.observer.ApplyStatement(to.Instance, to.Born, s)
+	changed := apply()
 	u := a.observer.Upstream()
+	if changed {
+		a.runner.SetUpstream(u)
+	}
 	a.upstreamMu.Unlock()
 	if !changed {
 		return
 	}
 	if before.State != u.State {
 		a.applyUpstream(false)
-	} else {
-		a.runner.SetUpstream(u)
 	}
-	if before.Statement.Limited != s.Limited || before.Statement.Leaving != s.Leaving {
-		a.Log.Info().Str("instance", to.Instance).Bool("leaving", s.Leaving).Bool("limited", s.Limited).
-			Float64("rate-limit", s.RateLimit).Msg("observer: upstream states")
+	if before.Statement.Limited != u.Statement.Limited || before.Statement.Leaving != u.Statement.Leaving {
+		a.Log.Info().Str("instance", u.Instance).Str("source", source).Bool("leaving", u.Statement.Leaving).
+			Bool("limited", u.Statement.Limited).Float64("rate-limit", u.Statement.RateLimit).Msg("observer: upstream states")
 	}
 }
 
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -83,9 +83,9 @@
 func (a *Agent) applyUpstream(restarted bool) {
 	a.upstreamMu.Lock()
 	a.recordSequence++
-	u := a.observer.Upstream()
+	// The lock is held, so that an older state cannot follow a newer one.
+	a.runner.SetUpstream(a.observer.Upstream())
 	a.upstreamMu.Unlock()
-	a.runner.SetUpstream(u)
 	if restarted {
 		a.exchanger.Reset()
 	}
--- a/call.go
+++ b/call.go
@@ -70,6 +70,9 @@
 	Weight float32 `cbor:"25,keyasint,omitempty"`
 	// Last is true if the sender knows no other upstream for the call, should this one refuse it.
 	Last bool `cbor:"26,keyasint,omitempty"`
+	// Upstream is what the sender last learned about the upstream to which it sends the call, from an answer that it passed
+	// on; nil if that stated nothing. The node beside the upstream may have restarted since.
+	Upstream *InstanceStatement `cbor:"27,keyasint,omitempty"`
 	// Memory is the account of the memory that the bodies of the call and of its answer hold in this process; nil if they are
 	// not accounted for.
 	Memory Memory `cbor:"-"`
@@ -106,6 +109,11 @@
 			return errors.Wrap(err, "call")
 		}
 	}
+	if c.Upstream != nil {
+		if err := c.Upstream.Check(); err != nil {
+			return errors.Wrap(err, "call")
+		}
+	}
 	if c.BodyLength < len(c.Body) {
 		return errors.Errorf("call: body length %d is less than the %d bytes present", c.BodyLength, len(c.Body))
 	}
@@ -155,6 +163,8 @@
 	// RetryGranted permits the sender to retry the call once. The upstream's node has already counted the retry against the
 	// retry budget.
 	RetryGranted bool `cbor:"15,keyasint,omitempty"`
+	// Upstream is what the upstream last stated about itself; nil if it has stated nothing since its start.
+	Upstream *InstanceStatement `cbor:"16,keyasint,omitempty"`
 }
 
 // Check returns an error if the answer is malformed.
@@ -176,6 +186,11 @@
 			return errors.Wrap(err, "answer")
 		}
 	}
+	if a.Upstream != nil {
+		if err := a.Upstream.Check(); err != nil {
+			return errors.Wrap(err, "answer")
+		}
+	}
 	if a.BodyLength < len(a.Body) {
 		return errors.Errorf("answer: body length %d is less than the %d bytes present", a.BodyLength, len(a.Body))
 	}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -75,6 +75,8 @@
 	placers   map[string]*placer.Placer
 	members   map[string]hornbeamcroft.Member
 	byService map[string][]hornbeamcroft.Member
+	// statements holds what the upstreams of other hosts stated last.
+	statements statementTable
 }
 
 // Update sets the known members and dials those to which links are missing.
@@ -89,6 +91,7 @@
 	}
 	c.mu.Lock()
 	c.members, c.byService = byName, byService
+	c.statements.retain(byName)
 	c.Rationer.Nodes = max(c.Rationer.Nodes, len(members))
 	var dial []hornbeamcroft.Member
 	for service, p := range c.placers {
@@ -233,6 +236,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.Clock.Now()
+	c.statements.record(host, a)
 	p := c.placerFor(call.Service)
 	p.Finish(host)
 	if a.Load != nil {
@@ -241,6 +245,13 @@
 	c.throttler.Observe(now, throttler.Source{Route: call.Type, Service: call.Service, Host: host}, a)
 }
 
+// lastStatement returns what the upstream of the host stated last, or nil if nothing is known.
+func (c *Courier) lastStatement(host string) *hornbeamcroft.InstanceStatement {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.statements.last(host)
+}
+
 // markUnreachable records that the host could not be reached, so that the placer avoids it for a while.
 func (c *Courier) markUnreachable(service, host string) {
 	c.mu.Lock()
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -172,6 +172,7 @@
 	if m.Name == d.courier.Name {
 		return d.courier.Local(ctx, call)
 	}
+	call.Upstream = d.courier.lastStatement(m.Name)
 	a := d.courier.Remote(ctx, m, call)
 	if a.Code == hornbeamcroft.CodeUpstreamUnreachable && a.Load == nil {
 		d.courier.markUnreachable(call.Service, m.Name)
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -89,8 +89,20 @@
 	State hornbeamcroft.MemberState
 	// ColdUntil is the time until which the upstream is slow after its start, on the monotonic clock of the node.
 	ColdUntil time.Duration
-	// Statement is what the upstream stated in its last answer; empty before the first one.
+	// Statement is what the upstream stated in its last answer, or what other nodes reported of it before the first answer to
+	// this process. Answered is true from that answer on.
 	Statement hornbeamcroft.Statement
+	Answered  bool
+	// Stated is true if a Statement of this start has been other than empty.
+	Stated bool
+}
+
+// LastStatement returns the statement for other nodes, or nil if the start has stated nothing.
+func (u Upstream) LastStatement() *hornbeamcroft.InstanceStatement {
+	if !u.Stated {
+		return nil
+	}
+	return &hornbeamcroft.InstanceStatement{Instance: u.Instance, Born: u.Born, Statement: u.Statement}
 }
 
 // Usable reports whether the upstream accepts new calls.
@@ -107,6 +119,8 @@
 	// onlyProbed is true if the start is known from a health probe only, whose answer does not contain the time of the start.
 	onlyProbed bool
 	contender  contender
+	// statementBorn is the time of the start that another node named with the statement; zero if there is none.
+	statementBorn int64
 	// answered is the id of another instance that has answered at the upstream's address; empty if there is none.
 	answered string
 }
@@ -146,8 +160,8 @@
 	if a.Draining {
 		o.upstream.State = hornbeamcroft.MemberDraining
 	}
-	if same {
-		o.upstream.Statement = before.Statement
+	if same && (o.statementBorn == 0 || o.statementBorn == a.Born) {
+		o.upstream.Statement, o.upstream.Answered, o.upstream.Stated = before.Statement, before.Answered, before.Stated
 		o.applyLeaving()
 	}
 	switch {
--- a/observer/statement.go
+++ b/observer/statement.go
@@ -10,13 +10,38 @@
 		return false
 	}
 	before := o.upstream
-	s.Leaving = s.Leaving || before.Statement.Leaving
-	o.upstream.Statement = s
-	o.applyLeaving()
+	o.upstream.Answered = true
+	o.setStatement(s)
 	return o.upstream != before
 }
 
-// applyLeaving marks the upstream as draining if it has stated that it leaves, whatever its announcements say.
+// ApplyReport applies a statement of which another node has learned, and reports whether that changed the state. A rate limit
+// in it counts only until the upstream has answered this process, which then knows better.
+func (o *Observer) ApplyReport(r hornbeamcroft.InstanceStatement) bool {
+	if r.Instance != o.upstream.Instance || o.upstream.Born != 0 && r.Born != o.upstream.Born {
+		return false
+	}
+	before := o.upstream
+	s := r.Statement
+	if before.Answered {
+		s = before.Statement
+		s.Leaving = s.Leaving || r.Statement.Leaving
+	}
+	o.statementBorn = r.Born
+	o.setStatement(s)
+	return o.upstream != before
+}
+
+// setStatement sets the statement of the present start. An upstream that leaves is draining, whatever its announcements say.
+func (o *Observer) setStatement(s hornbeamcroft.Statement) {
+	u := &o.upstream
+	s.Leaving = s.Leaving || u.Statement.Leaving
+	u.Statement = s
+	u.Stated = u.Stated || s != hornbeamcroft.Statement{}
+	o.applyLeaving()
+}
+
+// applyLeaving marks the upstream as draining if it has stated that it leaves.
 func (o *Observer) applyLeaving() {
 	if o.upstream.Statement.Leaving && o.upstream.State == hornbeamcroft.MemberServing {
 		o.upstream.State = hornbeamcroft.MemberDraining
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -68,6 +68,9 @@
 	// OnStatement is called when an answer states something else about the upstream than the answer before; to is the
 	// upstream as it was when the call was sent. OnStatement returns before the answer is passed on.
 	OnStatement func(to observer.Upstream, s hornbeamcroft.Statement)
+	// OnReport is called with a statement of the upstream of which the sender of a call knows and this process may not. It
+	// returns before the call is admitted.
+	OnReport func(s hornbeamcroft.InstanceStatement)
 	// OnEnd is called with the record of each call when it ends.
 	OnEnd func(r Record)
 	// Rationer holds this node's part of the retry budget.
@@ -198,6 +201,7 @@
 func (r *Runner) Run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	arrived := r.Clock.Now()
 	rec := Record{Call: call}
+	r.applyReport(call)
 	a := r.run(ctx, &rec)
 	rec.Code, rec.Status = a.Code, a.Status
 	if rec.ServiceTime == 0 {
@@ -206,6 +210,7 @@
 	r.mu.Lock()
 	l := r.load()
 	level := r.scheduler.AdmissionLevel(r.Clock.Now())
+	a.Upstream = r.upstream.LastStatement()
 	r.mu.Unlock()
 	rec.Load, rec.Level = l, level
 	a.Load = &l
--- a/runner/timeout_test.go
+++ b/runner/timeout_test.go
@@ -23,6 +23,8 @@
 	silent bool
 	// failing makes it answer at once with status 500.
 	failing bool
+	// statement is what it states in its answers; it may be nil.
+	statement *hornbeamcroft.Statement
 }
 
 func (u *upstream) Alive(context.Context) bool { return true }
@@ -33,10 +35,10 @@
 		return exchanger.Result{Outcome: exchanger.OutcomeContextEnded}
 	}
 	if u.failing {
-		return exchanger.Result{Outcome: exchanger.OutcomeAnswered, Status: 500}
+		return u.answer(500)
 	}
 	time.Sleep(usualTime)
-	return exchanger.Result{Outcome: exchanger.OutcomeAnswered, Status: 200}
+	return u.answer(200)
 }
 
 type clock struct{ start time.Time }
--- a/statement.go
+++ b/statement.go
@@ -23,3 +23,19 @@
 	}
 	return nil
 }
+
+// InstanceStatement is the last statement of one start of an upstream.
+type InstanceStatement struct {
+	Instance string `cbor:"1,keyasint"`
+	// Born is the time of the start in Unix milliseconds; zero if it is not known.
+	Born      int64     `cbor:"2,keyasint,omitempty"`
+	Statement Statement `cbor:"3,keyasint"`
+}
+
+// Check returns an error if the instance or the statement is malformed.
+func (s InstanceStatement) Check() error {
+	if s.Instance == "" || len(s.Instance) > maxNameLength {
+		return errors.Errorf("statement: instance of %d bytes: must be 1 to %d bytes", len(s.Instance), maxNameLength)
+	}
+	return s.Statement.Check()
+}
