--- a/agent/follow.go
+++ b/agent/follow.go
@@ -10,6 +10,7 @@
 	"hornbeamcroft/platform"
 	"hornbeamcroft/poller"
 	"hornbeamcroft/randomizer"
+	"hornbeamcroft/recorder"
 	"hornbeamcroft/subscriber"
 )
 
@@ -35,7 +36,7 @@
 func (a *Agent) followStore(ctx context.Context) {
 	records := &poller.Poller{
 		Store: a.storeBreaker, Prefix: keyPrefix, Interval: a.recordsInterval, Rand: randomizer.Randomizer{},
-		OnList: a.onRecords, OnStoreLost: a.onStoreLost("members"), OnStoreRecovered: a.onStoreRecovered("members"),
+		OnList: a.onRecords, OnOlderList: a.onOlderList, OnStoreLost: a.onStoreLost("members"), OnStoreRecovered: a.onStoreRecovered("members"),
 	}
 	go records.Run(ctx)
 	routes := &subscriber.Subscriber{
@@ -102,6 +103,19 @@
 	}
 }
 
+// onStoreEra logs that the store came back from an older copy of its content.
+func (a *Agent) onStoreEra(before, after int64) {
+	a.Log.Warn().Int64("era-before", before).Int64("era", after).Msg("store: restored from an older copy")
+}
+
+// onOlderList logs that a list of the node records was ignored because it is older than the one before.
+func (a *Agent) onOlderList(revision, last int64) {
+	a.metrics.count("store/older-lists")
+	if a.recorder.Allow(recorder.Refused) {
+		a.Log.Info().Int64("revision", revision).Int64("last", last).Int64("era", a.store.Era()).Msg("members: older list ignored")
+	}
+}
+
 // onWatchEnded returns a function that logs why a watch ended.
 func (a *Agent) onWatchEnded(user string) func(error) {
 	return func(err error) {
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -101,6 +101,7 @@
 
 // collectStore sets the gauges for the calls to the store, by kind of call.
 func (a *Agent) collectStore() {
+	a.metrics.gauge("store/era", a.store.Era())
 	calls := a.store.Calls.Snapshot()
 	for i, kind := range [...]string{"reads", "stale-reads", "watches", "writes", "leases", "renewals", "failures"} {
 		a.metrics.gauge("store/"+kind, calls[i])
--- a/poller/poller.go
+++ b/poller/poller.go
@@ -31,6 +31,8 @@
 	// OnList is called with all entries and the revision of the store at which they were read. The revision never
 	// decreases from call to call.
 	OnList func(entries []hornbeamcroft.Entry, revision int64)
+	// OnOlderList is called with the revision of a list that is ignored because it is older than the last one; it may be nil.
+	OnOlderList func(revision, last int64)
 	// OnStoreLost is called when the store stops answering, OnStoreRecovered when it answers again.
 	OnStoreLost      func(err error)
 	OnStoreRecovered func()
@@ -54,9 +56,15 @@
 // poll lists the keys once. It ignores a list with an older revision than the last one.
 func (p *Poller) poll(ctx context.Context) error {
 	entries, revision, err := p.Store.ListStale(ctx, p.Prefix)
-	if err != nil || revision < p.revision {
+	if err != nil {
 		return err
 	}
+	if revision < p.revision {
+		if p.OnOlderList != nil {
+			p.OnOlderList(revision, p.revision)
+		}
+		return nil
+	}
 	p.revision = revision
 	p.OnList(entries, revision)
 	return nil
