--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamcroft"
 	"hornbeamcroft/enroller"
 	"hornbeamcroft/platform"
 	"hornbeamcroft/platform/standin/storeserver"
@@ -24,13 +25,16 @@
 type fixture struct {
 	store    *storeserver.StoreServer
 	enroller *enroller.Enroller
-	stop     func()
+	// client is the client of the store that another node has.
+	client *platform.Store
+	stop   func()
 }
 
 // start returns a running fixture whose store holds the record "one".
 func start(t *testing.T) *fixture {
 	t.Helper()
 	store := &storeserver.StoreServer{}
+	store.Items("") // takes the first snapshot
 	server := httptest.NewServer(store)
 	end := make(chan struct{})
 	go store.Run(end)
@@ -43,7 +47,9 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { e.Run(ctx) })
-	f := &fixture{store: store, enroller: e, stop: func() {
+	client := &platform.Store{Address: s.Address}
+	client.Open()
+	f := &fixture{store: store, enroller: e, client: client, stop: func() {
 		cancel()
 		wg.Wait()
 	}}
@@ -138,3 +144,27 @@
 	f.stop()
 	is.True(time.Since(begin) < maxStopTime)
 }
+
+// TestRecordMissingAfterRestore guards against a record that a restored store has lost and whose lease another node holds now.
+func TestRecordMissingAfterRestore(t *testing.T) {
+	for name, reissue := range map[string]bool{"lease unknown": false, "lease of another node": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			f := start(t)
+			f.store.Restore(time.Hour) // the first snapshot, before the lease was granted
+			f.await(t, "", recoveryTime)
+			if reissue {
+				id, err := f.client.Grant(t.Context(), enroller.TTL)
+				is.NoErr(err)
+				_, err = f.client.Txn(t.Context(), nil, []hornbeamcroft.Put{{Key: "other", Value: []byte("o"), Lease: id}})
+				is.NoErr(err)
+			}
+			f.await(t, "one", enroller.TTL/2)
+			f.stop()
+			if reissue {
+				is.Equal(len(f.store.Items("other")), 1) // the planned stop ends no lease of another node
+			}
+		})
+	}
+}
