platform: revisions rise with the era of the store

The store got a list and a watch every 14 ms from each node for as long as its revision was below the one that the nodes had seen, and what was written in that time could be missed; lists of records were ignored as stale.

Cause: every comparison of revisions took a lower one for an older one. A store that comes back from a copy deals revisions out again. The class: an order that only one incarnation of the other side keeps, taken for an order for ever.

Change: the client of the store puts the era, which the store names in each response, into the upper bits of each revision that it passes on, and takes it out again for conditions and watches. So revisions rise again, as all their users assume: poller, subscriber, enroller and breaker keep their comparisons. A watch from an earlier era ends with ErrHistoryGone, a condition on one does not hold, a response of an earlier era that arrives after one of a later era is dropped. A subscriber whose watch ends twice in a row that way waits before it lists again, whatever the reason.

Ruled out: era and revision as two values in every signature: each user would have to compare both, and the own interface's stores have no eras; one hook that resets all users: an old response that is still being handled would set the old revision again.

TestStale and TestReportMissing compared the store's bare numbers with revisions; they compare the same with the era now.

--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -120,10 +120,10 @@
 func TestReportMissing(t *testing.T) {
 	is := is.New(t)
 	f := start(t)
-	revision := f.store.Items(key)[0].Revision
+	revision := hornbeamcroft.NewRevision(1, f.store.Items(key)[0].Revision)
 	f.enroller.ReportMissing(revision - 1)
 	time.Sleep(200 * time.Millisecond)
-	is.Equal(f.store.Items(key)[0].Revision, revision)
+	is.Equal(hornbeamcroft.NewRevision(1, f.store.Items(key)[0].Revision), revision)
 	f.store.Remove(key)
 	f.enroller.ReportMissing(revision + 1)
 	f.await(t, "one", recoveryTime)
--- a/store.go
+++ b/store.go
@@ -25,7 +25,8 @@
 type Entry struct {
 	Key   string
 	Value []byte
-	// ModRevision is the store's revision of the last write of the key; zero if the key does not exist.
+	// ModRevision is the store's revision of the last write of the key; zero if the key does not exist. Revisions rise also when
+	// the store comes back from an older copy, see NewRevision.
 	ModRevision int64
 	Lease       LeaseID
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -38,6 +38,9 @@
 	revision    int64
 	unreachable bool
 	backoff     time.Duration
+	// relisted is true if the keys were listed because the store no longer kept the changes, and the watch since has not
+	// lasted.
+	relisted bool
 }
 
 // Run lists and watches the keys until ctx ends.
@@ -51,13 +54,21 @@
 			}
 			relist = false
 		}
+		start := time.Now()
 		err := s.Store.Watch(ctx, s.Prefix, s.revision+1, s.handleEvent)
+		if time.Since(start) >= maxBackoff {
+			s.backoff, s.relisted = 0, false
+		}
 		switch {
 		case ctx.Err() != nil:
 			return
 		case errors.Is(err, hornbeamcroft.ErrHistoryGone):
 			s.OnWatchEnded(err)
-			relist = true
+			if s.relisted {
+				// The watch after the last list ended the same way. A list at once would not help either.
+				s.sleepBackoff(ctx)
+			}
+			relist, s.relisted = true, true
 		case errors.Is(err, hornbeamcroft.ErrStoreUnreachable):
 			// The next watch begins where this one ended, also after an outage, so that no list is needed.
 			s.handleUnreachable(ctx, err)
