--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -158,17 +158,28 @@
 	if missingAt > e.revision {
 		e.storedValue, e.mustRead = nil, true
 	}
-	if err := e.ensureLease(ctx); err != nil {
-		return 0, err
+	err := e.ensureStored(ctx, value)
+	if errors.Is(err, hornbeamcroft.ErrLeaseNotFound) {
+		// The lease ended since the last renewal; a new one is granted at once.
+		err = e.ensureStored(ctx, value)
 	}
-	if !bytes.Equal(value, e.storedValue) {
-		if err := e.write(ctx, value); err != nil {
-			return 0, err
-		}
+	if err != nil {
+		return 0, err
 	}
 	return time.Until(e.renewAt), nil
 }
 
+// ensureStored makes sure of the lease, and writes the record unless the store holds it.
+func (e *Enroller) ensureStored(ctx context.Context, value []byte) error {
+	if err := e.ensureLease(ctx); err != nil {
+		return err
+	}
+	if bytes.Equal(value, e.storedValue) {
+		return nil
+	}
+	return e.write(ctx, value)
+}
+
 // ensureLease renews the lease if that is due, and gets a new one if there is none or it has expired.
 func (e *Enroller) ensureLease(ctx context.Context) error {
 	if e.lease != 0 && time.Now().Before(e.renewAt) {
@@ -220,7 +231,7 @@
 	res, err := e.Store.Txn(ctx, conditions, puts)
 	switch {
 	case errors.Is(err, hornbeamcroft.ErrLeaseNotFound):
-		e.lease = 0
+		e.lease, e.mustRead = 0, true
 		return false, err
 	case err != nil:
 		e.mustRead = true
