locator: a record that a restored store brings back does not end the present start of its node

What callers saw: nothing yet. After a restore, the record of an earlier start took the place of the present one at nodes without a link to that host: with the state and instance that the upstream had then, and the record written anew was ignored until a link showed the truth.

The locator takes a record of another start for that of a later one because it is listed later. That holds for one era of the store only. It is checked now against what the node itself knows: after a change of era, a record replaces the known start only if its incarnation is higher or a link shows it.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -73,6 +73,8 @@
 
 	membersMu sync.Mutex
 	locator   locator.Locator
+	// recordsEra is the era of the store that the last list of the records belongs to.
+	recordsEra int64
 	// members passes on the members of locator.
 	members *publisher.Publisher[[]hornbeamcroft.Member]
 	// previousRecord is the record that a previous process of this node left in the store.
--- a/agent/members.go
+++ b/agent/members.go
@@ -39,7 +39,12 @@
 		}
 		members = append(members, m)
 	}
+	era := hornbeamcroft.RevisionEra(revision)
 	a.membersMu.Lock()
+	if era != a.recordsEra {
+		a.recordsEra = era
+		a.locator.ForgetRecords()
+	}
 	a.locator.ReplaceRecords(a.clock.Now(), members)
 	a.membersMu.Unlock()
 	if !ownListed {
--- a/locator/locator.go
+++ b/locator/locator.go
@@ -54,6 +54,14 @@
 	}
 }
 
+// ForgetRecords forgets which start of each member the store had a record of. Call it when the store came back from an older
+// copy: a record in it that differs from the one before may be that of an earlier start.
+func (l *Locator) ForgetRecords() {
+	for _, e := range l.entries {
+		e.listedIncarnation = 0
+	}
+}
+
 // Put records that the store has a record of the member.
 func (l *Locator) Put(now time.Duration, m hornbeamcroft.Member) {
 	e := l.entry(m.Name)
