--- a/agent/agent.go
+++ b/agent/agent.go
@@ -204,8 +204,8 @@
 	}
 	a.runner = &runner.Runner{
 		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
-		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared, OnInstanceReplaced: a.onInstanceReplaced,
-		OnStatement: a.onStatement, OnReport: a.onReport, OnEnd: a.recordRun,
+		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared,
+		OnInstanceReplaced: a.onInstanceReplaced, OnStatement: a.onStatement, OnReport: a.onReport, OnEnd: a.recordRun,
 	}
 	send := &sender.Sender{Name: cfg.Name, Incarnation: a.incarnation, Links: a.links}
 	a.courier = &courier.Courier{
--- a/cmd/hornbeam-node/leaving_test.go
+++ b/cmd/hornbeam-node/leaving_test.go
@@ -18,10 +18,7 @@
 func TestCallsAfterLeavingAnswer(t *testing.T) {
 	is := is.New(t)
 	n := startNode(t)
-	n.configure(t, 1)
-	n.await(t, func() bool { return n.send(http.MethodGet, "/get/1", "a", time.Second).Status == http.StatusOK })
-	n.worker.SetFaults(worker.Faults{Leaving: true})
-	is.Equal(n.send(http.MethodGet, "/get/1", "b", time.Second).Status, http.StatusOK)
+	n.passOn(t, worker.Faults{Leaving: true})
 	from := time.Now().Add(drainTime)
 	for i := 0; time.Since(from) < time.Second; i++ {
 		is.NoErr(n.worker.Announce(n.announcements)) // ready, as late heartbeats say
--- a/cmd/hornbeam-node/limits_test.go
+++ b/cmd/hornbeam-node/limits_test.go
@@ -27,10 +27,7 @@
 func TestLimitOfUpstreamExceeded(t *testing.T) {
 	is := is.New(t)
 	n := startNode(t)
-	n.configure(t, 1)
-	n.await(t, func() bool { return n.send(http.MethodGet, "/get/1", "a", time.Second).Status == http.StatusOK })
-	n.worker.SetFaults(worker.Faults{RateLimit: statedLimit})
-	is.Equal(n.send(http.MethodGet, "/get/1", "b", time.Second).Status, http.StatusOK)
+	n.passOn(t, worker.Faults{RateLimit: statedLimit})
 	from := time.Now().Add(limitSettle)
 	var callers sync.WaitGroup
 	for c := range 4 {
@@ -57,6 +54,15 @@
 	})
 }
 
+// passOn waits until the node serves requests, and lets it pass on one answer with the faults of the upstream.
+func (n *node) passOn(t *testing.T, f worker.Faults) {
+	t.Helper()
+	n.configure(t, 1)
+	n.await(t, func() bool { return n.send(http.MethodGet, "/get/1", "a", time.Second).Status == http.StatusOK })
+	n.worker.SetFaults(f)
+	is.New(t).Equal(n.send(http.MethodGet, "/get/1", "b", time.Second).Status, http.StatusOK)
+}
+
 // runsBetween returns the number of requests that the upstream ran between the times.
 func (n *node) runsBetween(from, to time.Time) int {
 	n.mu.Lock()
--- a/subscriber/subscriber_test.go
+++ b/subscriber/subscriber_test.go
@@ -6,6 +6,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,19 +37,27 @@
 	return f.values[key]
 }
 
-// TestFollow checks that the subscriber delivers every later value of a key after the store has compacted its history,
-// after an outage of the store, and after a watch that ended without a change.
-func TestFollow(t *testing.T) {
-	is := is.New(t)
-	storeServer := &storeserver.StoreServer{}
-	server := httptest.NewServer(storeServer)
-	defer server.Close()
-	defer server.CloseClientConnections()
+// fixture is a Subscriber of the prefix "r/" that runs with a stand-in store. Stop ends Run and waits for its return.
+type fixture struct {
+	receivedValues
+	store *storeserver.StoreServer
+	// calls counts the calls to the store.
+	calls atomic.Int64
+	stop  func()
+}
+
+// start returns a running fixture whose watches end after watchHold.
+func start(t *testing.T, watchHold time.Duration) *fixture {
+	t.Helper()
+	f := &fixture{receivedValues: receivedValues{values: make(map[string]string)}}
+	f.store = &storeserver.StoreServer{OnCall: func(string, string) { f.calls.Add(1) }}
+	server := httptest.NewServer(f.store)
+	end := make(chan struct{})
+	go f.store.Run(end)
 	store := &platform.Store{
-		Address: strings.TrimPrefix(server.URL, "http://"), WatchHold: func() time.Duration { return 300 * time.Millisecond },
+		Address: strings.TrimPrefix(server.URL, "http://"), WatchHold: func() time.Duration { return watchHold },
 	}
 	store.Open()
-	f := &receivedValues{values: make(map[string]string)}
 	s := &subscriber.Subscriber{
 		Store: store, Prefix: "r/", Rand: rand.New(rand.NewPCG(1, 1)),
 		OnList: func(entries []hornbeamcroft.Entry) {
@@ -59,34 +68,54 @@
 		OnEvent:     func(e hornbeamcroft.Event) { f.put(e.Entry) },
 		OnStoreLost: func(error) { f.lost++ }, OnStoreRecovered: func() {}, OnWatchEnded: func(error) {},
 	}
-	storeServer.Put("r/a", []byte("0"))
 	ctx, cancel := context.WithCancel(t.Context())
 	var wg sync.WaitGroup
 	wg.Go(func() { s.Run(ctx) })
-	waitForValue := func(value string) {
-		t.Helper()
-		for end := time.Now().Add(3 * time.Second); f.get("r/a") != value; time.Sleep(5 * time.Millisecond) {
-			if time.Now().After(end) {
-				t.Fatalf("got value %q, want %q", f.get("r/a"), value)
-			}
+	f.stop = func() {
+		cancel()
+		wg.Wait()
+	}
+	t.Cleanup(func() {
+		f.stop()
+		close(end)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	return f
+}
+
+// await fails the test unless the subscriber delivers the value of r/a within the limit.
+func (f *fixture) await(t *testing.T, value string, limit time.Duration) {
+	t.Helper()
+	for end := time.Now().Add(limit); f.get("r/a") != value; time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("got value %q, want %q", f.get("r/a"), value)
 		}
 	}
-	waitForValue("0")
-	storeServer.Put("r/a", []byte("1"))
-	waitForValue("1")
-	storeServer.Put("r/a", []byte("2"))
-	storeServer.Compact()
-	waitForValue("2")
-	storeServer.SetFaults(storeserver.Faults{Busy: true})
+}
+
+// TestFollow checks that the subscriber delivers every later value of a key after the store has compacted its history,
+// after an outage of the store, and after a watch that ended without a change.
+func TestFollow(t *testing.T) {
+	const limit = 3 * time.Second
+	is := is.New(t)
+	f := start(t, 300*time.Millisecond)
+	f.store.Put("r/a", []byte("0"))
+	f.await(t, "0", limit)
+	f.store.Put("r/a", []byte("1"))
+	f.await(t, "1", limit)
+	f.store.Put("r/a", []byte("2"))
+	f.store.Compact()
+	f.await(t, "2", limit)
+	f.store.SetFaults(storeserver.Faults{Busy: true})
 	time.Sleep(500 * time.Millisecond)
-	storeServer.Put("r/a", []byte("3"))
-	storeServer.Compact()
-	storeServer.SetFaults(storeserver.Faults{})
-	waitForValue("3")
-	time.Sleep(400 * time.Millisecond) // longer than WatchHold, so that a watch ends without a change
-	storeServer.Put("r/a", []byte("4"))
-	waitForValue("4")
-	cancel()
-	wg.Wait()
+	f.store.Put("r/a", []byte("3"))
+	f.store.Compact()
+	f.store.SetFaults(storeserver.Faults{})
+	f.await(t, "3", limit)
+	time.Sleep(400 * time.Millisecond) // longer than the hold, so that a watch ends without a change
+	f.store.Put("r/a", []byte("4"))
+	f.await(t, "4", limit)
+	f.stop()
 	is.Equal(f.lost, 1)
 }
