soak: limits and leaves that upstreams state, and a store that comes back older

Three kinds of steps, drawn by random numbers of their own so that the steps of a seed stay what they were; the promises limit and leaving are checked from what callers and upstreams see.

--- a/cmd/hornbeam-soak/judge/check.go
+++ b/cmd/hornbeam-soak/judge/check.go
@@ -20,6 +20,7 @@
 	for service, list := range j.arrivals {
 		j.checkRetries(service, list)
 	}
+	j.checkStatements()
 	return j.findings
 }
 
--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -31,12 +31,23 @@
 	RetryRatio     = 0.2
 	RetryAllowance = 48
 	retryWindow    = 10 * time.Second
+	// A rate limit must be kept from limitSettle after an upstream first stated it. Only requests count that came from a host
+	// whose node passed on the statement at least toldLag before.
+	limitSettle    = 3 * time.Second
+	limitWindow    = 4 * time.Second
+	limitFactor    = 1.5
+	limitAllowance = 5
+	toldLag        = 500 * time.Millisecond
 	// maxFindings is the number of findings that are kept for each promise.
 	maxFindings = 20
 )
 
 // Finding is a broken promise. The promises are:
 //   - drain: no request reaches an upstream later than drainGrace after a node acknowledged that the upstream drains
+//   - leaving: no request that a caller sent later than drainGrace after its node had passed on a statement that the upstream
+//     leaves reaches that upstream
+//   - limit: an upstream gets at most limitFactor times the rate that it states, and limitAllowance requests, in a
+//     limitWindow, from nodes that have passed on its statement
 //   - lost: each request is answered, also during planned operations; not checked during other disruptions
 //   - once: a non-idempotent request runs at most once
 //   - process: nodes and upstreams can be started, nodes exit only when they are told to, and the configuration can be
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -56,6 +56,12 @@
 	"links-reset", "upstream-reset", "upstream-delayed", "upstream-silent",
 }
 
+// StatementKinds lists further kinds of faults, which are drawn in addition to the others.
+//   - limit: the upstream states a rate limit in its answers
+//   - leave: the upstream states in its answers, but not in its heartbeats, that it leaves, and then ends
+//   - store-restore: the store does not answer, and comes back from an older copy
+var StatementKinds = []string{"limit", "leave", "store-restore"}
+
 const (
 	// firstStep is when the first step starts. The time before it is for the start of the nodes.
 	firstStep = time.Second
@@ -69,6 +75,8 @@
 	// of newly drawn kinds, start seriesInterval after one another.
 	seriesShare    = 0.25
 	seriesInterval = 700 * time.Millisecond
+	// statementShare is the mean number of steps of StatementKinds for each other step.
+	statementShare = 0.3
 )
 
 // Plan returns the steps of a run of the given length on the given number of hosts, in the order of their start. On
@@ -99,6 +107,23 @@
 		}
 		at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
 	}
+	if len(kinds) > len(PlannedKinds) {
+		steps = append(steps, planStatements(seed, hosts, length, perSecond*statementShare)...)
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
+
+// planStatements returns the steps of StatementKinds. They have random numbers of their own, so that the other steps of a seed
+// do not depend on them.
+func planStatements(seed uint64, hosts int, length time.Duration, perSecond float64) []Step {
+	rnd := rand.New(rand.NewPCG(seed, 1))
+	var steps []Step
+	for at := firstStep; at < length; at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)) {
+		steps = append(steps, Step{
+			At: at, Kind: StatementKinds[rnd.IntN(len(StatementKinds))], Host: rnd.IntN(hosts),
+			Length: minLength + time.Duration(rnd.Float64()*float64(maxLength-minLength)),
+		})
+	}
+	return steps
+}
--- a/cmd/hornbeam-soak/soaker/routes.go
+++ b/cmd/hornbeam-soak/soaker/routes.go
@@ -45,6 +45,7 @@
 type writtenConfiguration struct {
 	mu      sync.Mutex
 	version int64
+	value   []byte
 	// ackedAt is when the store acknowledged the write.
 	ackedAt time.Time
 }
@@ -66,7 +67,14 @@
 		return
 	}
 	s.store.Put(storeserver.KeyConfiguration, value)
-	s.configuration.ackedAt = time.Now()
+	s.configuration.value, s.configuration.ackedAt = value, time.Now()
+}
+
+// rewriteConfiguration writes the last version again after the store has lost it, as an operator does.
+func (s *Soaker) rewriteConfiguration() {
+	s.configuration.mu.Lock()
+	defer s.configuration.mu.Unlock()
+	s.store.Put(storeserver.KeyConfiguration, s.configuration.value)
 }
 
 // probeType returns the request type whose route only the given version of the configuration has.
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -23,6 +23,14 @@
 	lingerTime = 500 * time.Millisecond
 	// killShare is the probability with which a step "kill-many" kills each node.
 	killShare = 0.6
+	// statedLimit is the number of requests per second that an upstream states in a step "limit", and limitLength is the length
+	// of the step.
+	statedLimit = 8
+	limitLength = 9 * time.Second
+	// restoredAge is the age of the copy from which a step "store-restore" restores the store, and rewriteDelay the time
+	// until the operator writes the configuration again.
+	restoredAge  = 5 * time.Second
+	rewriteDelay = 300 * time.Millisecond
 )
 
 // storeFaults are the faults of the store by kind of step.
@@ -65,7 +73,7 @@
 	case "stop", "hangup", "replace", "routes":
 		d.Planned = true
 	}
-	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
+	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "store-restore" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
 		d.Host = ""
 	}
 	end := s.judge.BeginDisruption(d)
@@ -148,6 +156,16 @@
 			time.Sleep(p.Length)
 			s.startWorker(h)
 		})
+	case "limit":
+		s.exclusive(h.Worker, func() {
+			h.Worker.SetFaults(worker.Faults{RateLimit: statedLimit})
+			time.Sleep(limitLength)
+			h.Worker.SetFaults(worker.Faults{})
+		})
+	case "leave":
+		s.exclusive(h.Worker, func() { s.leaveUnannounced(h) })
+	case "store-restore":
+		s.restoreStore(p.Length)
 	case "store-compact":
 		s.store.Compact()
 	case "record-removed":
@@ -217,6 +235,25 @@
 	s.startWorker(h)
 }
 
+// leaveUnannounced lets the upstream state in its answers that it leaves, and starts a new instance at the same address.
+func (s *Soaker) leaveUnannounced(h *hoster.Hoster) {
+	h.Worker.SetFaults(worker.Faults{Leaving: true})
+	time.Sleep(hoster.DrainGrace + 2*lingerTime)
+	h.Worker.Crash()
+	h.Worker.SetFaults(worker.Faults{})
+	s.startWorker(h)
+}
+
+// restoreStore takes the store away for the given time and brings it back from an older copy.
+func (s *Soaker) restoreStore(length time.Duration) {
+	s.store.SetFaults(storeserver.Faults{Silent: true})
+	time.Sleep(length)
+	s.store.Restore(restoredAge)
+	s.store.SetFaults(storeserver.Faults{})
+	time.Sleep(rewriteDelay)
+	s.rewriteConfiguration()
+}
+
 // startWorker starts a new instance of the upstream after restartDelay, and sends its first heartbeat.
 func (s *Soaker) startWorker(h *hoster.Hoster) {
 	time.Sleep(restartDelay)
