observer: a statement is not lost or misplaced when a heartbeat names the start

Two faults of the change that brings statements back after a restart:

- The time of the start in a peer's report was kept beyond that start.
At the next start under the same node every heartbeat dropped what the upstream had stated, also that it leaves.
TestStatementLostAtHeartbeat fails without the change.
- A start known from a health probe alone has no time of start; a heartbeat that named it and repeated all else did not reach the runner, so that answers went on to carry the statement without it, and a node that restarted once more ignored it.
The outcome 'confirmed' passes it on without writing the record.
TestBornOfReportedStatementUnknown.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -44,6 +44,9 @@
 func (a *Agent) onHeartbeat(announcement observer.Announcement) {
 	a.upstreamMu.Lock()
 	outcome := a.observer.ApplyAnnouncement(a.clock.Now(), announcement)
+	if outcome == observer.OutcomeConfirmed {
+		a.runner.SetUpstream(a.observer.Upstream())
+	}
 	a.upstreamMu.Unlock()
 	switch outcome {
 	case observer.OutcomeUnchanged:
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -69,7 +69,7 @@
 	ingressHostWait = 0.1
 )
 
-// waitForHost picks the host of the next send. If no host is available, it polls for one until a time that depends on the
+// waitForHost picks the host of the next send, and sets call.Last. If no host is available, it polls for one until a time that depends on the
 // depth of the call. It returns false if it found no host.
 func (d *delivery) waitForHost(ctx context.Context, call *hornbeamcroft.Call) (hornbeamcroft.Member, bool) {
 	maxWait := time.Duration(childHostWait * float64(call.Remaining))
--- a/courier/statements.go
+++ b/courier/statements.go
@@ -2,9 +2,8 @@
 
 import "hornbeamcroft"
 
-// minForgottenHosts is the number of hosts from which on those that are no longer members are dropped from a
-// statementTable.
-const minForgottenHosts = 1024
+// pruneThreshold is the number of hosts in a statementTable from which on those that are no longer members are dropped.
+const pruneThreshold = 1024
 
 // statementTable holds, by host, what the upstream there stated last in the answers that this node passed on. It goes with
 // later calls to the host, because the node beside the upstream may have restarted since and not know it.
@@ -33,7 +32,7 @@
 
 // retain bounds the table. Hosts that are only away for a while are kept.
 func (t statementTable) retain(members map[string]hornbeamcroft.Member) {
-	if len(t) < minForgottenHosts {
+	if len(t) < pruneThreshold {
 		return
 	}
 	for host := range t {
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -68,6 +68,9 @@
 	OutcomeChanged
 	// OutcomeStarted means that the message is the first one of a new start of the upstream.
 	OutcomeStarted
+	// OutcomeConfirmed means that the message is the first one of the start, which was known from a health probe, and repeats
+	// the known state otherwise.
+	OutcomeConfirmed
 	// OutcomeStale means that the message is not newer than the known state, and is ignored.
 	OutcomeStale
 	// OutcomeForeign means that the message is not about the local upstream, and is ignored.
@@ -76,7 +79,7 @@
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"unchanged", "changed", "started", "stale", "foreign"}[o]
+	return [...]string{"unchanged", "changed", "started", "confirmed", "stale", "foreign"}[o]
 }
 
 // Upstream is the state of the local upstream.
@@ -119,8 +122,9 @@
 	// onlyProbed is true if the start is known from a health probe only, whose answer does not contain the time of the start.
 	onlyProbed bool
 	contender  contender
-	// statementBorn is the time of the start that another node named with the statement; zero if there is none.
-	statementBorn int64
+	// reportedBorn is the time of the start that another node named with a statement while the start was known from a health
+	// probe only; zero otherwise.
+	reportedBorn int64
 	// answered is the id of another instance that has answered at the upstream's address; empty if there is none.
 	answered string
 }
@@ -160,15 +164,18 @@
 	if a.Draining {
 		o.upstream.State = hornbeamcroft.MemberDraining
 	}
-	if same && (o.statementBorn == 0 || o.statementBorn == a.Born) {
+	if same && (o.reportedBorn == 0 || o.reportedBorn == a.Born) {
 		o.upstream.Statement, o.upstream.Answered, o.upstream.Stated = before.Statement, before.Answered, before.Stated
 		o.applyLeaving()
 	}
+	o.reportedBorn = 0
 	switch {
 	case !same:
 		return OutcomeStarted
 	case before.State != o.upstream.State || before.Slots != o.upstream.Slots:
 		return OutcomeChanged
+	case before.Born != a.Born:
+		return OutcomeConfirmed
 	}
 	return OutcomeUnchanged
 }
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -102,3 +102,41 @@
 	is.True(!o.ApplyStatement("a", 10, hornbeamcroft.Statement{Leaving: true}))
 	is.True(o.Upstream().Usable())
 }
+
+// TestStatementLostAtHeartbeat guards against a statement of a later start that a heartbeat drops because a peer reported one of an earlier start.
+func TestStatementLostAtHeartbeat(t *testing.T) {
+	is := is.New(t)
+	o := Observer{Service: "s", Address: "1"}
+	o.ApplyAnnouncement(0, heartbeat("a", 7, 1))
+	is.True(o.ApplyReport(hornbeamcroft.InstanceStatement{
+		Instance: "a", Born: 7, Statement: hornbeamcroft.Statement{Limited: true, RateLimit: 5},
+	}))
+	o.ApplyAnnouncement(0, heartbeat("a", 8, 1))
+	is.True(o.ApplyStatement("a", 8, hornbeamcroft.Statement{Leaving: true}))
+	o.ApplyAnnouncement(0, heartbeat("a", 8, 2))
+	is.True(!o.Upstream().Usable())
+}
+
+// TestReportOfEarlierStart guards against a leave that a peer reported of an earlier start under the same id, while the start is
+// known from a health probe only.
+func TestReportOfEarlierStart(t *testing.T) {
+	is := is.New(t)
+	o := Observer{Service: "s", Address: "1"}
+	is.True(o.ApplyHealthProbe("a", true, 8))
+	is.True(o.ApplyReport(hornbeamcroft.InstanceStatement{Instance: "a", Born: 7, Statement: hornbeamcroft.Statement{Leaving: true}}))
+	is.True(!o.Upstream().Usable())
+	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 8, 1)), OutcomeChanged)
+	is.True(o.Upstream().Usable())
+}
+
+// TestBornOfReportedStatementUnknown guards against statements that go to other nodes without the time of the start after a heartbeat
+// has named it, and are then ignored after the next restart of the node.
+func TestBornOfReportedStatementUnknown(t *testing.T) {
+	is := is.New(t)
+	o := Observer{Service: "s", Address: "1"}
+	is.True(o.ApplyHealthProbe("a", true, 4))
+	is.True(o.ApplyStatement("a", 0, hornbeamcroft.Statement{Limited: true, RateLimit: 5}))
+	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 7, 1)), OutcomeConfirmed)
+	is.Equal(o.Upstream().LastStatement().Born, int64(7))
+	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 7, 2)), OutcomeUnchanged)
+}
--- a/observer/statement.go
+++ b/observer/statement.go
@@ -27,7 +27,9 @@
 		s = before.Statement
 		s.Leaving = s.Leaving || r.Statement.Leaving
 	}
-	o.statementBorn = r.Born
+	if o.onlyProbed {
+		o.reportedBorn = r.Born
+	}
 	o.setStatement(s)
 	return o.upstream != before
 }
