soak: reads of the store are held against its rate; no mutant for the era

The soak counts the reads of the store of all nodes against the 2,000 a second that the platform allows.

--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -38,6 +38,8 @@
 	limitFactor    = 1.5
 	limitAllowance = 5
 	toldLag        = 500 * time.Millisecond
+	// storeReadRate is the number of reads per second that the store allows all nodes together.
+	storeReadRate = 2000
 	// maxFindings is the number of findings that are kept for each promise.
 	maxFindings = 20
 )
@@ -57,6 +59,7 @@
 //   - repeats: the retries at a service stay within RetryRatio and RetryAllowance
 //   - routes: a node applies a configuration in time (see MustApply) and does not return to an older one
 //   - stop: a node exits in time after SIGTERM
+//   - store-rate: all nodes together make at most storeReadRate reads of the store in each second
 //   - unasked: upstreams run only requests that were sent, with the method, target, body and origin of the sent ones
 //   - whole: a signed answer is complete, and an answer with a status of 200 to 299 is signed
 type Finding struct {
@@ -105,13 +108,16 @@
 
 // Judge collects what was observed and checks it. The zero value is ready for use. It is safe for concurrent use.
 type Judge struct {
-	mu            sync.Mutex
-	observations  map[string]*observation
-	unknownRuns   []worker.Run
-	arrivals      map[string][]arrival
-	seenAttempts  map[string]bool
-	drains        map[string]drain
-	disruptions   []*Disruption
+	mu           sync.Mutex
+	observations map[string]*observation
+	unknownRuns  []worker.Run
+	arrivals     map[string][]arrival
+	seenAttempts map[string]bool
+	drains       map[string]drain
+	disruptions  []*Disruption
+	// storeReads is the number of reads of the store in the second storeSecond, in Unix time.
+	storeReads    int
+	storeSecond   int64
 	findings      []Finding
 	findingCounts map[string]int
 }
@@ -158,6 +164,18 @@
 	}
 }
 
+// AddStoreRead adds a read of the store, and checks the rate of the reads.
+func (j *Judge) AddStoreRead() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if now := time.Now().Unix(); now != j.storeSecond {
+		j.storeReads, j.storeSecond = 0, now
+	}
+	if j.storeReads++; j.storeReads == storeReadRate+1 {
+		j.addFinding("store-rate", "", "more than %d reads of the store in one second", storeReadRate)
+	}
+}
+
 // AddRun adds a request that an upstream began to run.
 func (j *Judge) AddRun(r worker.Run) {
 	j.mu.Lock()
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -132,6 +132,11 @@
 	if err != nil {
 		return err
 	}
+	s.store.OnCall = func(method, _ string) {
+		if method == http.MethodGet {
+			s.judge.AddStoreRead()
+		}
+	}
 	server := &http.Server{Handler: &s.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
 	go func() {
