--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -117,8 +117,7 @@
 	is.True(!o.Upstream().Usable())
 }
 
-// TestReportOfEarlierStart guards against a leave that a peer reported of an earlier start under the same id, while the start is
-// known from a health probe only.
+// TestReportOfEarlierStart guards against a leave of an earlier start, reported by a peer, that ends the next start under the same id.
 func TestReportOfEarlierStart(t *testing.T) {
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
@@ -129,9 +128,8 @@
 	is.True(o.Upstream().Usable())
 }
 
-// TestBornOfReportedStatementUnknown guards against statements that go to other nodes without the time of the start after a heartbeat
-// has named it, and are then ignored after the next restart of the node.
-func TestBornOfReportedStatementUnknown(t *testing.T) {
+// TestBornOfStatementUnknown guards against statements that peers bring back in vain because they do not name the start.
+func TestBornOfStatementUnknown(t *testing.T) {
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
 	is.True(o.ApplyHealthProbe("a", true, 4))
