--- /dev/null
+++ b/review/build.sh
@@ -0,0 +1,5 @@
+#!/bin/sh
+# Builds the stand-ins of the cases. Run it from any folder; it needs the Go toolchain only.
+set -e
+cd "$(dirname "$0")/standin"
+GOWORK=off go build -o ../../target/review-standin .
--- /dev/null
+++ b/review/standin/record.go
@@ -0,0 +1,31 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"time"
+)
+
+// record collects what was sent, answered and run, for record.txt.
+type record struct {
+	start time.Time
+
+	mu    sync.Mutex
+	lines []string
+}
+
+// add adds a line with the time since the start.
+func (r *record) add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines = append(r.lines, fmt.Sprintf("%8.3f ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
+}
+
+// write writes all lines to a file.
+func (r *record) write(path string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return os.WriteFile(path, []byte(strings.Join(r.lines, "\n")+"\n"), 0o644)
+}
