Stand-ins of the review read the time of day once, from the script

Change: the scripts pass the time of their start, from where the steady clock counts on; leases are numbered. The test stays as it is.

--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -69,7 +69,7 @@
 	if err != nil {
 		return err
 	}
-	b.address, b.instance, b.born = l.Addr().String(), fmt.Sprintf("i-%08x", rand.Uint32()), time.Now().UnixMilli()
+	b.address, b.instance, b.born = l.Addr().String(), fmt.Sprintf("i-%08x", rand.Uint32()), b.rec.unixMilli()
 	b.sequence, b.leaving = 0, false
 	b.ended, b.end = context.WithCancel(context.Background())
 	b.server = &http.Server{Handler: b}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -33,22 +34,27 @@
 var cases = map[string]func(f *fleet) (verdict, error){}
 
 func main() {
-	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD")
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: standin CASE RECORD UNIX-MILLISECONDS")
 		os.Exit(2)
 	}
-	os.Exit(play(cases[os.Args[1]], os.Args[2]))
+	startMilli, err := strconv.ParseInt(os.Args[3], 10, 64)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	os.Exit(play(cases[os.Args[1]], os.Args[2], startMilli))
 }
 
-// play plays a case and returns the exit status.
-func play(run func(f *fleet) (verdict, error), path string) int {
+// play plays a case and returns the exit status. The case starts at the Unix time in milliseconds.
+func play(run func(f *fleet) (verdict, error), path string, startMilli int64) int {
 	dir, err := os.MkdirTemp("", "review")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
 	f := &fleet{
-		dir: dir, rec: &record{start: time.Now()}, trouble: os.Getenv("TROUBLE") != "0",
+		dir: dir, rec: &record{start: time.Now(), startMilli: startMilli}, trouble: os.Getenv("TROUBLE") != "0",
 		routes: map[string]any{}, services: map[string]any{},
 	}
 	f.clients = &requester{host: "calls.example", rec: f.rec}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -11,6 +11,8 @@
 // record collects what was sent, answered and run, for record.txt.
 type record struct {
 	start time.Time
+	// startMilli is the Unix time in milliseconds at the start.
+	startMilli int64
 
 	mu    sync.Mutex
 	lines []string
@@ -23,6 +25,9 @@
 	r.lines = append(r.lines, fmt.Sprintf("%8.3f ", time.Since(r.start).Seconds())+fmt.Sprintf(format, args...))
 }
 
+// unixMilli returns the Unix time in milliseconds, as the steady clock has advanced it since the start.
+func (r *record) unixMilli() int64 { return r.startMilli + time.Since(r.start).Milliseconds() }
+
 // write writes all lines to a file.
 func (r *record) write(path string) error {
 	r.mu.Lock()
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -39,11 +39,12 @@
 type store struct {
 	address string
 
-	mu       sync.Mutex
-	items    map[string]item
-	events   []event
-	leases   map[int64]lease
-	revision int64
+	mu     sync.Mutex
+	items  map[string]item
+	events []event
+	leases map[int64]lease
+	// revision and lastLease are the revision counter and the number of the last lease.
+	revision, lastLease int64
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -267,7 +268,8 @@
 	}
 	ttl := time.Duration(in.TTLMs) * time.Millisecond
 	s.mu.Lock()
-	id := time.Now().UnixNano()
+	s.lastLease++
+	id := s.lastLease
 	s.leases[id] = lease{ttl: ttl, end: time.Now().Add(ttl)}
 	s.mu.Unlock()
 	respond(w, http.StatusOK, map[string]any{"lease": id, "ttlMs": in.TTLMs})
