Review case 4: an even load for both nodes

Cause: beside a busy machine one run did not fail, because the load was divided unevenly between the two upstreams of one service and one node was killed only twice. Change: each upstream has a service and a route of its own. The bound of the rule stays.

--- a/review/standin/case_memory.go
+++ b/review/standin/case_memory.go
@@ -29,11 +29,12 @@
 	var orders []*backend
 	for i := range 2 {
 		orders = append(orders, &backend{
-			name: fmt.Sprintf("orders-%d", i+1), service: "orders", zone: "z2", slots: 172, work: constant(120 * time.Millisecond),
+			name: fmt.Sprintf("orders-%d", i+1), service: fmt.Sprintf("orders-%d", i+1), zone: "z2", slots: 172, work: constant(120 * time.Millisecond),
 			bodyBytes: answerBytes,
 		})
 	}
-	f.route("/order/", "orders", "non_idempotent", 0, 2, 6000, 1500)
+	f.route("/order-1/", "orders-1", "non_idempotent", 0, 2, 6000, 1500)
+	f.route("/order-2/", "orders-2", "non_idempotent", 0, 2, 6000, 1500)
 	if err := f.begin(front, orders[0], orders[1]); err != nil {
 		return verdict{}, err
 	}
@@ -60,7 +61,7 @@
 	}()
 	begin := time.Now()
 	for i := 0; time.Since(begin) < 3*(pauseTime+burstTime); i++ {
-		f.clients.goSend(f.nodes[0], "POST", fmt.Sprintf("/order/%d", i), "kit=1", 6*time.Second, nil)
+		f.clients.goSend(f.nodes[0], "POST", fmt.Sprintf("/order-%d/%d", i%2+1, i), "kit=1", 6*time.Second, nil)
 		d := baseInterval
 		if f.trouble && time.Since(begin)%(pauseTime+burstTime) > pauseTime {
 			d = time.Duration(float64(d) / burstFactor)
