--- a/agent/agent.go
+++ b/agent/agent.go
@@ -13,6 +13,7 @@
 	"hornbeamcroft"
 	"hornbeamcroft/acceptor"
 	"hornbeamcroft/breaker"
+	"hornbeamcroft/confirmer"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/courier"
 	"hornbeamcroft/deduper"
@@ -31,6 +32,7 @@
 	"hornbeamcroft/recorder"
 	"hornbeamcroft/requester"
 	"hornbeamcroft/reserver"
+	"hornbeamcroft/retainer"
 	"hornbeamcroft/router"
 	"hornbeamcroft/runner"
 	"hornbeamcroft/sender"
@@ -78,7 +80,10 @@
 	// members passes on the members of locator.
 	members *publisher.Publisher[[]hornbeamcroft.Member]
 	// previousRecord is the record that a previous process of this node left in the store.
-	previousRecord   hornbeamcroft.Member
+	previousRecord hornbeamcroft.Member
+	// retainer keeps the records of other nodes whose upstreams leave; confirmer tracks who holds that of this node.
+	retainer         retainer.Retainer
+	confirmer        confirmer.Confirmer
 	storeUnreachable atomic.Bool
 
 	upstreamMu sync.Mutex
@@ -221,6 +226,7 @@
 		OnWritten: func(revision int64) {
 			a.Log.Info().Int64("revision", revision).Msg("enroller: record written")
 		},
+		OnStored: a.onRecordStored, OnFound: a.onRecordFound, Keep: a.keepsRecord,
 	}
 }
 
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -183,6 +183,18 @@
 			return err
 		}
 		a.applyCrashReport(r)
+	case framer.TypeRecordHeld:
+		var h recordHeld
+		if err := framer.Decode(payload, &h); err != nil {
+			return err
+		}
+		a.onRecordHeld(l, h)
+	case framer.TypeEarlierRecord:
+		var r earlierRecord
+		if err := framer.Decode(payload, &r); err != nil {
+			return err
+		}
+		a.onEarlierRecord(l, r)
 	}
 	return nil
 }
--- /dev/null
+++ b/agent/leaving.go
@@ -0,0 +1,136 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
+	"hornbeamcroft/connector"
+	"hornbeamcroft/framer"
+)
+
+// holdTimeout is the maximum time for which the acknowledgement of a leaving waits until the leaving is held outside of this
+// process. It is below the second within which the upstream needs the acknowledgement.
+const holdTimeout = 700 * time.Millisecond
+
+// errLeavingNotHeld means that a leaving is in force, but would be forgotten if this process ended now.
+var errLeavingNotHeld = errors.New("the leaving is in force, but neither the store nor other nodes hold it yet")
+
+// awaitLeavingHeld waits until the store or other nodes hold the record of this node if its upstream has left. An
+// acknowledgement binds later processes of this node too, which know of it from there only.
+func (a *Agent) awaitLeavingHeld(ctx context.Context) error {
+	record := a.ownRecord()
+	if !record.HasLeft() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
+	defer cancel()
+	begin := a.clock.Now()
+	if !a.confirmer.Wait(ctx, record.Sequence, a.links.PeerNames()) {
+		a.metrics.count("upstream/leavings-not-held")
+		a.Log.Warn().Str("instance", record.Instance).Int64("born", record.Born).Msg("observer: leaving not acknowledged")
+		return errLeavingNotHeld
+	}
+	a.Log.Info().Str("instance", record.Instance).Int64("born", record.Born).
+		Int64("took-ms", (a.clock.Now() - begin).Milliseconds()).Msg("observer: leaving acknowledged")
+	return nil
+}
+
+// onRecordStored records that the store holds a record of this node.
+func (a *Agent) onRecordStored(value []byte) {
+	if m, err := decodeMember(value); err == nil && m.Incarnation == a.incarnation {
+		a.confirmer.Stored(m.Sequence)
+	}
+}
+
+// onRecordFound applies the record that an earlier process of this node left in the store.
+func (a *Agent) onRecordFound(value []byte) {
+	m, err := decodeMember(value)
+	if err != nil {
+		a.Log.Warn().Err(err).Msg("members: malformed record of an earlier process")
+		return
+	}
+	a.setPreviousRecord(m)
+}
+
+// decodeMember decodes a member record.
+func decodeMember(value []byte) (hornbeamcroft.Member, error) {
+	var m hornbeamcroft.Member
+	if err := cbor.Unmarshal(value, &m); err != nil {
+		return m, err
+	}
+	return m, m.Check()
+}
+
+// setPreviousRecord keeps the record m of this node if an earlier process wrote it, and applies what it says of the upstream.
+func (a *Agent) setPreviousRecord(m hornbeamcroft.Member) {
+	if m.Name != a.Settings.Agent.Name || m.Incarnation == a.incarnation {
+		return
+	}
+	a.membersMu.Lock()
+	isNew := m != a.previousRecord
+	a.previousRecord = m
+	a.membersMu.Unlock()
+	if isNew {
+		a.applyEarlierRecord(m, "store")
+	}
+}
+
+// applyEarlierRecord applies a record of an earlier process of this node. If it says that its upstream leaves, that start is
+// not used any more.
+func (a *Agent) applyEarlierRecord(m hornbeamcroft.Member, source string) {
+	changed := false
+	if m.HasLeft() && m.Service == a.Settings.Agent.Service {
+		a.upstreamMu.Lock()
+		changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
+		a.upstreamMu.Unlock()
+	}
+	a.Log.Info().Str("source", source).Uint64("incarnation", m.Incarnation).Uint64("sequence", m.Sequence).
+		Str("instance", m.Instance).Int64("born", m.Born).Str("state", m.State.String()).Bool("changed", changed).
+		Msg("observer: record of an earlier process")
+	if changed {
+		a.applyUpstream(false)
+	}
+}
+
+// keepsRecord reports whether the record of this node stays in the store after a planned stop, so that the next process knows
+// that the upstream has left.
+func (a *Agent) keepsRecord() bool { return a.ownRecord().HasLeft() }
+
+// holdRecord keeps the record of a peer whose upstream leaves, and acknowledges it.
+func (a *Agent) holdRecord(l *connector.Link, m hornbeamcroft.Member) {
+	if !m.HasLeft() {
+		return
+	}
+	a.membersMu.Lock()
+	a.retainer.Record(a.clock.Now(), m)
+	a.membersMu.Unlock()
+	a.send(l, framer.TypeRecordHeld, recordHeld{Incarnation: m.Incarnation, Sequence: m.Sequence})
+}
+
+// onRecordHeld records that a peer holds a record of this node.
+func (a *Agent) onRecordHeld(l *connector.Link, h recordHeld) {
+	if h.Incarnation == a.incarnation {
+		a.confirmer.Acknowledged(l.Peer.Name, h.Sequence)
+	}
+}
+
+// sendEarlierRecord sends the peer of a link that was opened what an earlier process of it announced of an upstream that leaves.
+func (a *Agent) sendEarlierRecord(l *connector.Link) {
+	a.membersMu.Lock()
+	m, ok := a.retainer.Left(a.clock.Now(), l.Peer.Name)
+	a.membersMu.Unlock()
+	if ok && m.Incarnation != l.Peer.Incarnation {
+		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: m})
+	}
+}
+
+// onEarlierRecord applies what a peer knows of an earlier process of this node.
+func (a *Agent) onEarlierRecord(l *connector.Link, r earlierRecord) {
+	if r.Member.Name == a.Settings.Agent.Name && r.Member.Incarnation != a.incarnation {
+		a.applyEarlierRecord(r.Member, l.Peer.Name)
+	}
+}
--- a/agent/members.go
+++ b/agent/members.go
@@ -6,8 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"hornbeamcroft"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
@@ -46,6 +44,9 @@
 		a.locator.ForgetRecords()
 	}
 	a.locator.ReplaceRecords(a.clock.Now(), members)
+	for _, m := range members {
+		a.retainer.Record(a.clock.Now(), m)
+	}
 	a.membersMu.Unlock()
 	if !ownListed {
 		a.enroller.ReportMissing(revision)
@@ -53,23 +54,10 @@
 	a.members.Update()
 }
 
-// setPreviousRecord keeps the record m of this node if a previous process wrote it.
-func (a *Agent) setPreviousRecord(m hornbeamcroft.Member) {
-	a.membersMu.Lock()
-	defer a.membersMu.Unlock()
-	if m.Incarnation != a.incarnation {
-		a.previousRecord = m
-	}
-}
-
 // decodeRecord returns the member in a store entry. It logs and skips a record that is malformed or stored under another
 // name than its own.
 func (a *Agent) decodeRecord(e hornbeamcroft.Entry) (hornbeamcroft.Member, bool) {
-	var m hornbeamcroft.Member
-	err := cbor.Unmarshal(e.Value, &m)
-	if err == nil {
-		err = m.Check()
-	}
+	m, err := decodeMember(e.Value)
 	if err != nil || m.Name != strings.TrimPrefix(e.Key, keyPrefix) {
 		a.Log.Warn().Str("key", e.Key).Int64("revision", e.ModRevision).Err(err).Msg("members: malformed record")
 		return m, false
@@ -126,6 +114,7 @@
 		a.Log.Info().Str("member", n.Member.Name).Str("service", n.Member.Service).Str("state", n.Member.State.String()).
 			Uint64("incarnation", n.Member.Incarnation).Uint64("sequence", n.Member.Sequence).Msg("members: heard over a link")
 	}
+	a.holdRecord(l, n.Member)
 	a.members.Update()
 	a.courier.SetLinked(n.Member.Name, !l.Ended())
 	a.courier.RecordLoad(n.Member.Name, n.Load)
@@ -139,6 +128,7 @@
 	a.membersMu.Lock()
 	a.locator.Introduce(l.Peer.Name, l.Peer.Incarnation)
 	a.membersMu.Unlock()
+	a.sendEarlierRecord(l)
 	a.send(l, framer.TypeNodeState, a.newNodeState())
 	if m := (childCalls{Routes: a.courier.LearnedRoutes()}); len(m.Routes) > 0 && m.Check() == nil {
 		a.send(l, framer.TypeChildCalls, m)
--- a/agent/messages.go
+++ b/agent/messages.go
@@ -23,6 +23,30 @@
 	return n.Load.Check()
 }
 
+// recordHeld acknowledges the member record of a node whose upstream leaves.
+type recordHeld struct {
+	// Incarnation and Sequence are those of the record.
+	Incarnation uint64 `cbor:"1,keyasint"`
+	Sequence    uint64 `cbor:"2,keyasint"`
+}
+
+// Check reports whether the message is well formed.
+func (recordHeld) Check() error { return nil }
+
+// earlierRecord tells a node that has started what an earlier process of it announced.
+type earlierRecord struct {
+	// Member is the record of the receiver.
+	Member hornbeamcroft.Member `cbor:"1,keyasint"`
+}
+
+// Check reports whether the message is well formed.
+func (r earlierRecord) Check() error {
+	if err := r.Member.Check(); err != nil {
+		return errors.Wrap(err, "earlier record")
+	}
+	return nil
+}
+
 // routesQuery requests the peer's configuration of routes.
 type routesQuery struct {
 	// Have is the version in force at the sender of the query; zero if there is none.
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -35,13 +35,21 @@
 	return hornbeamcroft.Member{
 		Name: cfg.Name, Service: cfg.Service, Zone: cfg.Zone, Address: cfg.LinksAnnounced, Incarnation: a.incarnation,
 		Sequence: a.recordSequence, State: u.State, Slots: u.Slots, Instance: u.Instance,
-		Stopping: a.refusingCalls.Load(),
+		Born: u.Born, Stopping: a.refusingCalls.Load(),
 	}
 }
 
 // onHeartbeat applies an announcement of the local upstream. A change is in force before onHeartbeat returns, and so before
-// the announcement is acknowledged.
-func (a *Agent) onHeartbeat(announcement observer.Announcement) {
+// the announcement is acknowledged. A leaving is not acknowledged before it is also held outside of this process.
+func (a *Agent) onHeartbeat(ctx context.Context, announcement observer.Announcement) error {
+	a.applyAnnouncement(announcement)
+	if announcement.Draining {
+		return a.awaitLeavingHeld(ctx)
+	}
+	return nil
+}
+
+func (a *Agent) applyAnnouncement(announcement observer.Announcement) {
 	a.upstreamMu.Lock()
 	outcome := a.observer.ApplyAnnouncement(a.clock.Now(), announcement)
 	if outcome == observer.OutcomeConfirmed {
@@ -58,9 +66,9 @@
 		Bool("draining", announcement.Draining).Int("slots", announcement.Slots).Str("outcome", outcome.String()).Msg("observer: announcement")
 }
 
-// onDepart applies a notification that an instance of the local upstream leaves. The time born is zero if the notification
-// does not name the start of the instance.
-func (a *Agent) onDepart(instance string, born int64) {
+// onDepart applies a notification that an instance of the local upstream leaves, and returns nil when that is held outside of
+// this process. The time born is zero if the notification does not name the start of the instance.
+func (a *Agent) onDepart(ctx context.Context, instance string, born int64) error {
 	a.upstreamMu.Lock()
 	outcome := a.observer.ApplyDeparture(instance, born)
 	a.upstreamMu.Unlock()
@@ -68,6 +76,7 @@
 		a.applyUpstream(false)
 	}
 	a.Log.Info().Str("instance", instance).Int64("born", born).Str("outcome", outcome.String()).Msg("observer: departure")
+	return a.awaitLeavingHeld(ctx)
 }
 
 // onInstanceReplaced marks the upstream as left if an instance other than the known one answered at its address.
@@ -125,7 +134,7 @@
 	}
 	for ctx.Err() == nil {
 		a.upstreamMu.Lock()
-		known := a.observer.Upstream().Instance != ""
+		known := a.observer.Known()
 		a.upstreamMu.Unlock()
 		if known {
 			return
--- /dev/null
+++ b/cmd/hornbeam-soak/departure_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"testing"
+	"time"
+
+	"hornbeamcroft/cmd/hornbeam-soak/planner"
+	"hornbeamcroft/cmd/hornbeam-soak/soaker"
+)
+
+// departure is a way in which the process that acknowledged a departure may forget it.
+type departure struct {
+	name  string
+	steps []planner.Step
+}
+
+// lateHeartbeat is how late the last heartbeat of the upstream arrives. The nodes that were restarted are in use again by then.
+const lateHeartbeat = 5500 * time.Millisecond
+
+var departures = []departure{
+	{"node killed", []planner.Step{
+		{At: time.Second, Kind: "depart", Length: lateHeartbeat},
+		{At: 1500 * time.Millisecond, Kind: "kill"},
+	}},
+	{"node stopped", []planner.Step{
+		{At: time.Second, Kind: "depart", Length: 2 * lateHeartbeat / 3},
+		{At: 1500 * time.Millisecond, Kind: "stop"},
+	}},
+	{"node killed, healthy", []planner.Step{
+		{At: time.Second, Kind: "depart-healthy", Length: lateHeartbeat},
+		{At: 1500 * time.Millisecond, Kind: "kill"},
+	}},
+	{"peers killed, then node", []planner.Step{
+		{At: time.Second, Kind: "depart", Length: lateHeartbeat},
+		{At: 1500 * time.Millisecond, Kind: "kill", Host: 1},
+		{At: 1500 * time.Millisecond, Kind: "kill", Host: 2},
+		{At: 2 * time.Second, Kind: "kill"},
+	}},
+	{"node killed twice", []planner.Step{
+		{At: time.Second, Kind: "depart-healthy", Length: lateHeartbeat},
+		{At: 1200 * time.Millisecond, Kind: "kill"},
+		{At: 2 * time.Second, Kind: "kill"},
+	}},
+	{"node killed, store silent", []planner.Step{
+		{At: 500 * time.Millisecond, Kind: "store-silent", Length: 10 * time.Second},
+		{At: time.Second, Kind: "depart-healthy", Length: lateHeartbeat},
+		{At: 2500 * time.Millisecond, Kind: "kill"},
+	}},
+}
+
+// TestDepartedUpstreamUsedAgain guards against an upstream that has left and gets calls again after its node was restarted: a late
+// heartbeat, a health answer, a peer or a record of the store may bring it back, and the restarted process may know of no leaving.
+func TestDepartedUpstreamUsedAgain(t *testing.T) {
+	program := build(t, nil)
+	for i, d := range departures {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			s := &soaker.Soaker{
+				Seed: uint64(i + 1), Hosts: 5, Callers: 3, Length: 11 * time.Second, Program: program, Folder: t.TempDir(), Steps: d.steps,
+			}
+			r, err := s.Run()
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, f := range r.Findings {
+				t.Errorf("%s %s %s %s", f.At.Format("15:04:05.000"), f.Promise, f.Attempt, f.Text)
+			}
+		})
+	}
+}
--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -159,7 +159,7 @@
 	key := r.Service + " " + r.Attempt
 	j.arrivals[r.Service] = append(j.arrivals[r.Service], arrival{r, j.seenAttempts[key]})
 	j.seenAttempts[key] = true
-	if d, ok := j.drains[r.Instance]; ok && r.At.Sub(d.at) > drainGrace && !j.disrupted(d.at, r.At, d.host) {
+	if d, ok := j.drains[r.Instance]; ok && r.At.Sub(d.at) > drainGrace && !j.hostDisrupted(r.At, d.host) {
 		j.addFinding("drain", r.Attempt, "reached the draining instance %s %s after the acknowledgement", r.Instance, r.At.Sub(d.at))
 	}
 }
@@ -238,6 +238,14 @@
 	})
 }
 
+// hostDisrupted reports whether an unplanned disruption, other than one of the store, affected the host at the given time or
+// within settleTime before. What a node has acknowledged binds it again after that, and binds it while the store is disrupted.
+func (j *Judge) hostDisrupted(at time.Time, host string) bool {
+	return slices.ContainsFunc(j.disruptions, func(d *Disruption) bool {
+		return !d.Planned && !d.Store && (d.Host == "" || d.Host == host) && d.during(at.Add(-settleTime), at)
+	})
+}
+
 // during reports whether the disruption overlaps the time between from and to.
 func (d *Disruption) during(from, to time.Time) bool {
 	return d.From.Before(to) && (d.To.IsZero() || d.To.After(from))
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -62,6 +62,12 @@
 //   - store-restore: the store does not answer, and comes back from an older copy
 var StatementKinds = []string{"limit", "leave", "store-restore"}
 
+// DepartureKinds lists further kinds of planned operations, which are drawn in addition to the others. In both, the upstream
+// deregisters, runs on for seconds and ends, and its last heartbeat arrives late.
+//   - depart: the upstream answers health checks as leaving
+//   - depart-healthy: the upstream answers health checks as healthy
+var DepartureKinds = []string{"depart", "depart-healthy"}
+
 const (
 	// firstStep is when the first step starts. The time before it is for the start of the nodes.
 	firstStep = time.Second
@@ -75,8 +81,10 @@
 	// of newly drawn kinds, start seriesInterval after one another.
 	seriesShare    = 0.25
 	seriesInterval = 700 * time.Millisecond
-	// statementShare is the mean number of steps of StatementKinds for each other step.
+	// statementShare is the mean number of steps of StatementKinds for each other step, and departureShare that of
+	// DepartureKinds.
 	statementShare = 0.3
+	departureShare = 0.15
 )
 
 // Plan returns the steps of a run of the given length on the given number of hosts, in the order of their start. On
@@ -108,20 +116,21 @@
 		at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
 	}
 	if len(kinds) > len(PlannedKinds) {
-		steps = append(steps, planStatements(seed, hosts, length, perSecond*statementShare)...)
+		steps = append(steps, planFurther(seed, 1, StatementKinds, hosts, length, perSecond*statementShare)...)
+		steps = append(steps, planFurther(seed, 2, DepartureKinds, hosts, length, perSecond*departureShare)...)
 	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
 
-// planStatements returns the steps of StatementKinds. They have random numbers of their own, so that the other steps of a seed
-// do not depend on them.
-func planStatements(seed uint64, hosts int, length time.Duration, perSecond float64) []Step {
-	rnd := rand.New(rand.NewPCG(seed, 1))
+// planFurther returns the steps of further kinds. They have random numbers of their own, from the stream with the given number,
+// so that the other steps of a seed do not depend on them.
+func planFurther(seed, stream uint64, kinds []string, hosts int, length time.Duration, perSecond float64) []Step {
+	rnd := rand.New(rand.NewPCG(seed, stream))
 	var steps []Step
 	for at := firstStep; at < length; at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)) {
 		steps = append(steps, Step{
-			At: at, Kind: StatementKinds[rnd.IntN(len(StatementKinds))], Host: rnd.IntN(hosts),
+			At: at, Kind: kinds[rnd.IntN(len(kinds))], Host: rnd.IntN(hosts),
 			Length: minLength + time.Duration(rnd.Float64()*float64(maxLength-minLength)),
 		})
 	}
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -21,6 +21,8 @@
 	// lingerTime is how much longer than hoster.DrainGrace a draining upstream runs. A request that it receives in this
 	// time breaks the promise "drain" of package judge.
 	lingerTime = 500 * time.Millisecond
+	// departedTime is how long an upstream runs after it has begun to deregister.
+	departedTime = 10 * time.Second
 	// killShare is the probability with which a step "kill-many" kills each node.
 	killShare = 0.6
 	// statedLimit is the number of requests per second that an upstream states in a step "limit", and limitLength is the length
@@ -70,7 +72,7 @@
 	h := s.hosts[p.Host]
 	d := judge.Disruption{Kind: p.Kind, Host: h.Name, Store: strings.HasPrefix(p.Kind, "store-")}
 	switch p.Kind {
-	case "stop", "hangup", "replace", "routes":
+	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy":
 		d.Planned = true
 	}
 	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "store-restore" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
@@ -162,6 +164,10 @@
 			time.Sleep(limitLength)
 			h.Worker.SetFaults(worker.Faults{})
 		})
+	case "depart":
+		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{}) })
+	case "depart-healthy":
+		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{Healthy: true}) })
 	case "leave":
 		s.exclusive(h.Worker, func() { s.leaveUnannounced(h) })
 	case "store-restore":
@@ -223,11 +229,7 @@
 // replaceUpstream drains the upstream and starts a new instance at the same address.
 func (s *Soaker) replaceUpstream(h *hoster.Hoster) {
 	h.Worker.Drain()
-	limit := time.Now().Add(hoster.StopGracePeriod)
-	for h.Worker.Announce(h.Announcements) != nil && time.Now().Before(limit) {
-		time.Sleep(50 * time.Millisecond)
-	}
-	s.judge.AddDrain(h.Name, h.Worker.Instance())
+	s.awaitDrain(h, h.Worker.Announce)
 	time.Sleep(hoster.DrainGrace + lingerTime)
 	// The error is ignored: the node may be down, and the upstream ends in any case.
 	_ = h.Worker.Depart(h.Announcements)
@@ -235,6 +237,34 @@
 	s.startWorker(h)
 }
 
+// awaitDrain announces with announce that the upstream leaves, until the node has acknowledged it or the upstream gives up.
+func (s *Soaker) awaitDrain(h *hoster.Hoster, announce func(address string) error) {
+	for limit := time.Now().Add(hoster.StopGracePeriod); time.Now().Before(limit); time.Sleep(50 * time.Millisecond) {
+		if announce(h.Announcements) == nil {
+			s.judge.AddDrain(h.Name, h.Worker.Instance())
+			return
+		}
+	}
+}
+
+// departUpstream lets the upstream deregister and go on running. The heartbeat that it sent before arrives late. Then a new
+// instance starts at the same address.
+func (s *Soaker) departUpstream(h *hoster.Hoster, late time.Duration, f worker.Faults) {
+	end := time.Now().Add(departedTime)
+	h.Worker.SetFaults(f)
+	heartbeat := h.Worker.Heartbeat()
+	arrives := time.Now().Add(late)
+	h.Worker.Drain()
+	s.awaitDrain(h, h.Worker.Depart)
+	time.Sleep(time.Until(arrives))
+	// The error is ignored: a late heartbeat has no effect, or the node is down.
+	_ = heartbeat(h.Announcements)
+	time.Sleep(time.Until(end))
+	h.Worker.Crash()
+	h.Worker.SetFaults(worker.Faults{})
+	s.startWorker(h)
+}
+
 // leaveUnannounced lets the upstream state in its answers that it leaves, and starts a new instance at the same address.
 func (s *Soaker) leaveUnannounced(h *hoster.Hoster) {
 	h.Worker.SetFaults(worker.Faults{Leaving: true})
--- /dev/null
+++ b/confirmer/confirmer.go
@@ -0,0 +1,84 @@
+// Package confirmer tracks where the record of this node is held outside of its process: in the store, and at the nodes that
+// have acknowledged it. What is held outlives the process.
+package confirmer
+
+import (
+	"context"
+	"sync"
+)
+
+// Confirmer tracks the record with the highest sequence that is held. The zero value is ready for use. It is safe for concurrent
+// use.
+type Confirmer struct {
+	mu sync.Mutex
+	// stored is the sequence of the record in the store, byPeer that of the record at each node that has acknowledged one.
+	stored uint64
+	byPeer map[string]uint64
+	// changed is closed when stored or byPeer changes; nil if nobody waits.
+	changed chan struct{}
+}
+
+// Stored records that the store holds the record with the sequence.
+func (c *Confirmer) Stored(sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stored = max(c.stored, sequence)
+	c.wake()
+}
+
+// Acknowledged records that the named node holds the record with the sequence.
+func (c *Confirmer) Acknowledged(name string, sequence uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.byPeer == nil {
+		c.byPeer = make(map[string]uint64)
+	}
+	c.byPeer[name] = max(c.byPeer[name], sequence)
+	c.wake()
+}
+
+// wake wakes all waiting calls of Wait. The caller must hold c.mu.
+func (c *Confirmer) wake() {
+	if c.changed != nil {
+		close(c.changed)
+		c.changed = nil
+	}
+}
+
+// Wait waits until the store or more than half of the named nodes hold the record with the sequence, or a later one. It
+// returns false if ctx ends before.
+func (c *Confirmer) Wait(ctx context.Context, sequence uint64, names []string) bool {
+	for {
+		held, changed := c.check(sequence, names)
+		if held {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// check reports whether the record with the sequence is held, and returns a channel that is closed at the next change.
+func (c *Confirmer) check(sequence uint64, names []string) (bool, <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stored >= sequence {
+		return true, nil
+	}
+	holding := 0
+	for _, name := range names {
+		if c.byPeer[name] >= sequence {
+			holding++
+		}
+	}
+	if 2*holding > len(names) {
+		return true, nil
+	}
+	if c.changed == nil {
+		c.changed = make(chan struct{})
+	}
+	return false, c.changed
+}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"maps"
 	"net/http"
 	"slices"
 	"sync"
@@ -185,3 +186,10 @@
 		c.OnDown(l)
 	}
 }
+
+// PeerNames returns the names of the nodes to which a link is open.
+func (c *Connector) PeerNames() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Collect(maps.Keys(c.linksByPeer))
+}
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -38,6 +38,13 @@
 	OnStoreLost      func(err error)
 	OnStoreRecovered func()
 	OnWritten        func(revision int64)
+	// OnStored is called with the record each time that the store is known to hold it; it may be nil.
+	OnStored func(value []byte)
+	// OnFound is called with the record of an earlier process before it is replaced; it may be nil. If it calls Set, the new
+	// record is the one that is written.
+	OnFound func(value []byte)
+	// Keep reports at the end of Run whether the record stays in the store until its lease expires; it may be nil.
+	Keep func() bool
 
 	// mu guards the fields up to wake; only Run uses those below.
 	mu sync.Mutex
@@ -124,7 +131,9 @@
 		}
 		t.Stop()
 	}
-	e.revokeLease()
+	if e.Keep == nil || !e.Keep() {
+		e.revokeLease()
+	}
 }
 
 // reportLost calls OnStoreLost unless an earlier call has failed already.
@@ -213,6 +222,7 @@
 			if done, err := e.read(ctx, value); done || err != nil {
 				return err
 			}
+			value = e.wanted()
 		}
 		done, err := e.tryWrite(ctx, value)
 		if done || err != nil {
@@ -239,11 +249,27 @@
 	case !res.Succeeded:
 		return false, nil
 	}
-	e.storedValue, e.revision = value, res.Revision
+	e.revision = res.Revision
+	e.setStored(value)
 	e.OnWritten(res.Revision)
 	return true, nil
 }
 
+// setStored records that the store holds the value under the current lease.
+func (e *Enroller) setStored(value []byte) {
+	e.storedValue = value
+	if e.OnStored != nil {
+		e.OnStored(value)
+	}
+}
+
+// wanted returns the record that the store should hold.
+func (e *Enroller) wanted() []byte {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.value
+}
+
 // read gets the current revision of the key, which an earlier process of this node may have written, and reports whether the key
 // already holds the value under the current lease.
 func (e *Enroller) read(ctx context.Context, value []byte) (bool, error) {
@@ -252,9 +278,12 @@
 		return false, err
 	}
 	e.revision, e.mustRead = entry.ModRevision, false
-	if entry.Lease != e.lease || !bytes.Equal(entry.Value, value) {
-		return false, nil
+	if bytes.Equal(entry.Value, value) && entry.Lease == e.lease {
+		e.setStored(value)
+		return true, nil
 	}
-	e.storedValue = value
-	return true, nil
+	if e.OnFound != nil && entry.ModRevision != 0 {
+		e.OnFound(entry.Value)
+	}
+	return false, nil
 }
--- a/enroller/enroller_test.go
+++ b/enroller/enroller_test.go
@@ -168,3 +168,41 @@
 		})
 	}
 }
+
+// TestEarlierRecord guards against a record of an earlier process that is replaced unread, and one that is removed although it says
+// what the next process must know.
+func TestEarlierRecord(t *testing.T) {
+	is := is.New(t)
+	f := start(t)
+	var found, stored []string
+	var mu sync.Mutex
+	s := &platform.Store{Address: f.client.Address}
+	s.Open()
+	e := &enroller.Enroller{
+		Store: s, Key: key, OnStoreLost: func(error) {}, OnStoreRecovered: func() {}, OnWritten: func(int64) {},
+		OnStored: func(value []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			stored = append(stored, string(value))
+		},
+		Keep: func() bool { return true },
+	}
+	e.OnFound = func(value []byte) {
+		mu.Lock()
+		defer mu.Unlock()
+		found = append(found, string(value))
+		e.Set([]byte("two, after " + string(value)))
+	}
+	e.Set([]byte("two"))
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	wg.Go(func() { e.Run(ctx) })
+	f.await(t, "two, after one", recoveryTime)
+	cancel()
+	wg.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	is.Equal(found, []string{"one"})
+	is.Equal(stored, []string{"two, after one"})
+	is.Equal(len(f.store.Items(key)), 1) // it stays until its lease expires
+}
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -49,6 +49,8 @@
 	TypeRoutesQuery                    // asks for TypeRoutes
 	TypeCrash                          // package suspecter: a report of an upstream crash
 	TypeChildCalls                     // observed child calls per route, for a node that has just started
+	TypeRecordHeld                     // acknowledges a TypeNodeState whose upstream leaves
+	TypeEarlierRecord                  // what an earlier process of the receiver announced of an upstream that leaves
 
 	typeEnd
 )
--- a/member.go
+++ b/member.go
@@ -51,6 +51,14 @@
 	// Stopping is true if the node is about to exit while its upstream keeps running. The member gets calls only if no other
 	// member can take them.
 	Stopping bool `cbor:"11,keyasint,omitempty" json:"stopping,omitempty"`
+	// Born is the time at which Instance started, in Unix milliseconds; zero if the member does not announce it.
+	Born int64 `cbor:"12,keyasint,omitempty" json:"born,omitempty"`
+}
+
+// HasLeft reports whether the record says that an identified start of the upstream has announced that it leaves. Only a later
+// start may be used again.
+func (m Member) HasLeft() bool {
+	return m.Instance != "" && m.Born > 0 && (m.State == MemberDraining || m.State == MemberLeft)
 }
 
 // maxNameLength is the maximum length of names and ids received from other processes, in bytes.
@@ -71,6 +79,9 @@
 	if m.State > MemberDead {
 		return errors.Errorf("member %s: state %d: must be 0 to %d", m.Name, m.State, MemberDead)
 	}
+	if m.Born < 0 {
+		return errors.Errorf("member %s: born %d: must be at least 0", m.Name, m.Born)
+	}
 	return nil
 }
 
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -108,6 +108,11 @@
 	return &hornbeamcroft.InstanceStatement{Instance: u.Instance, Born: u.Born, Statement: u.Statement}
 }
 
+// Known reports whether the present start of the upstream is known: one is, and it has not left.
+func (o *Observer) Known() bool {
+	return o.upstream.Instance != "" && o.upstream.State != hornbeamcroft.MemberLeft
+}
+
 // Usable reports whether the upstream accepts new calls.
 func (u Upstream) Usable() bool { return u.State == hornbeamcroft.MemberServing }
 
@@ -127,6 +132,9 @@
 	reportedBorn int64
 	// answered is the id of another instance that has answered at the upstream's address; empty if there is none.
 	answered string
+	// left holds, by instance, the time of the latest start that has announced that it leaves. Only a later start of the
+	// instance is used.
+	left map[string]int64
 }
 
 // contender is a start of the upstream that seems to be older than the known one but sends announcements.
@@ -148,7 +156,7 @@
 	}
 	same := a.Instance == o.upstream.Instance && (o.onlyProbed || a.Born == o.upstream.Born)
 	switch {
-	case same && o.upstream.State == hornbeamcroft.MemberLeft:
+	case o.hasLeft(a.Instance, a.Born) || same && o.upstream.State == hornbeamcroft.MemberLeft:
 		return OutcomeStale
 	case same && !o.onlyProbed && a.Sequence <= o.sequence:
 		return OutcomeStale
@@ -163,6 +171,7 @@
 	}
 	if a.Draining {
 		o.upstream.State = hornbeamcroft.MemberDraining
+		o.markLeft(a.Instance, a.Born)
 	}
 	if same && (o.reportedBorn == 0 || o.reportedBorn == a.Born) {
 		o.upstream.Statement, o.upstream.Answered, o.upstream.Stated = before.Statement, before.Answered, before.Stated
@@ -196,27 +205,11 @@
 	return c.announcements >= contenderAnnouncements && now-c.since >= contenderTime
 }
 
-// ApplyDeparture applies a notification that an instance leaves. The time born is zero if the notification does not name
-// the start.
-func (o *Observer) ApplyDeparture(instance string, born int64) Outcome {
-	if instance != o.upstream.Instance {
-		return OutcomeForeign
-	}
-	if born != 0 && !o.onlyProbed && born != o.upstream.Born {
-		return OutcomeStale
-	}
-	if o.upstream.State == hornbeamcroft.MemberLeft {
-		return OutcomeUnchanged
-	}
-	o.upstream.State = hornbeamcroft.MemberLeft
-	return OutcomeChanged
-}
-
 // ApplyHealthProbe applies the answer to a health probe and reports whether it changed the state. An answer counts only
-// while no announcement or earlier answer is known. Slots is the assumed number of slots of the instance, because a
-// health answer does not carry it.
+// while Known returns false, and not if a start of the instance has left: the answer does not tell whether it is that of a
+// later start. Slots is the assumed number of slots of the instance, because a health answer does not carry it.
 func (o *Observer) ApplyHealthProbe(instance string, healthy bool, slots int) bool {
-	if o.upstream.Instance != "" || instance == "" || slots < 1 {
+	if _, left := o.left[instance]; left || o.Known() || instance == "" || slots < 1 {
 		return false
 	}
 	o.upstream = Upstream{Instance: instance, Slots: slots, State: hornbeamcroft.MemberServing}
