--- a/agent/agent.go
+++ b/agent/agent.go
@@ -109,12 +109,13 @@
 	metrics      *metricSet
 	// bodies limits the memory that the bodies of requests and answers hold.
 	bodies *reserver.Reserver
-	// stopping is set when a planned stop begins.
-	stopping atomic.Bool
-	// refusingCalls is set when the node stops accepting calls from other nodes.
-	refusingCalls atomic.Bool
-	// refusingCallers is set when the node stops accepting requests from callers.
-	refusingCallers atomic.Bool
+	// stopping is set when a planned stop begins, at the time stopBegan.
+	stopping  atomic.Bool
+	stopBegan time.Duration
+	// takenAtStop holds the callers' requests in flight that were taken after a planned stop had begun, as *takenRequest.
+	takenAtStop sync.Map
+	// callers decides which requests of callers the node takes while it stops, peers which calls of other nodes.
+	callers, peers *stopGate
 	// callerRequests counts the callers' requests in flight; calls made by a running request are not counted.
 	callerRequests atomic.Int64
 	// dialing holds the addresses that are being dialed in the background.
@@ -192,6 +193,7 @@
 	a.clock = monotonic{start: a.started}
 	a.incarnation = uint64(a.started.UnixMicro())
 	a.metrics = newMetricSet()
+	a.callers, a.peers = newStopGate(a.stopLimit()), newStopGate(a.stopLimit())
 	a.recorder = &recorder.Recorder{Log: a.Log.Logger}
 	a.bodies = &reserver.Reserver{Limit: int64(cfg.MemoryMB) << 20 / bodyMemoryDivisor}
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -36,9 +36,6 @@
 	return l.HeaderTime, l.IdleTime
 }
 
-// stoppingRetryAfter is the retry delay given to callers that the node refuses because its process is about to exit.
-const stoppingRetryAfter = 500 * time.Millisecond
-
 // unreadableRetryAfter is the retry delay given to callers of a route that this node cannot read. A node of another version
 // may be able to.
 const unreadableRetryAfter = time.Second
@@ -59,9 +56,9 @@
 	}
 	call := a.newCall(in, route, service)
 	isChild := a.runner.Inherit(&call)
-	if !isChild && a.refusingCallers.Load() {
+	if now := a.clock.Now(); !isChild && a.stopping.Load() && !a.callers.takes(now, call) {
 		// A call made by a running request is still accepted: the process exits after that request has finished.
-		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: stoppingRetryAfter}
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
 		a.recordRejected(in.Attempt, answer, nil)
 		return answer
 	}
@@ -71,16 +68,23 @@
 		defer a.callerRequests.Add(-1)
 		age = a.courier.Age(route.Name, in.Remaining)
 		call.Objective -= age
+		if a.stopping.Load() {
+			defer a.trackTaken(call)()
+		}
 	}
 	if call.Remaining <= 0 {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
 	defer cancel()
+	begin := a.clock.Now()
 	answer := a.courier.Deliver(ctx, call, route, age)
 	if isChild {
 		a.runner.ChildEnded(in.Attempt, service, answer.ServiceCalls)
+		return answer
 	}
+	now := a.clock.Now()
+	a.callers.record(now, call, now-begin, answer)
 	return answer
 }
 
@@ -134,22 +138,31 @@
 	if call.Message == nil {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeMalformed}
 	}
-	if a.refusingCalls.Load() {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
-	}
 	if call.Idempotent {
-		return a.runner.Run(ctx, call)
+		return a.runCall(ctx, call)
 	}
 	id := deduper.CallID{Sender: peer.Name, Incarnation: peer.Incarnation, ID: call.ID}
 	answer, isNew := a.recaller.Begin(ctx, id, call.Remaining)
 	if !isNew {
 		return answer
 	}
-	answer = a.runner.Run(ctx, call)
+	answer = a.runCall(ctx, call)
 	a.recaller.End(id, answer)
 	return answer
 }
 
+// runCall runs a call of another node at the local upstream, unless the node stops before the call would end.
+func (a *Agent) runCall(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	begin := a.clock.Now()
+	if a.stopping.Load() && !a.peers.takes(begin, call) {
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
+	}
+	answer := a.runner.Run(ctx, call)
+	now := a.clock.Now()
+	a.peers.record(now, call, now-begin, answer)
+	return answer
+}
+
 // onMessage handles a message from another node. Messages of unknown types are ignored.
 func (a *Agent) onMessage(l *connector.Link, t framer.Type, payload []byte) error {
 	switch t {
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -35,7 +35,7 @@
 	return hornbeamcroft.Member{
 		Name: cfg.Name, Service: cfg.Service, Zone: cfg.Zone, Address: cfg.LinksAnnounced, Incarnation: a.incarnation,
 		Sequence: a.recordSequence, State: u.State, Slots: u.Slots, Instance: u.Instance,
-		Born: u.Born, Stopping: a.refusingCalls.Load(),
+		Born: u.Born, Stopping: a.peers.closed.Load(),
 	}
 }
 
--- a/cmd/hornbeam-soak/soaker/routes.go
+++ b/cmd/hornbeam-soak/soaker/routes.go
@@ -33,6 +33,22 @@
 	"audit":   {"audit", http.MethodGet, "deep", true, 1, 2 * time.Second, 300 * time.Millisecond},
 }
 
+// longDeadline and longObjective are those of all requests if Soaker.Work is set.
+const longDeadline, longObjective = 5 * time.Second, 4 * time.Second
+
+// types returns the request types of the run by name.
+func (s *Soaker) types() map[string]requestType {
+	if s.Work == 0 {
+		return requestTypes
+	}
+	long := make(map[string]requestType, len(requestTypes))
+	for name, rt := range requestTypes {
+		rt.deadline, rt.objective = longDeadline, longObjective
+		long[name] = rt
+	}
+	return long
+}
+
 // route returns the route of the request type.
 func (rt requestType) route() operator.Route {
 	return operator.Route{
@@ -57,7 +73,7 @@
 	defer s.configuration.mu.Unlock()
 	s.configuration.version++
 	var list []operator.Route
-	for _, rt := range requestTypes {
+	for _, rt := range s.types() {
 		list = append(list, rt.route())
 	}
 	list = append(list, probeType(s.configuration.version).route())
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -3,6 +3,7 @@
 package soaker
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -32,6 +33,8 @@
 	minServed = 0.9
 	// readyTimeout bounds the start of the nodes.
 	readyTimeout = 15 * time.Second
+	// defaultWork is the mean time that a request takes in its upstream.
+	defaultWork = 25 * time.Millisecond
 	// thinkTime is the mean pause of a caller between two requests.
 	thinkTime = 60 * time.Millisecond
 	// frontHosts of each frontHosts+deepHosts hosts run the service front, which the requests of callers use and which
@@ -61,6 +64,9 @@
 	// Program is the path of the node's program. The settings and logs of the nodes go to a folder of the seed below
 	// Folder.
 	Program, Folder string
+	// Work is the mean time that a request takes in its upstream. If it is zero, requests take defaultWork and make child calls;
+	// otherwise they make none, and callers wait longer for them.
+	Work time.Duration
 	// Steps replace the drawn steps. If it is nil, the steps are drawn from the seed.
 	Steps []planner.Step
 
@@ -177,15 +183,17 @@
 		},
 	}
 	h.Worker = &worker.Worker{
-		Service: serviceOf(i), Zone: "zone-" + strconv.Itoa(i%2), Slots: 24, Work: 25 * time.Millisecond,
-		Calls: map[string]int{"order": 2, "lookup": 1}, OnArrival: s.judge.AddArrival, OnRun: s.judge.AddRun,
-		OnCrash: func() {},
+		Service: serviceOf(i), Zone: "zone-" + strconv.Itoa(i%2), Slots: 24, Work: cmp.Or(s.Work, defaultWork),
+		OnArrival: s.judge.AddArrival, OnRun: s.judge.AddRun, OnCrash: func() {},
+	}
+	if s.Work == 0 {
+		h.Worker.Calls = map[string]int{"order": 2, "lookup": 1}
 	}
 	pool := &sync.Pool{New: func() any { return &caller.Caller{Address: h.Ingress} }}
 	h.Worker.Call = func(_ context.Context, attempt string, remaining time.Duration) worker.Outcome {
 		c := pool.Get().(*caller.Caller)
 		defer pool.Put(c)
-		o := s.send(c, h, requestTypes["audit"], attempt, remaining, false)
+		o := s.send(c, h, s.types()["audit"], attempt, remaining, false)
 		return worker.Outcome{Status: o.Status, Err: o.Err}
 	}
 	return h
@@ -246,9 +254,9 @@
 func (s *Soaker) runCaller(ctx context.Context, h *hoster.Hoster) {
 	c := &caller.Caller{Address: h.Ingress}
 	defer c.Close()
-	names := []string{"lookup", "order", "deposit"}
+	names, types := []string{"lookup", "order", "deposit"}, s.types()
 	for ctx.Err() == nil {
-		rt := requestTypes[names[rand.IntN(len(names))]]
+		rt := types[names[rand.IntN(len(names))]]
 		if o := s.send(c, h, rt, s.newID(), rt.deadline, true); o.Err != nil && o.SentAt.IsZero() {
 			// The node does not listen at the moment.
 			time.Sleep(thinkTime)
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -187,6 +187,17 @@
 	}
 }
 
+// RunningCalls returns the number of calls of peers that are running on this node or whose answers are being sent.
+func (c *Connector) RunningCalls() int {
+	n := 0
+	for _, l := range c.Links() {
+		l.mu.Lock()
+		n += len(l.runningCalls)
+		l.mu.Unlock()
+	}
+	return n
+}
+
 // PeerNames returns the names of the nodes to which a link is open.
 func (c *Connector) PeerNames() []string {
 	c.mu.Lock()
