exchanger, dispatcher: a refusal written twice is not the answer to another call

Report of another operator: a faulty upstream wrote an earlier refusal once more on a kept connection; callers were told "not run" for what ran. What callers would see here: on the own interface exactly that (a test shows it); on the platform a resend of the same attempt on one connection, after 64 others were refused there, could take the late copy for its answer. Cause: the own interface matched answers to calls by their place on the connection alone; the platform side forgot the oldest of 64 attempts. Ruled out by tests: copies that name another attempt or none, before, after and beside a request, misdirected ones, health checks, links. Change: a connection remembers every attempt that it must not carry again and ends after 256 of them. Upstreams of the own interface send Hornbeam-Call back; an answer to another call is not passed on, and a refusal without a name counts on a new connection only.

--- a/cmd/hornbeam-standin/upstream/run.go
+++ b/cmd/hornbeam-standin/upstream/run.go
@@ -25,6 +25,7 @@
 // child calls and answers. It refuses
 // a request that is invalid, or whose context ends or whose start deadline passes before a slot is free.
 func (u *Upstream) serveCall(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(exchange.HeaderCall, r.Header.Get(exchange.HeaderCall))
 	requestType := pathvar.Vars(r)["type"]
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	var request exchange.Request
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -23,6 +23,7 @@
 
 // Headers of the calls to upstreams.
 const (
+	// HeaderCall identifies the call. Upstreams should send it back in their answers.
 	HeaderCall           = "Hornbeam-Call"
 	HeaderTimeout        = "Request-Timeout"
 	HeaderStartBefore    = "Hornbeam-Start-Before"
@@ -133,8 +134,8 @@
 
 // Run sends the request and waits until the answer arrives or ctx ends.
 func (d *Dispatcher) Run(ctx context.Context, q Request) Result {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	var used atomic.Pointer[httptrace.GotConnInfo]
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { used.Store(&info) }}
 	r, err := d.request(httptrace.WithClientTrace(ctx, trace), q)
 	if err != nil {
 		return notRun(hornbeamcroft.CodeMalformed)
@@ -142,20 +143,36 @@
 	start := time.Now()
 	resp, err := d.service.DoRequest(r)
 	if err != nil {
-		if !connected.Load() {
+		if used.Load() == nil {
 			return notRun(codeNotSent(ctx))
 		}
 		code := codeMayHaveRun(ctx)
 		return Result{Answer: hornbeamcroft.Answer{Code: code}, ConnectionLost: code == hornbeamcroft.CodeOutcomeUnknown}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	if resp.Header.Get(HeaderClaim) == hornbeamcroft.ClaimNotRun.String() {
+	refused := resp.Header.Get(HeaderClaim) == hornbeamcroft.ClaimNotRun.String()
+	if mayBeEarlier(resp.Header.Get(HeaderCall), q.Token, refused && used.Load().Reused) {
+		// The answers on this connection are no longer in step with the calls.
+		_ = used.Load().Conn.Close()
+		return Result{Answer: hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}}
+	}
+	if refused {
 		_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
 		return notRun(hornbeamcroft.CodeUpstreamRefused)
 	}
 	return d.readAnswer(ctx, resp, start)
 }
 
+// mayBeEarlier reports whether an answer may be a second copy of the answer to an earlier call on its connection. It is if it
+// names another call than the one with the token. A refusal that names no call counts only on a new connection: if it were taken
+// for the answer to a call that runs, the call would run twice.
+func mayBeEarlier(named, token string, refusalOnKeptConn bool) bool {
+	if named == "" {
+		return refusalOnKeptConn
+	}
+	return named != token
+}
+
 func (d *Dispatcher) request(ctx context.Context, q Request) (*http.Request, error) {
 	url := "http://" + d.Address + "/" + q.Call.Service + "/" + q.Call.Type
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, &unrewindableBody{data: q.Call.Body})
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -141,3 +141,102 @@
 	alive := rawUpstream(t, func(_ int, conn net.Conn) { _, _ = io.Copy(io.Discard, conn) })
 	is.True(!open(alive).Crashed(context.Background()))
 }
+
+// TestEarlierRefusal guards against a refusal that the upstream writes once more on a kept connection and that is taken for the
+// answer to a later call, which the upstream runs.
+func TestEarlierRefusal(t *testing.T) {
+	for _, names := range []bool{true, false} { // whether the upstream's answers name the call
+		for _, when := range []string{"before the call", "after the call"} {
+			is := is.New(t)
+			address := rawUpstream(t, func(_ int, conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				copied := ""
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					name := ""
+					if names {
+						name = "Hornbeam-Call: " + r.Header.Get(HeaderCall) + "\r\n"
+					}
+					if r.Header.Get(HeaderCall) == "c1" {
+						copied = "HTTP/1.1 503 Busy\r\n" + name + "Hornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n"
+						_, _ = io.WriteString(conn, copied)
+						if when == "before the call" {
+							time.Sleep(10 * time.Millisecond)
+							_, _ = io.WriteString(conn, copied)
+							copied = ""
+						}
+						continue
+					}
+					_, _ = io.WriteString(conn, copied)
+					time.Sleep(20 * time.Millisecond)
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+name+"Content-Length: 2\r\n\r\nok")
+				}
+			})
+			d := open(address)
+			first, second := call("a"), call("b")
+			first.Token, second.Token = "c1", "c2"
+			is.Equal(d.Run(context.Background(), first).Answer.Code, hornbeamcroft.CodeUpstreamRefused)
+			time.Sleep(30 * time.Millisecond)
+			code := d.Run(context.Background(), second).Answer.Code
+			if when == "before the call" {
+				is.Equal(code, hornbeamcroft.CodeAnswered) // the connection with the copy is not used
+				continue
+			}
+			is.True(code.Claim() != hornbeamcroft.ClaimNotRun)
+			third := call("c")
+			third.Token = "c3"
+			is.Equal(d.Run(context.Background(), third).Answer.Code, hornbeamcroft.CodeAnswered) // nor is it used afterwards
+		}
+	}
+}
+
+// TestRefusalOnKeptConnection guards against an upstream whose true refusals do not count because its connection is kept.
+func TestRefusalOnKeptConnection(t *testing.T) {
+	is := is.New(t)
+	address := rawUpstream(t, func(_ int, conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		br := bufio.NewReader(conn)
+		for {
+			r, err := http.ReadRequest(br)
+			if err != nil {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Busy\r\nHornbeam-Call: "+r.Header.Get(HeaderCall)+
+				"\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	d := open(address)
+	for _, token := range []string{"c1", "c2", "c3"} {
+		q := call("a")
+		q.Token = token
+		is.Equal(d.Run(context.Background(), q).Answer.Code, hornbeamcroft.CodeUpstreamRefused)
+	}
+}
+
+// TestCutAnswer guards against an answer that the upstream cuts anywhere, in the middle of its head as well, and that counts as
+// whole with an empty or short body.
+func TestCutAnswer(t *testing.T) {
+	for _, whole := range []string{
+		"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 12\r\n\r\nhello, world",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n7\r\n, world\r\n0\r\n\r\n",
+		"HTTP/1.1 503 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 204 No Content\r\nContent-Type: text/plain\r\n\r\n",
+	} {
+		for cut := range len(whole) {
+			address := rawUpstream(t, func(_ int, conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, whole[:cut])
+				}
+			})
+			code := open(address).Run(context.Background(), call("x")).Answer.Code
+			if code == hornbeamcroft.CodeAnswered || code.Claim() == hornbeamcroft.ClaimNotRun {
+				t.Errorf("cut after %q: %s", whole[:cut], code)
+			}
+		}
+	}
+}
--- a/exchanger/attempts.go
+++ b/exchanger/attempts.go
@@ -1,31 +1,26 @@
 package exchanger
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"slices"
 
-// maxRefusedAttempts is the number of attempts that a connection remembers. A second copy of an answer that comes after the
-// answers to so many other attempts is not expected.
-const maxRefusedAttempts = 64
+	"github.com/cespare/xxhash/v2"
+)
 
-// attemptRing remembers the last attempts that were added, by a hash of their ids.
-type attemptRing struct {
-	hashes [maxRefusedAttempts]uint64
-	// next is the index of the oldest entry, which the next attempt replaces.
-	next int
+// maxRefusedAttempts is the number of attempts that a connection remembers. It carries no more of them, because a second copy of
+// the first one's answer may still come.
+const maxRefusedAttempts = 256
+
+// attemptSet remembers attempts by a hash of their ids.
+type attemptSet struct {
+	hashes []uint64
 }
 
-// add adds an attempt in place of the oldest one.
-func (r *attemptRing) add(attempt string) {
-	r.hashes[r.next] = xxhash.Sum64String(attempt)
-	r.next = (r.next + 1) % len(r.hashes)
+// add adds an attempt and reports whether there is room for another one.
+func (s *attemptSet) add(attempt string) bool {
+	s.hashes = append(s.hashes, xxhash.Sum64String(attempt))
+	return len(s.hashes) < maxRefusedAttempts
 }
 
-// contains reports whether the attempt is among the last ones.
-func (r *attemptRing) contains(attempt string) bool {
-	h := xxhash.Sum64String(attempt)
-	for _, other := range r.hashes {
-		if other == h {
-			return true
-		}
-	}
-	return false
+func (s *attemptSet) contains(attempt string) bool {
+	return slices.Contains(s.hashes, xxhash.Sum64String(attempt))
 }
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -39,7 +39,7 @@
 	source *boundedSource
 	reader *bufio.Reader
 	// refused holds the attempts whose answers on this connection may lead to another send.
-	refused attemptRing
+	refused attemptSet
 	// reusable is true if the connection can carry another request.
 	reusable    bool
 	idleSince   time.Time
@@ -118,7 +118,10 @@
 		return res
 	}
 	if res.Outcome != OutcomeAnswered || res.Status >= http.StatusInternalServerError {
-		c.refused.add(request.Attempt)
+		c.reusable = c.refused.add(request.Attempt)
+	}
+	if !c.reusable {
+		return res
 	}
 	select {
 	case err := <-written:
