members, announcements, rosters: one odd entry spoils no list and is not believed

Report of another operator: one entry of another writer, nested deeply or with a number or a port out of range, ended the processes that read the list, or stopped them from following it. A record with a port of 70000 or 2^62 slots counted as a node; a departure at 2^63-1 ms took an instance out of use for good; one odd member in a copy of the configuration closed the link that carried it; on the own interface one odd member, or an unreadable roster, stopped a zone from being found or written. Cause: values were checked for their type and not for their range, and lists were checked as a whole. Ruled out by tests: depth and lengths that the decoders would believe (records, heartbeats, lists of the store, rosters). Change: bounds of ports, slots, times of start and cold times; members of copies and rosters are read one by one; an odd roster is replaced. A malformed record is logged once for each revision. The soak draws odd-entries.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -75,6 +75,8 @@
 
 	membersMu sync.Mutex
 	locator   locator.Locator
+	// malformedRecords holds the revisions of the entries of the last list that could not be read, by key. Only onRecords uses it.
+	malformedRecords map[string]int64
 	// recordsEra is the era of the store that the last list of the records belongs to.
 	recordsEra int64
 	// members passes on the members of locator.
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -220,7 +220,7 @@
 		return
 	}
 	a.membersMu.Lock()
-	for _, m := range c.Members {
+	for _, m := range c.validMembers() {
 		if _, known := a.locator.Member(m.Name); !known {
 			a.locator.AddFromPeer(a.clock.Now(), m)
 		}
--- a/agent/members.go
+++ b/agent/members.go
@@ -6,6 +6,8 @@
 	"strings"
 	"time"
 
+	"github.com/go-faster/errors"
+
 	"hornbeamcroft"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
@@ -26,9 +28,12 @@
 func (a *Agent) onRecords(entries []hornbeamcroft.Entry, revision int64) {
 	var members []hornbeamcroft.Member
 	ownListed := false
+	malformed := make(map[string]int64)
 	for _, e := range entries {
-		m, ok := a.decodeRecord(e)
-		if !ok {
+		m, err := decodeRecord(e)
+		if err != nil {
+			a.logMalformed(e, err)
+			malformed[e.Key] = e.ModRevision
 			continue
 		}
 		if m.Name == a.Settings.Agent.Name {
@@ -37,6 +42,7 @@
 		}
 		members = append(members, m)
 	}
+	a.malformedRecords = malformed
 	era := hornbeamcroft.RevisionEra(revision)
 	a.membersMu.Lock()
 	if era != a.recordsEra {
@@ -54,15 +60,23 @@
 	a.members.Update()
 }
 
-// decodeRecord returns the member in a store entry. It logs and skips a record that is malformed or stored under another
-// name than its own.
-func (a *Agent) decodeRecord(e hornbeamcroft.Entry) (hornbeamcroft.Member, bool) {
+// decodeRecord returns the member in a store entry. An entry that cannot be read, or is stored under another name than its own,
+// is an error; another writer may have left it.
+func decodeRecord(e hornbeamcroft.Entry) (hornbeamcroft.Member, error) {
 	m, err := decodeMember(e.Value)
-	if err != nil || m.Name != strings.TrimPrefix(e.Key, keyPrefix) {
-		a.Log.Warn().Str("key", e.Key).Int64("revision", e.ModRevision).Err(err).Msg("members: malformed record")
-		return m, false
+	if err == nil && m.Name != strings.TrimPrefix(e.Key, keyPrefix) {
+		err = errors.Errorf("record of member %s is stored under another name", m.Name)
+	}
+	return m, err
+}
+
+// logMalformed logs that an entry cannot be read, unless the list before had it too.
+func (a *Agent) logMalformed(e hornbeamcroft.Entry, err error) {
+	a.metrics.count("store/malformed-records")
+	if a.malformedRecords[e.Key] == e.ModRevision {
+		return
 	}
-	return m, true
+	a.Log.Warn().Str("key", e.Key).Int64("revision", e.ModRevision).Err(err).Msg("members: malformed record")
 }
 
 // newMembersPublisher returns the publisher that passes the members to the courier and the number of the service's hosts to the
--- a/agent/messages.go
+++ b/agent/messages.go
@@ -1,6 +1,8 @@
 package agent
 
 import (
+	"slices"
+
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft"
@@ -66,19 +68,20 @@
 // maxRoutesCopyMembers is the maximum number of members in a routesCopy.
 const maxRoutesCopyMembers = 4000
 
-// Check reports whether the copy is well formed.
+// Check reports whether the copy is well formed. The members are checked one by one when they are used, so that one that another
+// version of the program let pass does not keep the configuration away.
 func (c routesCopy) Check() error {
 	if len(c.Members) > maxRoutesCopyMembers {
 		return errors.Errorf("routes: %d members: must be at most %d", len(c.Members), maxRoutesCopyMembers)
 	}
-	for _, m := range c.Members {
-		if err := m.Check(); err != nil {
-			return errors.Wrap(err, "routes")
-		}
-	}
 	return nil
 }
 
+// validMembers returns the members of the copy that are well formed.
+func (c routesCopy) validMembers() []hornbeamcroft.Member {
+	return slices.DeleteFunc(slices.Clone(c.Members), func(m hornbeamcroft.Member) bool { return m.Check() != nil })
+}
+
 // childCalls carries the calls to further services that the sender has observed for the requests of each route, so that a node
 // that has just started need not learn them itself.
 type childCalls struct {
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -68,6 +68,11 @@
 //   - depart-healthy: the upstream answers health checks as healthy
 var DepartureKinds = []string{"depart", "depart-healthy"}
 
+// ForeignKinds lists what another writer may do, drawn in addition to the other steps. It must affect no request.
+//   - odd-entries: another writer puts entries among the records of the nodes, replaces one of them, and sends heartbeats to the
+//     node, all of which name no upstream and cannot be read
+var ForeignKinds = []string{"odd-entries"}
+
 const (
 	// firstStep is when the first step starts. The time before it is for the start of the nodes.
 	firstStep = time.Second
@@ -81,10 +86,11 @@
 	// of newly drawn kinds, start seriesInterval after one another.
 	seriesShare    = 0.25
 	seriesInterval = 700 * time.Millisecond
-	// statementShare is the mean number of steps of StatementKinds for each other step, and departureShare that of
-	// DepartureKinds.
+	// statementShare is the mean number of steps of StatementKinds for each other step, departureShare that of
+	// DepartureKinds, and foreignShare that of ForeignKinds.
 	statementShare = 0.3
 	departureShare = 0.15
+	foreignShare   = 0.15
 )
 
 // Plan returns the steps of a run of the given length on the given number of hosts, in the order of their start. On
@@ -119,6 +125,7 @@
 		steps = append(steps, planFurther(seed, 1, StatementKinds, hosts, length, perSecond*statementShare)...)
 		steps = append(steps, planFurther(seed, 2, DepartureKinds, hosts, length, perSecond*departureShare)...)
 	}
+	steps = append(steps, planFurther(seed, 3, ForeignKinds, hosts, length, perSecond*foreignShare)...)
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -72,7 +72,7 @@
 	h := s.hosts[p.Host]
 	d := judge.Disruption{Kind: p.Kind, Host: h.Name, Store: strings.HasPrefix(p.Kind, "store-")}
 	switch p.Kind {
-	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy":
+	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "odd-entries":
 		d.Planned = true
 	}
 	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "store-restore" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
@@ -168,6 +168,8 @@
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{}) })
 	case "depart-healthy":
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{Healthy: true}) })
+	case "odd-entries":
+		s.writeOddEntries(h)
 	case "leave":
 		s.exclusive(h.Worker, func() { s.leaveUnannounced(h) })
 	case "store-restore":
--- a/member.go
+++ b/member.go
@@ -1,7 +1,7 @@
 package hornbeamcroft
 
 import (
-	"net"
+	"net/netip"
 
 	"github.com/go-faster/errors"
 )
@@ -61,6 +61,13 @@
 	return m.Instance != "" && m.Born > 0 && (m.State == MemberDraining || m.State == MemberLeft)
 }
 
+const (
+	// MaxSlots is the maximum number of slots of an upstream.
+	MaxSlots = 1 << 20
+	// MaxBorn is the latest time of a start, in Unix milliseconds: the end of the year 9999.
+	MaxBorn = 253_402_300_799_999
+)
+
 // maxNameLength is the maximum length of names and ids received from other processes, in bytes.
 const maxNameLength = 128
 
@@ -72,15 +79,17 @@
 	if len(m.Service) > maxNameLength || len(m.Zone) > maxNameLength {
 		return errors.Errorf("member %s: service or zone longer than %d bytes", m.Name, maxNameLength)
 	}
-	host, _, err := net.SplitHostPort(m.Address)
-	if err != nil || net.ParseIP(host) == nil {
+	if address, err := netip.ParseAddrPort(m.Address); err != nil || address.Port() == 0 {
 		return errors.Errorf("member %s: address %q: need an IP address and a port", m.Name, m.Address)
 	}
 	if m.State > MemberDead {
 		return errors.Errorf("member %s: state %d: must be 0 to %d", m.Name, m.State, MemberDead)
 	}
-	if m.Born < 0 {
-		return errors.Errorf("member %s: born %d: must be at least 0", m.Name, m.Born)
+	if m.Slots < 0 || m.Slots > MaxSlots {
+		return errors.Errorf("member %s: %d slots: must be 0 to %d", m.Name, m.Slots, MaxSlots)
+	}
+	if m.Born < 0 || m.Born > MaxBorn {
+		return errors.Errorf("member %s: born %d: must be 0 to %d", m.Name, m.Born, MaxBorn)
 	}
 	return nil
 }
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -11,8 +11,12 @@
 	"hornbeamcroft"
 )
 
-// maxSlots is the maximum number of slots that an announcement may give.
-const maxSlots = 1 << 20
+const (
+	// maxSlots is the maximum number of slots that an announcement may give.
+	maxSlots = hornbeamcroft.MaxSlots
+	// maxColdTime is the maximum cold time that an announcement may give.
+	maxColdTime = time.Hour
+)
 
 const (
 	// contenderAnnouncements and contenderTime are how many announcements of another start of the upstream must arrive, and
@@ -51,8 +55,10 @@
 		return errors.New("announcement: service and address are needed")
 	case a.Slots < 1 || a.Slots > maxSlots:
 		return errors.Errorf("announcement: %d slots: must be 1 to %d", a.Slots, maxSlots)
-	case a.Born <= 0 || a.Sequence < 0 || a.ColdRemaining < 0:
-		return errors.New("announcement: born must be above 0, sequence and cold time at least 0")
+	case a.Born <= 0 || a.Born > hornbeamcroft.MaxBorn:
+		return errors.Errorf("announcement: born %d: must be 1 to %d", a.Born, hornbeamcroft.MaxBorn)
+	case a.Sequence < 0 || a.ColdRemaining < 0 || a.ColdRemaining > maxColdTime:
+		return errors.Errorf("announcement: sequence must be at least 0, cold time 0 to %s", maxColdTime)
 	}
 	return nil
 }
--- a/tracker/store.go
+++ b/tracker/store.go
@@ -49,6 +49,26 @@
 	return nil
 }
 
+// decodeRoster decodes the value of a zone's key, and leaves out the members that cannot be read; whole is false if there were
+// any. Another writer may have left them.
+func decodeRoster(value []byte) (roster StoredRoster, whole bool, err error) {
+	var raw struct {
+		Zone    string            `cbor:"1,keyasint"`
+		Members []cbor.RawMessage `cbor:"2,keyasint"`
+	}
+	if err := cbor.Unmarshal(value, &raw); err != nil {
+		return StoredRoster{}, false, err
+	}
+	roster.Zone = raw.Zone
+	for _, entry := range raw.Members {
+		var m hornbeamcroft.Member
+		if cbor.Unmarshal(entry, &m) == nil && m.Check() == nil {
+			roster.Members = append(roster.Members, m)
+		}
+	}
+	return roster, len(roster.Members) == len(raw.Members), roster.Check()
+}
+
 // StoreAction is the kind of call that the node makes to the store.
 type StoreAction uint8
 
@@ -185,19 +205,22 @@
 }
 
 // onStoredRosters merges the records of all zone rosters in the store that are unknown or newer than the known ones,
-// and those of this node itself. It remembers the revision and hash of this node's zone's roster. Values that are not
-// well formed are skipped.
+// and those of this node itself. It remembers the revision and hash of this node's zone's roster. What is not well formed is
+// skipped, and written again by the lease holder.
 func (t *Tracker) onStoredRosters(now time.Duration, entries []hornbeamcroft.Entry) []Outgoing {
 	s := &t.store
 	s.rosterRevisionKnown, s.rosterRevision, s.storedHash, s.lastRead, s.nextCall = true, 0, 0, now, now
 	var out []Outgoing
 	for _, e := range entries {
-		var r StoredRoster
-		if cbor.Unmarshal(e.Value, &r) != nil || r.Check() != nil || !strings.HasSuffix(e.Key, "/"+r.Zone) {
+		zone := strings.TrimPrefix(e.Key, hornbeamcroft.KeyZonePrefix)
+		if zone == t.self.Zone {
+			s.rosterRevision = e.ModRevision
+		}
+		r, whole, err := decodeRoster(e.Value)
+		if err != nil || r.Zone != zone {
 			continue
 		}
-		if r.Zone == t.self.Zone {
-			s.rosterRevision = e.ModRevision
+		if zone == t.self.Zone && whole {
 			for _, m := range r.Members {
 				s.storedHash ^= recordHash(m)
 			}
