--- a/agent/calls.go
+++ b/agent/calls.go
@@ -56,10 +56,12 @@
 	}
 	call := a.newCall(in, route, service)
 	isChild := a.runner.Inherit(&call)
-	if now := a.clock.Now(); !isChild && a.stopping.Load() && !a.callers.takes(now, call) {
-		// A call made by a running request is still accepted: the process exits after that request has finished.
+	if now := a.clock.Now(); a.stopping.Load() && !a.takesAtStop(now, call, isChild) {
 		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
 		a.recordRejected(in.Attempt, answer, nil)
+		if isChild && call.Remaining > 0 {
+			a.runner.ChildEnded(in.Attempt, service, nil)
+		}
 		return answer
 	}
 	var age time.Duration
@@ -88,6 +90,14 @@
 	return answer
 }
 
+// takesAtStop reports whether the stopping node takes a request that entered the system here. A child call is one of a running request.
+func (a *Agent) takesAtStop(now time.Duration, call hornbeamcroft.Call, isChild bool) bool {
+	if isChild {
+		return a.callers.takesChild(now, call)
+	}
+	return a.callers.takes(now, call)
+}
+
 // newCall returns the call for a request that matched the route. Its remaining time is the shorter of the route's timeout
 // and the caller's deadline.
 func (a *Agent) newCall(in hornbeamcroft.Incoming, route hornbeamcroft.Route, service string) hornbeamcroft.Call {
@@ -154,7 +164,7 @@
 // runCall runs a call of another node at the local upstream, unless the node stops before the call would end.
 func (a *Agent) runCall(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	begin := a.clock.Now()
-	if a.stopping.Load() && !a.peers.takes(begin, call) {
+	if a.stopping.Load() && !a.peers.takesCall(begin, call) {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
 	}
 	answer := a.runner.Run(ctx, call)
--- a/stopper/stopper.go
+++ b/stopper/stopper.go
@@ -1,6 +1,6 @@
 // Package stopper decides which requests a node still takes after a planned stop has begun: those that end before the process
-// does, by their deadline or by the time that requests of their type take. The others are refused, so that they can be served
-// elsewhere or later.
+// does, by their deadline or, for a part of the stop, by the time that requests of their type took so far. The others are refused,
+// so that they can be served elsewhere or later.
 package stopper
 
 import "time"
@@ -14,6 +14,8 @@
 	sampleMargin = 10
 	// maxTypes bounds the number of types whose durations are kept.
 	maxTypes = 4096
+	// answerTime is reserved for writing the answer to a request that ends at its deadline.
+	answerTime = 100 * time.Millisecond
 )
 
 // Stopper holds the durations of requests by type. Set the exported fields before Begin. It is not safe for concurrent use.
@@ -23,6 +25,9 @@
 	// Notice is the time from the begin of the stop within which senders learn of it. Until then, requests of which little is
 	// known are taken.
 	Notice time.Duration
+	// Certain is the time from the begin of the stop after which the durations of earlier requests decide no more: a request may
+	// take longer than any before it, and only its deadline bounds it. It is at least Notice.
+	Certain time.Duration
 
 	durations map[string]*durations
 	stopping  bool
@@ -59,14 +64,21 @@
 
 // Takes reports whether the node takes a request of the type, whose sender waits for the remaining time.
 func (s *Stopper) Takes(now time.Duration, name string, remaining time.Duration) bool {
+	return s.TakesBounded(now, remaining) || now-s.began < s.Certain && s.TakesUsual(now, name)
+}
+
+// TakesBounded reports whether the deadline of a request, which is the remaining time away, ends it before the process.
+func (s *Stopper) TakesBounded(now, remaining time.Duration) bool {
+	return !s.stopping || remaining+answerTime <= s.Grace-(now-s.began)
+}
+
+// TakesUsual reports whether a request of the type would end before the process if it took as long as the longest one so far.
+func (s *Stopper) TakesUsual(now time.Duration, name string) bool {
 	if !s.stopping {
 		return true
 	}
 	elapsed := now - s.began
 	left := s.Grace - elapsed
-	if remaining <= left {
-		return true
-	}
 	longest, samples := s.longest(name)
 	share := 1 + margin
 	if elapsed >= s.Notice {
--- a/stopper/stopper_test.go
+++ b/stopper/stopper_test.go
@@ -11,14 +11,16 @@
 const (
 	grace  = 5 * time.Second
 	notice = 2500 * time.Millisecond
-	begin  = 40 * time.Second
+	// certain is after notice, so that the tests see each part of the stop.
+	certain = 4 * time.Second
+	begin   = 40 * time.Second
 	// manySamples is a number of durations that adds little to the margin.
 	manySamples = 1000
 )
 
 // newStopper returns a Stopper that knows the given number of durations of the type "a", and whose stop has begun.
 func newStopper(samples int, took time.Duration) *Stopper {
-	s := &Stopper{Grace: grace, Notice: notice}
+	s := &Stopper{Grace: grace, Notice: notice, Certain: certain}
 	for range samples {
 		s.Record(begin-time.Second, "a", took)
 	}
@@ -43,24 +45,38 @@
 // TestRefusedSoonerThanNeeded guards against requests that are refused during a stop although they would end in time.
 func TestRefusedSoonerThanNeeded(t *testing.T) {
 	is := is.New(t)
-	s := &Stopper{Grace: grace, Notice: notice}
+	s := &Stopper{Grace: grace, Notice: notice, Certain: certain}
 	is.True(s.Takes(0, "a", time.Minute)) // no stop has begun
 	s = newStopper(0, 0)
 	is.True(s.Takes(begin+notice-1, "a", time.Minute)) // senders do not know of the stop yet
 	is.True(!s.Takes(begin+notice, "a", time.Minute))
-	is.True(s.Takes(begin+grace-300*time.Millisecond, "a", 300*time.Millisecond)) // the deadline ends it in time
+	is.True(s.Takes(begin+grace-400*time.Millisecond, "a", 300*time.Millisecond)) // the deadline ends it in time
 	s = newStopper(manySamples, 400*time.Millisecond)
-	is.True(s.Takes(begin+grace-600*time.Millisecond, "a", time.Minute))
-	is.True(!s.Takes(begin+grace-600*time.Millisecond, "b", time.Minute))
+	is.True(s.Takes(begin+certain-1, "a", time.Minute))
+	is.True(!s.Takes(begin+certain-1, "b", time.Minute))
+	is.True(s.TakesUsual(begin+grace-600*time.Millisecond, "a")) // for work that may be cut off
+	is.True(!s.TakesUsual(begin+grace-600*time.Millisecond, "b"))
 	s = newStopper(20, 400*time.Millisecond)
-	is.True(s.Takes(begin+grace-time.Second, "a", time.Minute)) // a few durations say something, too
-	is.True(!s.Takes(begin+grace-600*time.Millisecond, "a", time.Minute))
+	is.True(s.TakesUsual(begin+grace-time.Second, "a")) // a few durations say something, too
+	is.True(!s.TakesUsual(begin+grace-600*time.Millisecond, "a"))
+}
+
+// TestLongerThanBefore guards against a request that is taken late in a stop because earlier ones were short, and is cut off because
+// it takes longer than any of them.
+func TestLongerThanBefore(t *testing.T) {
+	is := is.New(t)
+	s := newStopper(manySamples, 10*time.Millisecond)
+	for elapsed := certain; elapsed < grace; elapsed += 10 * time.Millisecond {
+		left := grace - elapsed
+		is.True(!s.Takes(begin+elapsed, "a", left)) // it would be answered as the process ends
+		is.True(left <= answerTime || s.Takes(begin+elapsed, "a", left-answerTime))
+	}
 }
 
 // TestSlowTimeForgotten guards against a type that is refused for ever because one request was slow.
 func TestSlowTimeForgotten(t *testing.T) {
 	is := is.New(t)
-	s := &Stopper{Grace: grace, Notice: notice}
+	s := &Stopper{Grace: grace, Notice: notice, Certain: certain}
 	for i := range 3 {
 		took := 4 * time.Second
 		if i > 0 {
