courier: a granted retry goes to the same host if there is no other

Callers saw: a lookup at the only host of its service was answered with 502 1.0 s to 1.2 s after it was sent, while its upstream was at work; after SIGTERM that is a request broken off (LOST).

Cause: the node beside the upstream aborts an idempotent run whose answer counts as lost, and grants a retry. The sender excludes the host that it has tried, finds no other, waits a tenth of the objective and answers "outcome unknown".

Ruled out: the planned stop itself; the same happens without one, where work grows tenfold at a service with one host.

TestAbortedRunWithoutOtherHost fails before (300 outcome-unknown) and passes now.

Why this works: the retry is bounded as before (three runs, the retry budget, the last run is never aborted); only the choice of the host changes, and only when no other host is left after an answer that may have run.

--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -79,8 +79,7 @@
 	until := d.courier.Clock.Now() + maxWait
 	for {
 		m, ok := d.courier.pick(call, d.excluded)
-		if !ok && slices.Contains(d.rec.Codes, hornbeamcroft.CodeUpstreamRefused) && len(d.tried) > 0 {
-			// An upstream that refused the call although it had a free slot may accept the next send.
+		if !ok && d.mayTryAgain() && len(d.tried) > 0 {
 			d.tried = nil
 			continue
 		}
@@ -90,6 +89,13 @@
 	}
 }
 
+// mayTryAgain reports whether a host that the call was sent to may answer the next send: its upstream refused the call although it had
+// a free slot, or the last answer was lost and a retry granted.
+func (d *delivery) mayTryAgain() bool {
+	n := len(d.rec.Codes)
+	return n > 0 && mayHaveRun(d.rec.Codes[n-1]) || slices.Contains(d.rec.Codes, hornbeamcroft.CodeUpstreamRefused)
+}
+
 // overloaded reports whether a host has refused the call for lack of capacity. Waiting for another host does not help
 // in that case.
 func (d *delivery) overloaded() bool {
