--- a/call.go
+++ b/call.go
@@ -73,6 +73,9 @@
 	// Upstream is what the sender last learned about the upstream to which it sends the call, from an answer that it passed
 	// on; nil if that stated nothing. The node beside the upstream may have restarted since.
 	Upstream *InstanceStatement `cbor:"27,keyasint,omitempty"`
+	// Tenant is the name of the tenant whose caller sent the request; empty if it came without an API key. Calls below the request
+	// inherit it.
+	Tenant string `cbor:"28,keyasint,omitempty"`
 	// Memory is the account of the memory that the bodies of the call and of its answer hold in this process; nil if they are
 	// not accounted for.
 	Memory Memory `cbor:"-"`
@@ -92,6 +95,9 @@
 	if c.Request == "" || len(c.Request) > maxNameLength || len(c.Key) > maxNameLength || len(c.Trace) > maxNameLength {
 		return errors.New("call: request, key and trace are bounded to 128 bytes")
 	}
+	if len(c.Tenant) > maxNameLength {
+		return errors.New("call: tenant is bounded to 128 bytes")
+	}
 	if err := c.Importance.Check(); err != nil {
 		return errors.Wrap(err, "call")
 	}
--- a/code.go
+++ b/code.go
@@ -66,6 +66,8 @@
 	CodeFencedAfterLinkLoss   Code = 218
 	CodeUpstreamNotRegistered Code = 219
 	CodeRouteUnreadable       Code = 220
+	CodeConfigurationUnproven Code = 221
+	CodeQuotaUndecided        Code = 222
 )
 
 // Results of requests whose outcome is unknown.
@@ -95,6 +97,8 @@
 	CodeHeaderTooLarge     Code = 409
 	CodeNoRoute            Code = 410
 	CodeBodyTooSlow        Code = 411
+	CodeCredentialUnknown  Code = 412
+	CodeQuotaExceeded      Code = 413
 )
 
 // Results of operators' commands.
@@ -148,6 +152,8 @@
 	{CodeFencedAfterLinkLoss, "fenced-after-link-loss", 503, "The call was fenced by an outcome query before it arrived."},
 	{CodeUpstreamNotRegistered, "upstream-not-registered", 503, "The node has not yet reached its own upstream."},
 	{CodeRouteUnreadable, "route-unreadable", 503, "The node cannot read the configuration of the route."},
+	{CodeConfigurationUnproven, "configuration-unproven", 503, "The node cannot prove that its tenants are recent."},
+	{CodeQuotaUndecided, "quota-undecided", 503, "No permit of the tenant's quota could be obtained in time."},
 	{CodeOutcomeUnknown, "outcome-unknown", 502, "The answer was lost; the request may have run."},
 	{CodeUpstreamCrashed, "upstream-crashed", 502, "The upstream crashed while it ran the request."},
 	{CodeDeadlinePassed, "deadline-passed", 504, "The deadline passed while the request was running."},
@@ -169,6 +175,8 @@
 	{CodeHeaderTooLarge, "header-too-large", 431, "The header is larger than allowed."},
 	{CodeNoRoute, "no-route", 404, "No route of the configuration matches host and path."},
 	{CodeBodyTooSlow, "body-too-slow", 408, "The body did not arrive in time."},
+	{CodeCredentialUnknown, "credential-unknown", 401, "The API key is missing, malformed or unknown."},
+	{CodeQuotaExceeded, "quota-exceeded", 429, "The tenant's quota over all nodes is used up."},
 	{CodeAccepted, "accepted", 0, "The change is accepted."},
 	{CodeInvalid, "invalid", 1, "The document is invalid; nothing was written."},
 	{CodeConflict, "conflict", 3, "Another change of the same section was accepted first; nothing was written."},
--- a/executor/executor.go
+++ b/executor/executor.go
@@ -69,7 +69,7 @@
 		Token:      registrar.NewToken(),
 		Request:    call.Request,
 		Key:        call.Key,
-		Importance: call.Importance,
+		Importance: min(call.Importance, hornbeamcroft.ImportanceCritical),
 		Depth:      call.Depth,
 		Deadline:   e.Clock.Now() + call.Remaining,
 		FirstSend:  call.FirstSend,
@@ -192,7 +192,7 @@
 	e.waiting[id] = decided
 	e.deliver(e.Admission.Arrive(now, hornbeamcroft.Ticket{
 		ID:         id,
-		Importance: call.Importance,
+		Importance: min(call.Importance, hornbeamcroft.ImportanceCritical),
 		Depth:      call.Depth,
 		Hash:       admitter.Hash(call.Request),
 		Deadline:   now + call.Remaining,
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -51,6 +51,9 @@
 	TypeChildCalls                     // observed child calls per route, for a node that has just started
 	TypeRecordHeld                     // acknowledges a TypeNodeState whose upstream leaves
 	TypeEarlierRecord                  // what an earlier process of the receiver announced of an upstream that leaves
+	TypeConfigurationProof             // package attester: how recently the configuration was known to be the newest
+	TypeQuotaRequest                   // package borrower: asks the home of tenants for permits of their quotas
+	TypeQuotaGrant                     // package lender: permits of a tenant's quota
 
 	typeEnd
 )
--- a/leveler/leveler.go
+++ b/leveler/leveler.go
@@ -15,7 +15,7 @@
 	// capacity is the demand that the upstreams can take, and demand the demand by importance, both in hundredths of a
 	// slot.
 	capacity int
-	demand   [hornbeamcroft.ImportanceCount]int
+	demand   [hornbeamcroft.ImportanceLevels]int
 }
 
 // Add adds the capacity and the demand that one upstream reported. A report without demand, or with a concurrency
@@ -32,7 +32,7 @@
 // AddCapacity adds only the capacity of an upstream, without its demand. It reports whether the report states a
 // capacity.
 func (l *Leveler) AddCapacity(load hornbeamcroft.Load) bool {
-	if len(load.Demand) != len(l.demand) || load.Limit == 0 {
+	if len(load.Demand) == 0 || len(load.Demand) > len(l.demand) || load.Limit == 0 {
 		return false
 	}
 	l.capacity += load.Capacity
@@ -43,7 +43,7 @@
 // important requests are shed. If the capacity suffices for all, the level admits everything.
 func (l *Leveler) AdmissionLevel(service string) hornbeamcroft.AdmissionLevel {
 	capacity := l.capacity
-	for i := hornbeamcroft.ImportanceCritical; ; i-- {
+	for i := hornbeamcroft.Importance(hornbeamcroft.ImportanceLevels - 1); ; i-- {
 		if n := l.demand[i]; n > capacity {
 			share := math.Max(0, float64(capacity)) / float64(n)
 			return hornbeamcroft.AdmissionLevel{
--- a/message.go
+++ b/message.go
@@ -38,6 +38,8 @@
 	Attempt string
 	Message Message
 	Body    []byte
+	// Credentials holds the values of the header field with the caller's API key.
+	Credentials []string
 	// Remaining is how long the caller waits for the answer; zero if the request does not carry that time.
 	Remaining time.Duration
 	// Memory is the account of the memory that the bodies of the request and of its answer hold; nil if they are not
@@ -60,7 +62,7 @@
 	// Capacity is the demand that the upstream can serve, in hundredths of a slot.
 	Capacity int `cbor:"6,keyasint,omitempty"`
 	// Demand is the demand by importance, in hundredths of a slot. It includes requests that were refused at the node where
-	// they entered. It is nil or has ImportanceCount entries.
+	// they entered. It has at most ImportanceLevels entries; further levels have no demand.
 	Demand []int `cbor:"7,keyasint,omitempty"`
 }
 
@@ -69,8 +71,8 @@
 	if l.Running < 0 || l.Waiting < 0 || l.Limit < 0 || l.ServiceTime < 0 || l.FailureRatio < 0 || l.FailureRatio > 1000 {
 		return errors.Errorf("load: %+v: counts and service time must be at least 0, failure ratio must be 0 to 1000", l)
 	}
-	if len(l.Demand) != 0 && len(l.Demand) != int(ImportanceCount) {
-		return errors.Errorf("load: %d levels of demand: must be 0 or %d", len(l.Demand), ImportanceCount)
+	if len(l.Demand) > int(ImportanceLevels) {
+		return errors.Errorf("load: %d levels of demand: must be at most %d", len(l.Demand), ImportanceLevels)
 	}
 	return nil
 }
--- a/propagator/propagator.go
+++ b/propagator/propagator.go
@@ -68,7 +68,7 @@
 func (p *Propagator) Observe(now time.Duration, from string, levels []hornbeamcroft.AdmissionLevel) {
 	reportsItself := false
 	for _, level := range levels {
-		if level.Importance >= hornbeamcroft.ImportanceCount || level.Threshold > hornbeamcroft.ThresholdAll {
+		if level.Importance >= hornbeamcroft.ImportanceLevels || level.Threshold > hornbeamcroft.ThresholdAll {
 			continue
 		}
 		reportsItself = reportsItself || level.Service == from
@@ -170,7 +170,7 @@
 }
 
 func admissionLevelOf(service string, severity float64) hornbeamcroft.AdmissionLevel {
-	importance := min(hornbeamcroft.Importance(severity/hornbeamcroft.ThresholdAll), hornbeamcroft.ImportanceCritical)
+	importance := min(hornbeamcroft.Importance(severity/hornbeamcroft.ThresholdAll), hornbeamcroft.ImportanceLevels-1)
 	shed := math.Min(severity-float64(importance)*hornbeamcroft.ThresholdAll, hornbeamcroft.ThresholdAll)
 	return hornbeamcroft.AdmissionLevel{
 		Service: service, Importance: importance, Threshold: hornbeamcroft.ThresholdAll - uint32(shed),
--- a/rationer/rationer.go
+++ b/rationer/rationer.go
@@ -36,6 +36,9 @@
 	subsetFactor = 1.25
 	// fullSubset is the subset that contains the requests of all levels of importance.
 	fullSubset = float64(hornbeamcroft.ImportanceCount)
+	// ordinaryBand is the band of most tenants. The requests of a higher one belong to the subset as if their route were one level
+	// more important.
+	ordinaryBand = 1
 	// subtreeShare is the share of the budget that is available to retries of runs which make further calls, at each
 	// of the upper subtreeDepth levels of the call tree. All calls of such a run are retries at the services below, so
 	// the sum over the levels must leave room for those.
@@ -149,7 +152,8 @@
 // subsetShare returns the share of the requests of importance i that belong to the subset. The share is 0 or less if
 // none belong to it, and 1 or more if all do.
 func (c *serviceCounts) subsetShare(i hornbeamcroft.Importance) float64 {
-	return c.subset - float64(hornbeamcroft.ImportanceCritical-i)
+	share := c.subset - float64(hornbeamcroft.ImportanceCritical-i.InBand(0))
+	return share + float64(max(0, i.Band()-ordinaryBand))
 }
 
 // nextBucket begins a new bucket and adapts the subset to the retries asked for in the last one. Limiting retries to
--- a/route.go
+++ b/route.go
@@ -24,6 +24,8 @@
 	// Objective is the latency objective: the time within which a request should be answered.
 	Objective  time.Duration
 	Importance Importance
+	// Public is true if requests need no API key although the table has tenants.
+	Public bool
 	// Unreadable is true if the configuration of the route could not be read beyond its host and prefix. Requests that match
 	// it are refused as not run, because a route with a shorter prefix may lead to another service. The fields that follow
 	// the prefix are not set then.
@@ -44,6 +46,12 @@
 	Routes   []Route
 	Services map[string]ServicePolicy
 	Limits   CallerLimits
+	// HasTenants is true if requests need an API key. Tenants may be empty then.
+	HasTenants bool
+	// Tenants are ordered by name. No two of them have a key in common.
+	Tenants []Tenant
+	// TenantsUnreadable is true if the table of tenants could not be read. Requests that need an API key are refused as not run.
+	TenantsUnreadable bool
 	// Problems lists the entries that could not be read, or only in part, ordered by entry. They do not affect the others.
 	Problems []EntryProblem
 }
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -33,11 +33,11 @@
 	windowStart time.Duration
 	started     bool
 	// arrivedWeight is the number of requests that the arrivals of the current window stand for.
-	arrivedWeight [hornbeamcroft.ImportanceCount]float64
+	arrivedWeight [hornbeamcroft.ImportanceLevels]float64
 	// serviceSeconds is the smoothed time in seconds for which a call holds its slot.
-	serviceSeconds [hornbeamcroft.ImportanceCount]float64
+	serviceSeconds [hornbeamcroft.ImportanceLevels]float64
 	// demand is the smoothed demand and capacity the part of it that the upstream can take, both in slots.
-	demand   [hornbeamcroft.ImportanceCount]float64
+	demand   [hornbeamcroft.ImportanceLevels]float64
 	capacity float64
 }
 
@@ -88,7 +88,11 @@
 func (e *demandEstimator) report(load *hornbeamcroft.Load) {
 	load.Capacity = int(e.capacity * unitsPerSlot)
 	load.Demand = make([]int, len(e.demand))
+	used := hornbeamcroft.ImportanceCount
 	for i, v := range e.demand {
-		load.Demand[i] = int(v * unitsPerSlot)
+		if load.Demand[i] = int(v * unitsPerSlot); load.Demand[i] > 0 {
+			used = max(used, hornbeamcroft.Importance(i+1))
+		}
 	}
+	load.Demand = load.Demand[:used]
 }
