sharer: capacity is shared fairly by tenant within one importance

Need: a tenant with many times its usual load takes the capacity of all others, inside or outside its quota.

Change: the node beside an upstream finds the at most four tenants whose demand in slots exceeds their weighted max-min share. Their excess waits behind other requests of the importance, is refused at the ingress, and no longer raises the demand for which all are shed.

Nothing changes without tenants: a call without a tenant is not counted.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -133,6 +133,8 @@
 	since time.Time
 	// source is "store" or the name of the peer that sent the configuration.
 	source string
+	// maxTenantRate is the largest rate of the tenants' quotas; 1 if none has a rate.
+	maxTenantRate float64
 }
 
 // Run serves requests until ctx ends, then carries out a planned stop.
@@ -215,6 +217,7 @@
 		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
 		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared,
 		OnInstanceReplaced: a.onInstanceReplaced, OnStatement: a.onStatement, OnReport: a.onReport, OnEnd: a.recordRun,
+		TenantWeight: a.tenantWeight,
 	}
 	send := &sender.Sender{Name: cfg.Name, Incarnation: a.incarnation, Links: a.links}
 	a.courier = &courier.Courier{
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -63,6 +63,7 @@
 	m.gauge("upstream/limit", int64(l.Limit))
 	m.gauge("upstream/hold-us", l.ServiceTime.Microseconds())
 	m.gauge("upstream/failing-thousandths", int64(l.FailureRatio))
+	m.gauge("upstream/limited-tenants", int64(len(l.Shares)))
 	sends, resends := a.runner.Sends()
 	m.gauge("upstream/sends", sends)
 	m.gauge("upstream/repeats", resends)
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -42,7 +42,9 @@
 	}
 	a.configurationBytes = configuration
 	a.requester.Applied(t.Version)
-	a.routes.Store(&activeRoutes{router: router.New(t), table: t, since: time.Now(), source: source})
+	a.routes.Store(&activeRoutes{
+		router: router.New(t), table: t, since: time.Now(), source: source, maxTenantRate: maxTenantRate(t.Tenants),
+	})
 	a.routesMu.Unlock()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
--- a/call.go
+++ b/call.go
@@ -133,6 +133,8 @@
 	Importance Importance `cbor:"2,keyasint"`
 	// Threshold is compared with the survival hash, a 16-bit hash of the request id; 65536 admits all requests.
 	Threshold uint32 `cbor:"3,keyasint"`
+	// Shares names the tenants that demand more than their fair share of the service, at most MaxTenantShares.
+	Shares []TenantShare `cbor:"4,keyasint,omitempty"`
 }
 
 // ThresholdAll is the Threshold that admits every request at the level's Importance.
@@ -184,6 +186,11 @@
 	if a.UnspentRetries < 0 || a.RetryAfter < 0 || len(a.AdmissionLevels) > 8 {
 		return errors.New("answer: negative unspent retries or retry-after, or more than 8 admission levels")
 	}
+	for _, level := range a.AdmissionLevels {
+		if err := checkShares(level.Shares); err != nil {
+			return errors.Wrap(err, "answer")
+		}
+	}
 	if len(a.ServiceCalls) > MaxServiceCalls {
 		return errors.Errorf("answer: %d services reached: must be at most %d", len(a.ServiceCalls), MaxServiceCalls)
 	}
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -188,7 +188,7 @@
 		return throttler.Verdict{Admitted: true}
 	}
 	return c.throttler.Admit(now, c.Rand, throttler.Request{
-		Route: call.Type, Service: call.Service, Importance: call.Importance,
+		Route: call.Type, Service: call.Service, Importance: call.Importance, Tenant: call.Tenant,
 		CallerRetry: age >= minRetryAge && c.estimator.SpareTime(call.Type, call.Objective) > 0,
 	})
 }
--- a/message.go
+++ b/message.go
@@ -64,6 +64,8 @@
 	// Demand is the demand by importance, in hundredths of a slot. It includes requests that were refused at the node where
 	// they entered. It has at most ImportanceLevels entries; further levels have no demand.
 	Demand []int `cbor:"7,keyasint,omitempty"`
+	// Shares names the tenants that demand more than their fair share, at most MaxTenantShares. Demand does not hold their excess.
+	Shares []TenantShare `cbor:"8,keyasint,omitempty"`
 }
 
 // Check returns an error if a field of the load is out of range.
@@ -74,6 +76,9 @@
 	if len(l.Demand) > int(ImportanceLevels) {
 		return errors.Errorf("load: %d levels of demand: must be at most %d", len(l.Demand), ImportanceLevels)
 	}
+	if err := checkShares(l.Shares); err != nil {
+		return errors.Wrap(err, "load")
+	}
 	return nil
 }
 
--- a/policy.go
+++ b/policy.go
@@ -40,6 +40,10 @@
 	Hash uint32
 	// Deadline is the deadline of the call on the monotonic clock of the node.
 	Deadline time.Duration
+	// Tenant is the name of the tenant that the call belongs to; empty if there is none. TenantWeight is the weight of the tenant when
+	// capacity is divided; above 0 if there is a tenant.
+	Tenant       string
+	TenantWeight float64
 	// Weight is the number of requests that the ticket represents in estimates of the demand; zero means 1.
 	Weight float32
 	// Last is true if the sender of the call knows no other upstream to which it could send it.
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -27,6 +27,9 @@
 		ID: id, Importance: call.Importance, Depth: call.Depth, Deadline: now + call.Remaining,
 		Weight: call.Weight, Last: call.Last,
 	}
+	if call.Tenant != "" && r.TenantWeight != nil {
+		t.Tenant, t.TenantWeight = call.Tenant, r.TenantWeight(call.Tenant)
+	}
 	if call.Objective != 0 {
 		t.Objective = max(now+call.Objective, 1)
 	}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -71,6 +71,8 @@
 	// OnReport is called with a statement of the upstream of which the sender of a call knows and this process may not. It
 	// returns before the call is admitted.
 	OnReport func(s hornbeamcroft.InstanceStatement)
+	// TenantWeight returns the weight of a tenant, above 0, when capacity is divided. If it is nil, capacity is not divided by tenant.
+	TenantWeight func(tenant string) float64
 	// OnEnd is called with the record of each call when it ends.
 	OnEnd func(r Record)
 	// Rationer holds this node's part of the retry budget.
--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/sharer"
 )
 
 const (
@@ -39,12 +41,15 @@
 	// demand is the smoothed demand and capacity the part of it that the upstream can take, both in slots.
 	demand   [hornbeamcroft.ImportanceLevels]float64
 	capacity float64
+	// sharer finds the tenants that exceed their share.
+	sharer sharer.Sharer
 }
 
 // arrive counts an arriving call with its weight.
 func (e *demandEstimator) arrive(now time.Duration, s *Scheduler, t hornbeamcroft.Ticket) {
 	e.advance(now, s)
 	e.arrivedWeight[t.Importance] += math.Max(1, float64(t.Weight))
+	e.sharer.Arrive(now, t.Tenant, t.Importance, t.TenantWeight, math.Max(1, float64(t.Weight)))
 }
 
 // finish updates the smoothed service time of calls of the importance.
@@ -82,6 +87,10 @@
 	backlog := float64(s.excessWaiting()) * s.serviceSeconds
 	slots := s.capacity(s.smoothedServiceTime())
 	e.capacity = math.Max(0, slots*targetUtilization-backlog/drainTime.Seconds())
+	e.sharer.Close(sharer.Window{
+		Now: e.windowStart + demandWindow, Length: demandWindow, Capacity: e.capacity,
+		Demand: e.demand, ServiceSeconds: e.serviceSeconds,
+	})
 }
 
 // report writes the demand and the capacity into the load.
@@ -90,9 +99,11 @@
 	load.Demand = make([]int, len(e.demand))
 	used := hornbeamcroft.ImportanceCount
 	for i, v := range e.demand {
+		v = math.Max(0, v-e.sharer.Excess(hornbeamcroft.Importance(i)))
 		if load.Demand[i] = int(v * unitsPerSlot); load.Demand[i] > 0 {
 			used = max(used, hornbeamcroft.Importance(i+1))
 		}
 	}
 	load.Demand = load.Demand[:used]
+	load.Shares = slices.Clone(e.sharer.Shares())
 }
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -26,6 +26,9 @@
 	// childLead is the time by which a child call is preferred to the start of a new request: refusing a child call
 	// wastes the work already done above it.
 	childLead = 100 * time.Millisecond
+	// excessDelay is the time by which a call beyond the share of its tenant is put behind others. It is below importanceLead, so that
+	// it stays before less important calls.
+	excessDelay = 900 * time.Millisecond
 	// defaultObjective is the time within which a call should run if it has no objective, or if it starts a request
 	// whose objective has passed.
 	defaultObjective = time.Second
@@ -86,10 +89,14 @@
 		s.running = make(map[uint64]runningCall)
 	}
 	s.demandEstimator.arrive(now, s, t)
-	if code := s.refusalCode(now, t); code != 0 {
+	priority := startPriority(now, t)
+	if s.demandEstimator.sharer.Exceeds(t.Tenant, t.Importance, float64(t.Weight)) {
+		priority += excessDelay
+	}
+	if code := s.refusalCode(now, t, priority); code != 0 {
 		return []hornbeamcroft.Decision{{ID: t.ID, Code: code}}
 	}
-	heap.Push(&s.queue, entry{ticket: t, arrived: now, key: startPriority(now, t)})
+	heap.Push(&s.queue, entry{ticket: t, arrived: now, key: priority})
 	decisions := s.dispatch(now, nil)
 	if len(s.queue.entries) > maxWaiting {
 		last := s.queue.greatestKeyIndex()
@@ -103,12 +110,13 @@
 // leaves no more than half of the expected service time, at once or after the calls ahead of it. The start of a new
 // request is also refused if the calls ahead of it leave no time to meet its objective, unless it would miss the
 // objective even on a free slot. A child call waits as long as its deadline allows.
-func (s *Scheduler) refusalCode(now time.Duration, t hornbeamcroft.Ticket) hornbeamcroft.Code {
+// The calls ahead are those with an earlier priority.
+func (s *Scheduler) refusalCode(now time.Duration, t hornbeamcroft.Ticket, priority time.Duration) hornbeamcroft.Code {
 	serviceTime := s.serviceTime(now)
 	if now+serviceTime/2 >= t.Deadline {
 		return hornbeamcroft.CodeDeadlineTooShort
 	}
-	ahead := s.queue.countBefore(startPriority(now, t))
+	ahead := s.queue.countBefore(priority)
 	estimatedStart := now
 	if limit := s.Limit(); s.busySlots() >= limit {
 		estimatedStart += serviceTime * time.Duration(ahead+1) / time.Duration(limit)
--- a/throttler/throttler.go
+++ b/throttler/throttler.go
@@ -54,6 +54,8 @@
 	Route      string
 	Service    string
 	Importance hornbeamcroft.Importance
+	// Tenant is the name of the tenant that sends the request; empty if there is none.
+	Tenant string
 	// CallerRetry is true if the caller has tried before and can still get its answer in time.
 	CallerRetry bool
 }
@@ -77,10 +79,15 @@
 		hash /= retryFactor
 	}
 	service, share := t.findRefusingService(now, request, hash)
+	limiting, keep := t.tenantShare(now, request)
+	if service == "" && keep < 1 && rnd.Float64() >= keep {
+		service = limiting
+	}
 	if service == "" || rnd.Float64() < probeShare {
 		if request.CallerRetry {
 			share = min(1, share*retryFactor)
 		}
+		share *= keep
 		return Verdict{Admitted: true, Weight: float32(1 / max(share, probeShare))}
 	}
 	v := Verdict{Service: service, Level: t.level(now, service)}
@@ -109,6 +116,24 @@
 	return refusingService, minShare
 }
 
+// tenantShare returns the smallest share of the requests of the tenant that is within its fair share of a reached service, and that
+// service. The share is 1 if the tenant is not limited.
+func (t *Throttler) tenantShare(now time.Duration, request Request) (service string, keep float64) {
+	keep = 1
+	if request.Tenant == "" {
+		return "", keep
+	}
+	for _, reached := range t.reachedServices(request) {
+		for _, share := range t.level(now, reached).Shares {
+			k := float64(share.Keep) / hornbeamcroft.FullShare
+			if share.Tenant == request.Tenant && share.Importance == request.Importance && k < keep {
+				service, keep = reached, k
+			}
+		}
+	}
+	return service, keep
+}
+
 // level returns the admission level of a service; it admits everything if nothing is known.
 func (t *Throttler) level(now time.Duration, service string) hornbeamcroft.AdmissionLevel {
 	if l := t.loads[service]; l != nil {
