tenants: API keys are decoded, and requests identified at the ingress

The operators' configuration names tenants with API keys. Requests on routes that are not public need one of them.

- platform decodes tenants, public routes and the kind download.
Priorities 0 and 1 give the bands 2 and 1.
What cannot be read is listed in Problems, without any part of a value, because it may be a key in a wrong place.
- The node keeps and passes on the configuration with each key replaced by its hash (platform.HashKeys).
Passing on the stored bytes was ruled out: they contain the keys for as long as the process runs.
- authenticator looks the tenant up by the hash of the key.
The agent decides once, in serve, before a target is selected.
The proof is taken before the configuration is loaded, as a later one may be that of a newer configuration.
- Authorization and a client's Tenant-Id are removed where the request is decided, by the same configuration, and again beside the upstream, whose node may know tenants before the ingress does.
Removing them in the ingress handler was ruled out: it reads the configuration at another time than serve.
Without tenants they remain ordinary fields.
- Tenant-Id is set for calls of depth 1 only.
Child calls inherit the tenant with the importance.
- 429 carries Retry-After as 503 does, and 401 names the scheme.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/acceptor"
+	"hornbeamcroft/authenticator"
 	"hornbeamcroft/breaker"
 	"hornbeamcroft/confirmer"
 	"hornbeamcroft/connector"
@@ -68,7 +69,7 @@
 
 	routes   atomic.Pointer[activeRoutes]
 	routesMu sync.Mutex
-	// configurationBytes is the configuration of routes in force, byte for byte as it was stored.
+	// configurationBytes is the configuration of routes in force as it was stored, with API keys replaced by their hashes.
 	configurationBytes []byte
 	requester          requester.Requester
 	limitsOnce         sync.Once
@@ -128,7 +129,9 @@
 type activeRoutes struct {
 	mu     sync.Mutex
 	router *router.Router
-	table  hornbeamcroft.RouteTable
+	// authenticator holds the tenants of the table.
+	authenticator *authenticator.Authenticator
+	table         hornbeamcroft.RouteTable
 	// since is when the configuration came into force.
 	since time.Time
 	// source is "store" or the name of the peer that sent the configuration.
@@ -212,7 +215,7 @@
 		SilenceTimeout: linkSilenceTimeout, Log: a.Log.Logger,
 	}
 	a.runner = &runner.Runner{
-		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
+		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: a.upstreamRequest,
 		Rationer: a.newRationer(rationer.UpstreamShare), Refuses: a.refuses, OnCrash: a.onCrash, OnCleared: a.onCleared,
 		OnInstanceReplaced: a.onInstanceReplaced, OnStatement: a.onStatement, OnReport: a.onReport, OnEnd: a.recordRun,
 	}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -42,8 +42,9 @@
 
 // serve routes a request that entered the system at this node, delivers it to an upstream and returns the answer.
 func (a *Agent) serve(ctx context.Context, in hornbeamcroft.Incoming) hornbeamcroft.Answer {
+	proof := a.latestProof()
 	r := a.routes.Load()
-	route, service, ok := r.matchRoute(in.Message.Host, path(in.Message.Target))
+	route, ok := r.router.Match(in.Message.Host, path(in.Message.Target))
 	if !ok {
 		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoRoute}
 		a.recordUnrouted(in, r, answer)
@@ -54,7 +55,16 @@
 		a.recordRejected(in.Attempt, answer, nil)
 		return answer
 	}
-	call := a.newCall(in, route, service)
+	tenant, refusal := a.identify(r, proof, route, in)
+	if refusal != nil {
+		a.recordRejected(in.Attempt, refusal.answer, refusal.reason)
+		return refusal.answer
+	}
+	if r.table.HasTenants {
+		in.Message.Header = platform.WithoutCredentials(in.Message.Header)
+	}
+	service := r.selectService(route)
+	call := a.newCall(in, route, tenant, service)
 	isChild := a.runner.Inherit(&call)
 	if now := a.clock.Now(); a.stopping.Load() && !a.takesAtStop(now, call, isChild) {
 		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
@@ -66,6 +76,7 @@
 	}
 	var age time.Duration
 	if !isChild {
+		// The quota of call.Tenant applies here: calls of running requests do not count, nor do requests refused above.
 		a.callerRequests.Add(1)
 		defer a.callerRequests.Add(-1)
 		age = a.courier.Age(route.Name, in.Remaining)
@@ -100,14 +111,16 @@
 
 // newCall returns the call for a request that matched the route. Its remaining time is the shorter of the route's timeout
 // and the caller's deadline.
-func (a *Agent) newCall(in hornbeamcroft.Incoming, route hornbeamcroft.Route, service string) hornbeamcroft.Call {
+func (a *Agent) newCall(
+	in hornbeamcroft.Incoming, route hornbeamcroft.Route, tenant hornbeamcroft.Tenant, service string,
+) hornbeamcroft.Call {
 	remaining := route.Timeout
 	if in.Remaining > 0 {
 		remaining = min(remaining, in.Remaining)
 	}
 	return hornbeamcroft.Call{
 		Request: requestID(in.Attempt), Attempt: in.Attempt, Service: service, Type: route.Name,
-		Importance: route.Importance, Depth: 1, Remaining: remaining, Objective: min(route.Objective, remaining),
+		Tenant: tenant.Name, Importance: route.Importance.InBand(tenant.Band), Depth: 1, Remaining: remaining, Objective: min(route.Objective, remaining),
 		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory, Origin: a.Settings.Agent.Service,
 		Fingerprint: fingerprint(in, a.Settings.Agent.Service),
 	}
--- a/agent/record.go
+++ b/agent/record.go
@@ -39,6 +39,9 @@
 	if r.Service != "" {
 		line.Str("pressed", r.Service).Str("admits", formatLevel(r.Level)).Int64("level-age-ms", r.LevelAge.Milliseconds())
 	}
+	if r.Call.Tenant != "" {
+		line.Str("tenant", r.Call.Tenant)
+	}
 	if r.Age > 0 {
 		line.Int64("age-ms", r.Age.Milliseconds())
 	}
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/authenticator"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
 	"hornbeamcroft/platform"
@@ -34,6 +35,11 @@
 		a.Log.Warn().Str("source", source).Err(err).Msg("routes: not accepted")
 		return
 	}
+	if configuration, err = platform.HashKeys(configuration); err != nil {
+		a.metrics.count("routes/rejected")
+		a.Log.Warn().Str("source", source).Err(err).Msg("routes: not accepted")
+		return
+	}
 	a.routesMu.Lock()
 	old := a.routes.Load()
 	if old != nil && t.Version <= old.table.Version {
@@ -42,7 +48,7 @@
 	}
 	a.configurationBytes = configuration
 	a.requester.Applied(t.Version)
-	a.routes.Store(&activeRoutes{router: router.New(t), table: t, since: time.Now(), source: source})
+	a.routes.Store(&activeRoutes{router: router.New(t), authenticator: authenticator.New(t), table: t, since: time.Now(), source: source})
 	a.routesMu.Unlock()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
@@ -63,19 +69,11 @@
 	}
 }
 
-// matchRoute returns the route for the host and the path, and the service that the route's weights select for this request. An
-// unreadable route has no service.
-func (r *activeRoutes) matchRoute(host, path string) (hornbeamcroft.Route, string, bool) {
-	route, ok := r.router.Match(host, path)
-	if !ok {
-		return route, "", false
-	}
-	if route.Unreadable {
-		return route, "", true
-	}
+// selectService returns the service that the route's weights select for the next request. The route must be readable.
+func (r *activeRoutes) selectService(route hornbeamcroft.Route) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return route, r.router.Service(route), true
+	return r.router.Service(route)
 }
 
 // routesVersion returns the version of the configuration in force; zero if there is none.
--- a/agent/status.go
+++ b/agent/status.go
@@ -33,6 +33,8 @@
 	// AgeMs is the time in milliseconds since the configuration came into force.
 	AgeMs  int64 `json:"age-ms"`
 	Routes int   `json:"routes"`
+	// Tenants is the number of tenants; null if requests need no API key.
+	Tenants *int `json:"tenants"`
 	// Problems lists the entries that could not be read.
 	Problems []hornbeamcroft.EntryProblem `json:"problems"`
 }
@@ -50,6 +52,9 @@
 			Version: r.table.Version, Source: r.source, AgeMs: time.Since(r.since).Milliseconds(),
 			Routes: len(r.table.Routes), Problems: append([]hornbeamcroft.EntryProblem{}, r.table.Problems...),
 		}
+		if n := len(r.table.Tenants); r.table.HasTenants {
+			page.Routes.Tenants = &n
+		}
 	}
 	httpx.OkJson(w, page)
 }
--- a/code.go
+++ b/code.go
@@ -151,7 +151,7 @@
 	{CodeServicePressedBelow, "service-pressed-below", 503, "A service further down would shed the request."},
 	{CodeFencedAfterLinkLoss, "fenced-after-link-loss", 503, "The call was fenced by an outcome query before it arrived."},
 	{CodeUpstreamNotRegistered, "upstream-not-registered", 503, "The node has not yet reached its own upstream."},
-	{CodeRouteUnreadable, "route-unreadable", 503, "The node cannot read the configuration of the route."},
+	{CodeRouteUnreadable, "route-unreadable", 503, "The node cannot read the configuration of the route or of the tenants."},
 	{CodeConfigurationUnproven, "configuration-unproven", 503, "The node cannot prove that its tenants are recent."},
 	{CodeQuotaUndecided, "quota-undecided", 503, "No permit of the tenant's quota could be obtained in time."},
 	{CodeOutcomeUnknown, "outcome-unknown", 502, "The answer was lost; the request may have run."},
--- a/runner/run.go
+++ b/runner/run.go
@@ -26,7 +26,7 @@
 		r.Rationer.CountRequest(now, r.Service)
 	}
 	return r.upstream, r.tracer.Open(tracer.Run{
-		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth,
+		Attempt: call.Attempt, Root: call.Request, Importance: call.Importance, Depth: call.Depth, Tenant: call.Tenant,
 		Deadline: arrived + call.Remaining, Objective: arrived + call.Objective,
 		Retry: call.Retry, Weight: call.Weight, Started: r.Clock.Now(),
 	})
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -162,7 +162,7 @@
 }
 
 // Inherit finds the parent of a child call: the running call whose attempt id is a prefix of call.Attempt. It copies the
-// parent's Request, Importance, Retry and Weight to the child call, sets the child's Depth to the parent's plus one, and
+// parent's Request, Tenant, Importance, Retry and Weight to the child call, sets the child's Depth to the parent's plus one, and
 // limits the child's Remaining and Objective to the time that the parent has left. Inherit reports whether it found a
 // parent; if not, it leaves the call unchanged.
 func (r *Runner) Inherit(call *hornbeamcroft.Call) bool {
@@ -174,7 +174,7 @@
 	}
 	now := r.Clock.Now()
 	call.Request = p.Root
-	call.Importance = p.Importance
+	call.Tenant, call.Importance = p.Tenant, p.Importance
 	call.Depth = p.Depth + 1
 	call.Retry, call.Weight = p.Retry, p.Weight
 	call.Remaining = min(call.Remaining, p.Deadline-now)
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -19,6 +19,8 @@
 	Root       string
 	Importance hornbeamcroft.Importance
 	Depth      int
+	// Tenant is the name of the tenant of the whole request; empty if there is none.
+	Tenant string
 	// Deadline and Objective are on the monotonic clock of the node.
 	Deadline  time.Duration
 	Objective time.Duration
