--- a/cmd/hornbeam-node/ingress_test.go
+++ b/cmd/hornbeam-node/ingress_test.go
@@ -42,15 +42,20 @@
 	worker *worker.Worker
 	cmd    *exec.Cmd
 
+	// log is the path of the file with the node's output.
+	log string
+
 	mu   sync.Mutex
 	runs []worker.Run
+	// headers holds the header fields of each request that reached the upstream, by attempt id.
+	headers map[string][]http.Header
 }
 
 // startNode starts a node while the store holds no configuration.
 func startNode(t *testing.T) *node {
 	t.Helper()
 	is := is.New(t)
-	n := &node{store: &storeserver.StoreServer{}}
+	n := &node{store: &storeserver.StoreServer{}, headers: make(map[string][]http.Header)}
 	server := httptest.NewServer(n.store)
 	stop := make(chan struct{})
 	go n.store.Run(stop)
@@ -61,6 +66,7 @@
 	}
 	n.worker = &worker.Worker{
 		Service: "s", Zone: "z", Slots: 4, Work: 20 * time.Millisecond, OnRun: recordRun, OnArrival: func(worker.Run) {},
+		OnHeader: n.recordHeader,
 	}
 	is.NoErr(n.worker.Start(freeAddress(t)))
 	text := strings.Replace(agentSettings(t), "service = s\n", "", 1)
@@ -87,6 +93,7 @@
 	is.NoErr(os.WriteFile(path, []byte(b.String()), 0o600))
 	log, err := os.Create(filepath.Join(t.TempDir(), "node.log"))
 	is.NoErr(err)
+	n.log = log.Name()
 	n.cmd = exec.Command(build(t), "agent", "--settings", path)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	is.NoErr(n.cmd.Start())
@@ -105,6 +112,12 @@
 	return n
 }
 
+func (n *node) recordHeader(attempt string, h http.Header) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.headers[attempt] = append(n.headers[attempt], h)
+}
+
 // await fails the test unless the condition becomes true within 10 s.
 func (n *node) await(t *testing.T, condition func() bool) {
 	t.Helper()
--- a/cmd/hornbeamctl/check.go
+++ b/cmd/hornbeamctl/check.go
@@ -85,7 +85,7 @@
 	for _, p := range table.Problems {
 		problems = append(problems, parser.Problem{Section: p.Entry, Allowed: p.Reason})
 	}
-	return reportProblems(cmd, len(table.Routes)+len(table.Services), problems)
+	return reportProblems(cmd, len(table.Routes)+len(table.Services)+len(table.Tenants), problems)
 }
 
 // checkJSON is the JSON output of the check command.
--- a/runner/timeout_test.go
+++ b/runner/timeout_test.go
@@ -105,7 +105,7 @@
 }
 
 // TestWaitsForCalls guards against a run that is aborted while it waits for a child call: that time is not own time
-// and must not count towards the attempt timeout.
+// and must not count towards the attempt timeout. The child call has the tenant and the importance of the run.
 func TestWaitsForCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -113,10 +113,14 @@
 		r := newRunner(u, 100)
 		u.silent = true
 		ended := make(chan hornbeamcroft.Answer)
-		go func() { ended <- r.Run(t.Context(), lookup(true)) }()
+		parent := lookup(true)
+		parent.Tenant, parent.Importance = "acme", hornbeamcroft.ImportanceHigh.InBand(2)
+		go func() { ended <- r.Run(t.Context(), parent) }()
 		time.Sleep(usualTime)
 		child := hornbeamcroft.Call{Attempt: "a.1", Remaining: 4 * time.Second}
 		is.True(r.Inherit(&child))
+		is.Equal(child.Tenant, "acme")
+		is.Equal(child.Importance, parent.Importance)
 		select {
 		case <-ended:
 			t.Fatal("run aborted while its child call was running")
