attester, verifier, timekeeper: a proof of how recent a node's configuration is

API keys that are revoked must not be used on a node that was cut off, frozen or refused by the store, so a node has to know how old its configuration may be. A pending watch proves nothing while it is silent, and 300 nodes that ask the store cost too much.

Two readers in each zone ask the store every 800 ms by a watch that ends at once; other nodes query the proof from a peer that offers it. The age is counted from the time of the own query, so that a message that waited in the socket of a frozen process cannot look young. Pings were ruled out: idle links have one in 5 s.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -122,6 +122,7 @@
 	callerRequests atomic.Int64
 	// dialing holds the addresses that are being dialed in the background.
 	dialing sync.Map
+	proof   configurationProof
 }
 
 // activeRoutes is the configuration of routes in force.
@@ -129,6 +130,8 @@
 	mu     sync.Mutex
 	router *router.Router
 	table  hornbeamcroft.RouteTable
+	// sum is the hash of the configuration as it was stored.
+	sum uint64
 	// since is when the configuration came into force.
 	since time.Time
 	// source is "store" or the name of the peer that sent the configuration.
@@ -156,6 +159,7 @@
 	go a.ingress.Run(background)
 	go a.followStore(background)
 	go a.tick(background)
+	go a.followProof(background)
 	go a.probeUntilKnown(background)
 	go a.dialIntroducers(background)
 	go func() {
@@ -202,6 +206,7 @@
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchHold: a.routesWatchHold, OnEra: a.onStoreEra}
 	a.store.Open()
 	a.storeBreaker = &breaker.Breaker{Store: a.store, Clock: a.clock}
+	a.createProof()
 	a.exchanger = &exchanger.Exchanger{Address: cfg.Upstream, HeaderNames: platform.HeaderNames(), MaxBody: maxAnswerBody}
 	a.recaller = &recaller.Recaller{
 		Clock: a.clock, Calls: &deduper.Calls{Incarnation: a.incarnation, Retention: outcomeRetention},
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"hornbeamcroft"
+	"hornbeamcroft/attester"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/deduper"
 	"hornbeamcroft/framer"
@@ -218,6 +219,12 @@
 			return err
 		}
 		a.onEarlierRecord(l, r)
+	case framer.TypeConfigurationProof:
+		var m attester.Message
+		if err := framer.Decode(payload, &m); err != nil {
+			return err
+		}
+		a.onProof(l, m)
 	}
 	return nil
 }
--- a/agent/members.go
+++ b/agent/members.go
@@ -95,6 +95,7 @@
 		},
 		Publish: func(members []hornbeamcroft.Member) {
 			a.courier.Update(members)
+			a.proof.setMembers(members)
 			hosts := 0
 			for _, m := range members {
 				if m.Service == a.Settings.Agent.Service {
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -8,6 +8,7 @@
 	"hornbeamcroft/framer"
 	"hornbeamcroft/platform"
 	"hornbeamcroft/router"
+	"hornbeamcroft/verifier"
 )
 
 // onRoutesList applies the configuration among the entries listed from the store.
@@ -42,7 +43,9 @@
 	}
 	a.configurationBytes = configuration
 	a.requester.Applied(t.Version)
-	a.routes.Store(&activeRoutes{router: router.New(t), table: t, since: time.Now(), source: source})
+	sum := verifier.Sum(configuration)
+	a.proof.applied(t, sum)
+	a.routes.Store(&activeRoutes{router: router.New(t), table: t, sum: sum, since: time.Now(), source: source})
 	a.routesMu.Unlock()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
--- a/breaker/breaker.go
+++ b/breaker/breaker.go
@@ -26,6 +26,7 @@
 type Store interface {
 	hornbeamcroft.Store
 	hornbeamcroft.StaleLister
+	hornbeamcroft.ChangeLister
 }
 
 // Breaker passes calls on to a store. While the store does not answer, it passes on stale lists, and fails the other calls
@@ -115,6 +116,21 @@
 	return l.entries, l.revision, err
 }
 
+// changes is the result of a list of changes.
+type changes struct {
+	events   []hornbeamcroft.Event
+	revision int64
+}
+
+// ListChanges implements hornbeamcroft.ChangeLister.
+func (b *Breaker) ListChanges(ctx context.Context, prefix string, after int64) ([]hornbeamcroft.Event, int64, error) {
+	c, err := call(ctx, b, false, func() (c changes, err error) {
+		c.events, c.revision, err = b.Store.ListChanges(ctx, prefix, after)
+		return c, err
+	})
+	return c.events, c.revision, err
+}
+
 // Txn implements hornbeamcroft.Store.
 func (b *Breaker) Txn(ctx context.Context, conditions []hornbeamcroft.Compare, puts []hornbeamcroft.Put,
 ) (hornbeamcroft.TxnResult, error) {
--- a/breaker/breaker_test.go
+++ b/breaker/breaker_test.go
@@ -35,6 +35,11 @@
 	return s.Store.Get(ctx, key)
 }
 
+func (s *countingStore) ListChanges(context.Context, string, int64) ([]hornbeamcroft.Event, int64, error) {
+	s.others++
+	return nil, 0, s.err
+}
+
 func newBreaker() (*Breaker, *countingStore, *faker.Clock) {
 	clock := &faker.Clock{}
 	store := &countingStore{Store: faker.NewStore(clock)}
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -16,44 +16,44 @@
 
 // The frame types. Their numbers are sent over the network, so the order of the constants is part of the protocol.
 const (
-	TypeHello          Type = iota + 1 // handshake: identity and proof of the sender
-	TypeCall                           // a call, with its body if that fits into one chunk
-	TypeBody                           // a chunk of the body of a call or an answer
-	TypeAnswer                         // the answer to a call or an outcome query
-	TypeCancel                         // the sender no longer waits for a call
-	TypePing                           // requests TypePong
-	TypePong                           // answers TypePing
-	TypeOutcomeQuery                   // asks for the outcome of a call after its link was lost
-	TypeNonce                          // handshake: random value that the peer's proof must cover
-	TypeHeartbeat                      // package tracker: liveness of the sender
-	TypeMemberSuspect                  // package tracker: a member is suspected to have failed
-	TypeRosterChange                   // package tracker: changed member records
-	TypeRosterDigest                   // package tracker: summary for comparing rosters
-	TypeRosterQuery                    // not in use
-	TypeDocumentDigest                 // package distributor: revision of the sender's document
-	TypeDocumentDelta                  // package distributor: changed sections of a document
-	TypeDocumentWhole                  // package distributor: part of a whole document
-	TypeEpochOffer                     // package owner: an epoch that is in the store
-	TypeEpochAck                       // package owner: acknowledges an offered epoch
-	TypePermitQuery                    // package owner: asks whether a newer epoch is known
-	TypePermitReply                    // package owner: answers TypePermitQuery
-	TypeHandover                       // package deduper: records of keys for their new home
-	TypeEpochQuery                     // asks a node to read an epoch from the store
-	TypeEpochReply                     // answers TypeEpochQuery
-	TypeCrashSuspects                  // package quarantiner: requests that were running when an upstream crashed
-	TypeCleared                        // package quarantiner: a suspect request ran isolated without a crash
-	TypeIsolatedRun                    // package quarantiner: passes the right to run a suspect request isolated
-	TypeSLOCounts                      // request counts that a stopping node hands over
-	TypeNodeState                      // member record, load and configuration version of the sender
-	TypeRoutes                         // routing configuration, and members that the sender knows
-	TypeRoutesQuery                    // asks for TypeRoutes
-	TypeCrash                          // package suspecter: a report of an upstream crash
-	TypeChildCalls                     // observed child calls per route, for a node that has just started
-	TypeRecordHeld                     // acknowledges a TypeNodeState whose upstream leaves
-	TypeEarlierRecord                  // what an earlier process of the receiver announced of an upstream that leaves
-	TypeConfigurationProof             // package attester: how recently the configuration was known to be the newest
-	TypeQuotaRequest                   // package borrower: asks the home of tenants for permits of their quotas
-	TypeQuotaGrant                     // package lender: permits of a tenant's quota
+	TypeHello              Type = iota + 1 // handshake: identity and proof of the sender
+	TypeCall                               // a call, with its body if that fits into one chunk
+	TypeBody                               // a chunk of the body of a call or an answer
+	TypeAnswer                             // the answer to a call or an outcome query
+	TypeCancel                             // the sender no longer waits for a call
+	TypePing                               // requests TypePong
+	TypePong                               // answers TypePing
+	TypeOutcomeQuery                       // asks for the outcome of a call after its link was lost
+	TypeNonce                              // handshake: random value that the peer's proof must cover
+	TypeHeartbeat                          // package tracker: liveness of the sender
+	TypeMemberSuspect                      // package tracker: a member is suspected to have failed
+	TypeRosterChange                       // package tracker: changed member records
+	TypeRosterDigest                       // package tracker: summary for comparing rosters
+	TypeRosterQuery                        // not in use
+	TypeDocumentDigest                     // package distributor: revision of the sender's document
+	TypeDocumentDelta                      // package distributor: changed sections of a document
+	TypeDocumentWhole                      // package distributor: part of a whole document
+	TypeEpochOffer                         // package owner: an epoch that is in the store
+	TypeEpochAck                           // package owner: acknowledges an offered epoch
+	TypePermitQuery                        // package owner: asks whether a newer epoch is known
+	TypePermitReply                        // package owner: answers TypePermitQuery
+	TypeHandover                           // package deduper: records of keys for their new home
+	TypeEpochQuery                         // asks a node to read an epoch from the store
+	TypeEpochReply                         // answers TypeEpochQuery
+	TypeCrashSuspects                      // package quarantiner: requests that were running when an upstream crashed
+	TypeCleared                            // package quarantiner: a suspect request ran isolated without a crash
+	TypeIsolatedRun                        // package quarantiner: passes the right to run a suspect request isolated
+	TypeSLOCounts                          // request counts that a stopping node hands over
+	TypeNodeState                          // member record, load and configuration version of the sender
+	TypeRoutes                             // routing configuration, and members that the sender knows
+	TypeRoutesQuery                        // asks for TypeRoutes
+	TypeCrash                              // package suspecter: a report of an upstream crash
+	TypeChildCalls                         // observed child calls per route, for a node that has just started
+	TypeRecordHeld                         // acknowledges a TypeNodeState whose upstream leaves
+	TypeEarlierRecord                      // what an earlier process of the receiver announced of an upstream that leaves
+	TypeConfigurationProof                 // package attester: how recently the configuration was known to be the newest
+	TypeQuotaRequest                       // package borrower: asks the home of tenants for permits of their quotas
+	TypeQuotaGrant                         // package lender: permits of a tenant's quota
 
 	typeEnd
 )
--- a/store.go
+++ b/store.go
@@ -89,6 +89,13 @@
 	ListStale(ctx context.Context, prefix string) ([]Entry, int64, error)
 }
 
+// ChangeLister lists the changes of keys without waiting for any.
+type ChangeLister interface {
+	// ListChanges returns the changes of keys with the prefix after the revision, and the store's revision up to which these are
+	// all. It is linearizable. It fails with ErrHistoryGone if the changes are no longer kept.
+	ListChanges(ctx context.Context, prefix string, after int64) ([]Event, int64, error)
+}
+
 // Clock is the source of monotonic time.
 type Clock interface {
 	// Now returns the time since an arbitrary origin. Values of different processes cannot be compared.
