--- a/agent/proof.go
+++ b/agent/proof.go
@@ -92,7 +92,7 @@
 	}
 }
 
-// tickProof makes the calls and queries that are due.
+// tickProof makes the calls and queries that are due, and opens links if there are too few.
 func (a *Agent) tickProof(ctx context.Context) {
 	p := &a.proof
 	p.mu.Lock()
@@ -104,7 +104,11 @@
 	reads, role := p.attester.Reads(now), p.attester.Role()
 	_, age, proven := p.attester.Best(now)
 	queries, peers := p.attester.Pull(now, a.proofPeers)
+	missing := p.attester.Links(now, a.proofPeers)
 	p.mu.Unlock()
+	for _, m := range missing {
+		a.dial(m)
+	}
 	a.logProof(role, age, proven)
 	if reads {
 		a.metrics.count("proof/asked")
--- a/attester/attester.go
+++ b/attester/attester.go
@@ -50,6 +50,7 @@
 	era int64
 	reads
 	passing
+	linking
 }
 
 // Applied records the configuration in force. If it needs no proof, the node asks nobody and offers nothing.
--- a/attester/fleet_test.go
+++ b/attester/fleet_test.go
@@ -18,11 +18,11 @@
 	modelTime   = 30 * time.Second
 )
 
-// forFleets runs a test with fleets of both sizes and several seeds.
+// forFleets runs a test with fleets of both sizes, without calls, and with calls to one service and to six.
 func forFleets(t *testing.T, test func(t *testing.T, m *model)) {
 	for _, n := range []int{89, 300} {
-		for seed := range uint64(3) {
-			t.Run(fmt.Sprint(n, "/", seed), func(t *testing.T) { test(t, newModel(t, n, seed)) })
+		for _, services := range []int{0, 1, 6} {
+			t.Run(fmt.Sprint(n, "/", services), func(t *testing.T) { test(t, newModel(t, n, services, uint64(services))) })
 		}
 	}
 }
--- a/attester/model_test.go
+++ b/attester/model_test.go
@@ -64,15 +64,15 @@
 
 const (
 	modelTick = 50 * time.Millisecond
-	// linksPerService and modelServices are the numbers of links of a node to each service that it calls, and of these services.
+	// linksPerService is the number of links of a node to each service that it calls.
 	linksPerService = 16
-	modelServices   = 2
 	// subscribed is the time in which the store's watch delivers a change, and requested that in which a peer does.
 	subscribed = 100 * time.Millisecond
 	requested  = 400 * time.Millisecond
 )
 
-func newModel(t *testing.T, n int, seed uint64) *model {
+// newModel returns a fleet whose nodes have links to so many services that they call.
+func newModel(t *testing.T, n, services int, seed uint64) *model {
 	m := &model{
 		t: t, rand: rand.New(rand.NewPCG(seed, 1)), nodes: map[string]*modelNode{}, version: 1,
 		storedAt: map[int64]time.Duration{1: 0}, checkFrom: 3 * time.Second, maxAge: 2 * time.Second,
@@ -89,7 +89,7 @@
 		m.names = append(m.names, member.Name)
 	}
 	for _, name := range m.names {
-		for range linksPerService * modelServices {
+		for range linksPerService * services {
 			if peer := m.names[m.rand.IntN(n)]; peer != name {
 				m.nodes[name].links[peer], m.nodes[peer].links[name] = true, true
 			}
@@ -161,6 +161,13 @@
 	for i, p := range peers {
 		m.send(n, p.Name, queries[i])
 	}
+	for _, member := range n.Links(m.clock(n), m.peers(n)) {
+		m.at(n, m.between(time.Millisecond, 20*time.Millisecond), func() {
+			if !n.cut && !m.nodes[member.Name].cut {
+				n.links[member.Name], m.nodes[member.Name].links[n.Name] = true, true
+			}
+		})
+	}
 	m.check(n)
 	m.at(n, modelTick, func() { m.tick(n) })
 }
--- a/attester/reads.go
+++ b/attester/reads.go
@@ -56,8 +56,9 @@
 }
 
 // SetMembers computes the role of the node from the known members, to which it adds the node itself. Nodes with the same members
-// agree on the readers without messages.
+// agree on the readers without messages. The members must not be changed afterwards.
 func (a *Attester) SetMembers(members []hornbeamcroft.Member) {
+	a.members = members
 	names := []string{a.Name}
 	for _, m := range members {
 		if m.Zone == a.Zone && m.Name != a.Name {
