--- a/agent/proof.go
+++ b/agent/proof.go
@@ -217,7 +217,7 @@
 	case attester.KindQuery:
 		reply, replies = p.attester.Answer(now, m)
 	case attester.KindAnswer:
-		newer = p.attester.Passed(l.Peer.Name, m)
+		newer = p.attester.Passed(now, l.Peer.Name, m)
 	}
 	p.mu.Unlock()
 	switch {
--- a/attester/attester_test.go
+++ b/attester/attester_test.go
@@ -126,7 +126,7 @@
 		}
 		return "ignored"
 	case "answered":
-		if a.Passed(words[1], m) {
+		if a.Passed(now, words[1], m) {
 			return "newer"
 		}
 		return ""
@@ -166,7 +166,7 @@
 		if m.Check() != nil {
 			return
 		}
-		a.Passed(to[0].Name, m)
+		a.Passed(time.Second, to[0].Name, m)
 		if got, proven := a.Age(2*time.Second, 1); proven && got < time.Second {
 			t.Errorf("age %v of %+v", got, m)
 		}
--- a/attester/model_test.go
+++ b/attester/model_test.go
@@ -241,7 +241,7 @@
 	case KindQuery:
 		reply, replies = n.Answer(m.clock(n), message)
 	case KindAnswer:
-		newer = n.Passed(from.Name, message)
+		newer = n.Passed(m.clock(n), from.Name, message)
 		m.offer(n)
 	}
 	if replies {
--- a/attester/passing.go
+++ b/attester/passing.go
@@ -21,6 +21,9 @@
 	queryTime = 100 * time.Millisecond
 	// maxRecentQueries is the number of queries in queryTime that offers cause. The peer of the first may not answer.
 	maxRecentQueries = 2
+	// newerInterval is the least time between two reports of a newer version, unless it is a later one. A node that cannot read it
+	// would request it with each offer.
+	newerInterval = 500 * time.Millisecond
 	// queryRetention is how long a query is kept. The answer to an older one would prove less than the node asks the store for.
 	queryRetention = 2 * time.Second
 )
@@ -42,6 +45,9 @@
 	queries   []query
 	lastPull  time.Duration
 	nextNonce uint64
+	// newest is the newest version that was reported, and newestAt when that was last.
+	newest   int64
+	newestAt time.Duration
 }
 
 // query is a query that was sent to a peer.
@@ -85,7 +91,7 @@
 // a newer version, which is to be requested.
 func (a *Attester) Offered(now time.Duration, peer string, m Message) (q Message, wanted, newer bool) {
 	if m.Version > a.current.version {
-		return Message{}, false, true
+		return Message{}, false, a.reportsNewer(now, m.Version)
 	}
 	useful := a.active && m.Version == a.current.version && m.Sum == a.current.sum && m.Era >= a.era
 	if !useful || a.current.proven && now-m.Age < a.current.proof.At+queryMargin {
@@ -134,16 +140,25 @@
 //
 // The peer stated the age after it had received the query, and so after the query was made: the proof is no older than the age
 // before that time, however long the messages waited on the way or while one of the two nodes was frozen.
-func (a *Attester) Passed(peer string, m Message) (newer bool) {
+func (a *Attester) Passed(now time.Duration, peer string, m Message) (newer bool) {
 	for i, q := range a.queries {
 		if q.nonce == m.Nonce && q.peer == peer {
 			a.queries = append(a.queries[:i:i], a.queries[i+1:]...)
-			return a.add(Proof{At: q.at - m.Age, Version: m.Version, Sum: m.Sum, Era: m.Era})
+			return a.add(Proof{At: q.at - m.Age, Version: m.Version, Sum: m.Sum, Era: m.Era}) && a.reportsNewer(now, m.Version)
 		}
 	}
 	return false
 }
 
+// reportsNewer reports whether a newer version is to be requested, and records it.
+func (a *Attester) reportsNewer(now time.Duration, version int64) bool {
+	if version < a.newest || version == a.newest && now-a.newestAt < newerInterval {
+		return false
+	}
+	a.newest, a.newestAt = version, now
+	return true
+}
+
 // draw returns some of the peers at random, up to local of those in the zone of the node and up to remote of the others. It
 // reorders the peers.
 func (a *Attester) draw(peers []Peer, local, remote int) []Peer {
