--- a/agent/identity.go
+++ b/agent/identity.go
@@ -27,26 +27,26 @@
 	reason error
 }
 
-// configurationProof is a proof of how recent the configuration in force was when the proof was taken.
-type configurationProof struct {
+// proofState is how recent the configuration in force was when the proof was taken.
+type proofState struct {
 	age    time.Duration
 	proven bool
 }
 
 // latestProof returns the present proof, or none if the configuration has no tenants. It must be taken before the configuration is
 // loaded by which a request is decided: a later proof may be that of a newer configuration, in which a key is revoked.
-func (a *Agent) latestProof() configurationProof {
+func (a *Agent) latestProof() proofState {
 	if r := a.routes.Load(); r == nil || !r.table.HasTenants {
-		return configurationProof{}
+		return proofState{}
 	}
 	age, proven := a.configurationAge()
-	return configurationProof{age: age, proven: proven}
+	return proofState{age: age, proven: proven}
 }
 
 // identify returns the tenant of a request, with an empty name if it has none, or the refusal of the request. The answer to
 // a request that is refused for its credentials is final only while the configuration is proven to be recent.
 func (a *Agent) identify(
-	r *activeRoutes, proof configurationProof, route hornbeamcroft.Route, in hornbeamcroft.Incoming,
+	r *activeRoutes, proof proofState, route hornbeamcroft.Route, in hornbeamcroft.Incoming,
 ) (hornbeamcroft.Tenant, *refusal) {
 	v := r.authenticator.Identify(in.Credentials, route.Public)
 	switch {
--- a/agent/identity_test.go
+++ b/agent/identity_test.go
@@ -19,30 +19,30 @@
 	}}
 	unreadable := hornbeamcroft.RouteTable{HasTenants: true, TenantsUnreadable: true}
 	known, unknown := []string{"Bearer k"}, []string{"Bearer x"}
-	at := func(age time.Duration) configurationProof { return configurationProof{age: age, proven: true} }
+	at := func(age time.Duration) proofState { return proofState{age: age, proven: true} }
 	const ms = time.Millisecond
 	for name, c := range map[string]struct {
 		table       hornbeamcroft.RouteTable
 		credentials []string
 		public      bool
 		strict      bool
-		proof       configurationProof
+		proof       proofState
 		want        hornbeamcroft.Code
 	}{
 		"unknown, recent":              {table, unknown, false, false, at(2000 * ms), hornbeamcroft.CodeCredentialUnknown},
 		"unknown, older":               {table, unknown, false, false, at(2001 * ms), hornbeamcroft.CodeConfigurationUnproven},
-		"unknown, unproven":            {table, unknown, false, false, configurationProof{}, hornbeamcroft.CodeConfigurationUnproven},
+		"unknown, unproven":            {table, unknown, false, false, proofState{}, hornbeamcroft.CodeConfigurationUnproven},
 		"missing, recent":              {table, nil, false, false, at(0), hornbeamcroft.CodeCredentialUnknown},
-		"missing, unproven":            {table, nil, false, false, configurationProof{}, hornbeamcroft.CodeConfigurationUnproven},
-		"missing, public, unproven":    {table, nil, true, true, configurationProof{}, 0},
-		"unknown, public, unproven":    {table, unknown, true, true, configurationProof{}, 0},
-		"known, unproven":              {table, known, false, false, configurationProof{}, 0},
+		"missing, unproven":            {table, nil, false, false, proofState{}, hornbeamcroft.CodeConfigurationUnproven},
+		"missing, public, unproven":    {table, nil, true, true, proofState{}, 0},
+		"unknown, public, unproven":    {table, unknown, true, true, proofState{}, 0},
+		"known, unproven":              {table, known, false, false, proofState{}, 0},
 		"known, strict, recent":        {table, known, false, true, at(4499 * ms), 0},
 		"known, strict, older":         {table, known, false, true, at(4500 * ms), hornbeamcroft.CodeConfigurationUnproven},
-		"known, strict, unproven":      {table, known, false, true, configurationProof{}, hornbeamcroft.CodeConfigurationUnproven},
+		"known, strict, unproven":      {table, known, false, true, proofState{}, hornbeamcroft.CodeConfigurationUnproven},
 		"known, strict, public, older": {table, known, true, true, at(4500 * ms), hornbeamcroft.CodeConfigurationUnproven},
 		"unreadable":                   {unreadable, known, false, true, at(0), hornbeamcroft.CodeRouteUnreadable},
-		"no tenants, strict, unproven": {hornbeamcroft.RouteTable{}, known, false, true, configurationProof{}, 0},
+		"no tenants, strict, unproven": {hornbeamcroft.RouteTable{}, known, false, true, proofState{}, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -9,6 +9,7 @@
 	"hornbeamcroft/framer"
 	"hornbeamcroft/platform"
 	"hornbeamcroft/router"
+	"hornbeamcroft/verifier"
 )
 
 // onRoutesList applies the configuration among the entries listed from the store.
@@ -48,8 +49,10 @@
 	}
 	a.configurationBytes = configuration
 	a.requester.Applied(t.Version)
+	sum := verifier.Sum(configuration)
+	a.proof.applied(t, sum)
 	a.routes.Store(&activeRoutes{
-		router: router.New(t), authenticator: authenticator.New(t), table: t, since: time.Now(), source: source,
+		router: router.New(t), authenticator: authenticator.New(t), table: t, sum: sum, since: time.Now(), source: source,
 		maxTenantRate: maxTenantRate(t.Tenants),
 	})
 	a.routesMu.Unlock()
