--- /dev/null
+++ b/lender/lender.go
@@ -0,0 +1,200 @@
+// Package lender lends the permits of tenants' quotas at the home of each tenant.
+package lender
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"hornbeamcroft"
+)
+
+const (
+	// MaxProofAge is the age of the proof of the configuration from which on nothing is lent.
+	MaxProofAge = 2 * time.Second
+	// settleTime is the time from becoming a tenant's home until lending starts. By then, a home that was cut off before has no proof
+	// any more, and what it lent has ended.
+	settleTime = MaxProofAge + hornbeamcroft.MaxPermitLife
+	// lapseAge is the age of a proof from which on another node may have become home meanwhile. A node's record in the store outlives
+	// its last contact by more than 6 s, and others use the record until then.
+	lapseAge = 4 * time.Second
+	// listTime is added to settleTime unless the node next in line is known to have heard of this home. Nodes learn of each other from
+	// lists that they read every 2.5 to 3 s and that may be a second old.
+	listTime = 4 * time.Second
+	// tolerancePart is the part of the tolerance that is lent. The rest is for requests that wait between their permit and their run.
+	tolerancePart = 0.5
+	// maxBorrowers is the maximum number of borrowers of a tenant.
+	maxBorrowers = 1024
+	// unknownRetry is when to ask again for a tenant whose home is not here.
+	unknownRetry = 100 * time.Millisecond
+)
+
+// Lender holds a token bucket for each tenant whose home is this node. Lent permits count as in the bucket until their use is
+// reported or they end, so that in any window no more are used than the bucket holds plus its refill. Set the exported fields before
+// the first use. It is not safe for concurrent use.
+type Lender struct {
+	// Window, Over and Slack state the bound: in a Window, a tenant may run (Rate × Window + Burst) × (1 + Over) + Slack requests.
+	Window      time.Duration
+	Over, Slack float64
+
+	buckets map[string]*bucket
+	// provenAt is the time at which the configuration was last known to be the newest; it is valid if proven is set.
+	provenAt time.Duration
+	proven   bool
+	counts   Counts
+}
+
+// Counts are numbers since the start for the metrics.
+type Counts struct {
+	// Asked counts demands, Lent permits that were lent, Short demands that were not met in full, Undecided demands for tenants that
+	// are not lent here at that time, and Taken the tenants that an earlier home handed over.
+	Asked, Lent, Short, Undecided, Taken int64
+}
+
+// Counts returns the counts, and the number of tenants whose home is here.
+func (l *Lender) Counts() (c Counts, tenants int) { return l.counts, len(l.buckets) }
+
+// SetProof states the age of the proof of the configuration. If the last proof was older than lapseAge, another node may have been the
+// home meanwhile, and all buckets settle again.
+func (l *Lender) SetProof(now, age time.Duration, proven bool) {
+	if !proven || age >= MaxProofAge {
+		return
+	}
+	if !l.proven || now-l.provenAt >= lapseAge {
+		for _, b := range l.buckets {
+			b.reset(now)
+		}
+	}
+	if at := now - max(age, 0); !l.proven || at > l.provenAt {
+		l.provenAt, l.proven = at, true
+	}
+}
+
+func (l *Lender) hasProof(now time.Duration) bool { return l.proven && now-l.provenAt < MaxProofAge }
+
+// SetTenants states the tenants whose home is this node. It returns what new homes need of the tenants that are no longer here; it
+// lends nothing of them from then on.
+func (l *Lender) SetTenants(now time.Duration, tenants []hornbeamcroft.Tenant) []hornbeamcroft.PermitHandover {
+	if l.buckets == nil {
+		l.buckets = make(map[string]*bucket)
+	}
+	present := make(map[string]bool, len(tenants))
+	for _, t := range tenants {
+		if t.Quota.Rate <= 0 {
+			continue
+		}
+		present[t.Name] = true
+		b := l.buckets[t.Name]
+		if b == nil {
+			b = &bucket{}
+			b.reset(now)
+			l.buckets[t.Name] = b
+		}
+		b.refill(now)
+		b.rate, b.capacity = t.Quota.Rate, l.capacity(t.Quota)
+	}
+	var gone []hornbeamcroft.PermitHandover
+	for name, b := range l.buckets {
+		if present[name] {
+			continue
+		}
+		if l.hasProof(now) && b.lends(now) {
+			b.refill(now)
+			gone = append(gone, hornbeamcroft.PermitHandover{Tenant: name, Available: b.tokens, Lent: uint64(b.lent())})
+		}
+		delete(l.buckets, name)
+	}
+	slices.SortFunc(gone, func(a, b hornbeamcroft.PermitHandover) int { return strings.Compare(a.Tenant, b.Tenant) })
+	return gone
+}
+
+// capacity returns the number of permits that may be lent at one moment: the burst and a part of the tolerance.
+func (l *Lender) capacity(q hornbeamcroft.Quota) float64 {
+	tolerance := l.Over*(q.Rate*l.Window.Seconds()+q.Burst) + l.Slack
+	return max(1, q.Burst+tolerancePart*tolerance)
+}
+
+// Acknowledge records that the node next in line for the tenant knows this home, so that it does not lend itself.
+func (l *Lender) Acknowledge(tenant string) {
+	if b := l.buckets[tenant]; b != nil {
+		b.acknowledged = true
+	}
+}
+
+// TakeOver starts lending of a tenant at once, because its previous home has stopped. A bucket that lends already ignores it.
+func (l *Lender) TakeOver(now time.Duration, from string, h hornbeamcroft.PermitHandover) {
+	b := l.buckets[h.Tenant]
+	if b == nil || b.lends(now) {
+		return
+	}
+	b.startsAt, b.updatedAt = now, now
+	b.acknowledged = true
+	// What the previous home lent may still be used.
+	o := b.loan("handover/"+from, 0)
+	o.limit, o.expires, o.seen = min(h.Lent, math.MaxInt32), now+hornbeamcroft.MaxPermitLife, now
+	b.tokens = h.Available
+	b.clamp()
+	l.counts.Taken++
+}
+
+// Request answers a request. The borrower is identified by its name and the start of its process. Demands older than the last one
+// of the same borrower are not answered, because they are duplicates or were overtaken.
+func (l *Lender) Request(now time.Duration, borrower string, r hornbeamcroft.PermitRequest) hornbeamcroft.PermitGrant {
+	g := hornbeamcroft.PermitGrant{Asked: r.Asked}
+	for _, d := range r.Demands {
+		if p, answer := l.lend(now, borrower, r.Asked, d); answer {
+			g.Permits = append(g.Permits, p)
+		}
+	}
+	return g
+}
+
+func (l *Lender) lend(now time.Duration, borrower string, asked time.Duration, d hornbeamcroft.PermitDemand) (hornbeamcroft.Permits, bool) {
+	l.counts.Asked++
+	undecided := hornbeamcroft.Permits{Tenant: d.Tenant, Undecided: true, Retry: unknownRetry}
+	b := l.buckets[d.Tenant]
+	if b == nil {
+		l.counts.Undecided++
+		return undecided, true
+	}
+	if !l.hasProof(now) || !b.lends(now) {
+		l.counts.Undecided++
+		undecided.Retry = max(unknownRetry, b.start()-now)
+		return undecided, true
+	}
+	b.refill(now)
+	o := b.loan(borrower, d.Used)
+	if o == nil {
+		l.counts.Undecided++
+		return undecided, true
+	}
+	if asked <= o.asked {
+		return undecided, false
+	}
+	b.report(o, d)
+	o.asked, o.seen, o.want, o.rate = asked, now, d.Want, d.Rate
+	return l.grant(now, b, o, d), true
+}
+
+// grant lends what is available of the wanted permits.
+func (l *Lender) grant(now time.Duration, b *bucket, o *loan, d hornbeamcroft.PermitDemand) hornbeamcroft.Permits {
+	p := hornbeamcroft.Permits{Tenant: d.Tenant, Life: hornbeamcroft.MaxPermitLife}
+	missing := float64(d.Want) - float64(o.limit-o.used)
+	if missing > 0 {
+		add := math.Floor(min(missing, b.tokens, b.allowed(now, o)))
+		if add > 0 {
+			b.tokens -= add
+			o.limit += uint64(add)
+			o.granted = now
+			l.counts.Lent += int64(add)
+		}
+		if add < missing {
+			l.counts.Short++
+			p.Retry, p.Share = b.retry(o, missing-add)
+		}
+	}
+	o.expires = now + p.Life
+	p.Limit = o.limit
+	return p
+}
