--- a/borrower/account.go
+++ b/borrower/account.go
@@ -20,7 +20,7 @@
 	minRate = 0.4
 	// maxSilent is the maximum time for which a home that does not lend is not asked again. It may start earlier than it said, when the
 	// previous home hands over.
-	maxSilent = 250 * time.Millisecond
+	maxSilent = 400 * time.Millisecond
 	// maxWant is the maximum number of permits asked for.
 	maxWant = 1 << 16
 )
@@ -34,9 +34,9 @@
 	// askedAt is the time of the last request, grantedAt that of the request that the last accepted grant answered, and floor that of
 	// the last request that gave permits back. Grants that answer earlier requests are void.
 	askedAt, grantedAt, floor time.Duration
-	// answeredAt is when the home last answered, and short whether it granted too little.
-	answeredAt time.Duration
-	short      bool
+	// answeredAt is when the home last answered, short whether it granted too little, and over whether the quota is exceeded.
+	answeredAt  time.Duration
+	short, over bool
 	// shortUntil is when it is useful to ask for more. silentUntil is when the home starts lending.
 	shortUntil, silentUntil time.Duration
 	// share is the number of permits per second to expect. refused is the time promised to the last refused caller.
@@ -113,6 +113,9 @@
 	if len(a.waiting) > 0 {
 		return true
 	}
+	if a.limit == a.used && a.slow < minRate && a.fast < minRate {
+		return false
+	}
 	held, rate := int(a.limit-a.used), a.rate(now)
 	want := a.want(rate)
 	since := now - a.askedAt
@@ -143,11 +146,12 @@
 	}
 	a.grantedAt, a.answeredAt = asked, now
 	if p.Undecided {
-		a.short, a.silentUntil = false, now+min(p.Retry, maxSilent)
+		a.short, a.over, a.silentUntil = false, false, now+min(p.Retry, maxSilent)
 		return true
 	}
 	a.limit, a.expires = max(p.Limit, a.used), asked+p.Life
-	a.short, a.share, a.shortUntil, a.silentUntil = p.Retry > 0, p.Share, 0, 0
+	a.short, a.over = p.Retry > 0, p.Retry >= hornbeamcroft.MinOverQuota
+	a.share, a.shortUntil, a.silentUntil = p.Share, 0, 0
 	if a.short {
 		a.shortUntil = now + p.Retry
 	} else {
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -135,7 +135,7 @@
 		b.counts.Admitted++
 		return Decision{Verdict: Admitted}
 	}
-	if now < a.shortUntil && a.shortUntil-now > decideTime/2 {
+	if a.over && now < a.shortUntil {
 		b.counts.Exceeded++
 		return Decision{Verdict: Exceeded, RetryAfter: a.retryAfter(now)}
 	}
@@ -187,7 +187,7 @@
 		decided = append(decided, b.admit(a, n)...)
 		switch {
 		case len(a.waiting) == 0:
-		case now < a.shortUntil && a.shortUntil-now > decideTime/2:
+		case a.over:
 			decided = append(decided, b.refuse(now, a, len(a.waiting), Exceeded)...)
 		case now+decideTime < a.silentUntil:
 			decided = append(decided, b.refuse(now, a, len(a.waiting), Undecided)...)
--- /dev/null
+++ b/borrower/fleet_test.go
@@ -0,0 +1,305 @@
+package borrower_test
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/assigner"
+	"hornbeamcroft/borrower"
+	"hornbeamcroft/lender"
+)
+
+// The bound that the tests hold the fleet to.
+const (
+	window = 5 * time.Second
+	over   = 0.1
+	slack  = 20.0
+)
+
+const tickInterval = 10 * time.Millisecond
+
+// event is a function that runs at a simulated time.
+type event struct {
+	at  time.Duration
+	seq int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].seq < q[j].seq
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(e any)   { *q = append(*q, e.(event)) }
+func (q *eventQueue) Pop() any {
+	e := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return e
+}
+
+// load is a tenant with what its callers sent and what ran.
+type load struct {
+	hornbeamcroft.Tenant
+	usual, factor float64
+	nodes         []*node
+	// sent and admitted hold the times of requests, and waited the number of those that waited.
+	sent, admitted                       []time.Duration
+	waited, exceeded, undecided, pending int
+}
+
+// fleet is a set of nodes on a simulated clock, with messages that take 0.1 to 3 ms.
+type fleet struct {
+	rnd             *rand.Rand
+	now             time.Duration
+	events          eventQueue
+	seq             int
+	nodes           []*node
+	loads           []*load
+	loss, duplicate float64
+	messages        int
+}
+
+// node is a node with its own view of the members.
+type node struct {
+	*fleet
+	name        string
+	incarnation int
+	alive, cut  bool
+	frozenUntil time.Duration
+	stopping    bool
+	provenAt    time.Duration
+	view        map[string]bool
+	homes       map[string][2]string
+	b           *borrower.Borrower
+	l           *lender.Lender
+	waits       map[uint64]*load
+}
+
+func (f *fleet) at(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.events, event{f.now + d, f.seq, run})
+}
+
+func (f *fleet) run(until time.Duration) {
+	for len(f.events) > 0 && f.events[0].at <= until {
+		e := heap.Pop(&f.events).(event)
+		f.now = e.at
+		e.run()
+	}
+	f.now = until
+}
+
+func (f *fleet) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(f.rnd.Float64()*float64(high-low))
+}
+
+// newFleet returns a fleet of running nodes with callers of all tenants.
+func newFleet(seed uint64, nodes, tenants int, total float64) *fleet {
+	f := &fleet{rnd: rand.New(rand.NewPCG(seed, 1))}
+	for i := range nodes {
+		f.nodes = append(f.nodes, &node{fleet: f, name: fmt.Sprintf("node-%d", i)})
+	}
+	sum := 0.0
+	for k := range tenants {
+		sum += math.Pow(float64(k+1), -1.2)
+	}
+	for k := range tenants {
+		usual := total * math.Pow(float64(k+1), -1.2) / sum
+		rate := max(5, 1.6*usual)
+		t := &load{usual: usual, factor: 1, Tenant: hornbeamcroft.Tenant{
+			Name: fmt.Sprintf("tenant-%d", k), Quota: hornbeamcroft.Quota{Rate: rate, Burst: rate},
+		}}
+		n := min(nodes, 3+int(usual/2)) // the callers of a small tenant sit at few nodes
+		for _, i := range f.rnd.Perm(nodes)[:n] {
+			for range 1 + f.rnd.IntN(3) {
+				t.nodes = append(t.nodes, f.nodes[i])
+			}
+		}
+		f.loads = append(f.loads, t)
+		f.nextArrival(t)
+	}
+	for _, n := range f.nodes {
+		n.start()
+		f.at(f.between(0, tickInterval), n.tick)
+	}
+	return f
+}
+
+func (f *fleet) nextArrival(t *load) {
+	f.at(time.Duration(f.rnd.ExpFloat64()/(t.usual*t.factor)*float64(time.Second)), func() {
+		t.nodes[f.rnd.IntN(len(t.nodes))].arrive(t)
+		f.nextArrival(t)
+	})
+}
+
+// start starts a process of the node. It knows the members of the store.
+func (n *node) start() {
+	n.incarnation++
+	n.alive, n.provenAt = true, n.now
+	n.view, n.homes, n.waits = make(map[string]bool), nil, make(map[uint64]*load)
+	for _, m := range n.nodes {
+		n.view[m.name] = true
+	}
+	n.l = &lender.Lender{Window: window, Over: over, Slack: slack}
+	n.b = &borrower.Borrower{Home: func(tenant string) string { return n.homes[tenant][0] }}
+	n.updateHomes()
+	tenants := make([]hornbeamcroft.Tenant, 0, len(n.loads))
+	for _, t := range n.loads {
+		tenants = append(tenants, t.Tenant)
+	}
+	n.b.SetTenants(n.now, tenants)
+}
+
+// see changes whether the node counts another one as a member.
+func (n *node) see(name string, member bool) {
+	if n.view[name] != member {
+		n.view[name] = member
+		n.updateHomes()
+	}
+}
+
+// updateHomes assigns the tenants to the members that the node knows.
+func (n *node) updateHomes() {
+	var members []hornbeamcroft.Member
+	for _, m := range n.nodes {
+		if n.view[m.name] {
+			members = append(members, hornbeamcroft.Member{Name: m.name, Stopping: m == n && n.stopping})
+		}
+	}
+	n.homes = make(map[string][2]string)
+	var own []hornbeamcroft.Tenant
+	for _, t := range n.loads {
+		home, next := assigner.Assigner{}.Home(t.Name, members)
+		n.homes[t.Name] = [2]string{home, next}
+		if home == n.name {
+			own = append(own, t.Tenant)
+		}
+	}
+	for _, h := range n.l.SetTenants(n.now, own) {
+		n.send(n.homes[h.Tenant][0], hornbeamcroft.PermitRequest{Asked: n.now, Handovers: []hornbeamcroft.PermitHandover{h}})
+	}
+	n.b.UpdateHomes()
+}
+
+func (n *node) peer(name string) *node {
+	i := slices.IndexFunc(n.nodes, func(m *node) bool { return m.name == name })
+	if i < 0 || !n.nodes[i].alive || n.nodes[i].cut != n.cut {
+		return nil
+	}
+	return n.nodes[i]
+}
+
+// tick does the periodic work of the node. A frozen node does nothing.
+func (n *node) tick() {
+	n.at(tickInterval, n.tick)
+	if !n.alive || n.now < n.frozenUntil {
+		return
+	}
+	if age := n.now - n.provenAt; !n.cut && (age > 1700*time.Millisecond || age > 400*time.Millisecond && n.rnd.IntN(40) == 0) {
+		n.provenAt = n.now - n.between(0, 400*time.Millisecond) // the proof comes from a node that read the store
+	}
+	n.l.SetProof(n.now, n.now-n.provenAt, true)
+	for _, t := range n.loads {
+		h := n.homes[t.Name]
+		if h[0] != n.name || n.rnd.IntN(10) > 0 {
+			continue
+		}
+		if next := n.peer(h[1]); next != nil { // a link to the node next in line is open
+			next.see(n.name, true)
+			n.l.Acknowledge(t.Name)
+		}
+	}
+	n.decide(n.b.Tick(n.now))
+	n.ask()
+}
+
+func (n *node) arrive(t *load) {
+	if !n.alive || n.now < n.frozenUntil {
+		return
+	}
+	t.sent = append(t.sent, n.now)
+	d := n.b.Take(n.now, t.Name)
+	if d.Verdict == borrower.Waiting {
+		t.waited++
+		n.waits[d.ID] = t
+		n.ask()
+		return
+	}
+	n.count(t, d)
+}
+
+func (n *node) count(t *load, d borrower.Decision) {
+	switch d.Verdict {
+	case borrower.Admitted:
+		t.admitted = append(t.admitted, n.now)
+	case borrower.Exceeded:
+		t.exceeded++
+	default:
+		t.undecided++
+	}
+}
+
+func (n *node) decide(decisions []borrower.Decision) {
+	for _, d := range decisions {
+		n.count(n.waits[d.ID], d)
+		delete(n.waits, d.ID)
+	}
+}
+
+// ask sends the requests that are due.
+func (n *node) ask() {
+	for _, m := range n.b.Due(n.now) {
+		n.send(m.Home, m.Request)
+	}
+}
+
+func (n *node) send(to string, r hornbeamcroft.PermitRequest) {
+	n.deliver(to, func(home *node) {
+		for _, h := range r.Handovers {
+			home.l.TakeOver(home.now, n.name, h)
+		}
+		g := home.l.Request(home.now, fmt.Sprintf("%s/%d", n.name, n.incarnation), r)
+		incarnation := n.incarnation
+		home.deliver(n.name, func(n *node) {
+			if n.incarnation == incarnation {
+				n.decide(n.b.Receive(n.now, home.name, g))
+				n.ask()
+			}
+		})
+	})
+}
+
+// deliver calls receive with the named node after the time that a message takes, unless the message is lost. A message to a frozen
+// node waits.
+func (n *node) deliver(to string, receive func(*node)) {
+	if to == n.name {
+		receive(n)
+		return
+	}
+	copies := 1
+	if n.rnd.Float64() < n.loss {
+		copies = 0
+	} else if n.rnd.Float64() < n.duplicate {
+		copies = 2
+	}
+	for range copies {
+		n.messages++
+		n.at(n.between(100*time.Microsecond, 3*time.Millisecond), func() {
+			m := n.peer(to)
+			switch {
+			case m == nil:
+			case n.now < m.frozenUntil:
+				n.at(m.frozenUntil-n.now, func() { receive(m) })
+			default:
+				receive(m)
+			}
+		})
+	}
+}
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -15,11 +15,13 @@
 	freePart = 0.25
 	// borrowerTime is the time without a request after which a borrower no longer counts for the shares.
 	borrowerTime = 2 * time.Second
-	// minRetry and maxRetry bound when a borrower that got too little asks again. While the tenant exceeds its quota, it is at least
-	// overRetry, so that messages stay few.
-	minRetry  = 5 * time.Millisecond
-	overRetry = 100 * time.Millisecond
-	maxRetry  = 250 * time.Millisecond
+	// shareTime is the time for which a borrower's unused share of the rate is kept for it.
+	shareTime = time.Second
+	// minRetry and maxRetry bound when a borrower that got too little asks again, while the demand is below the quota.
+	minRetry = 5 * time.Millisecond
+	maxRetry = hornbeamcroft.MinOverQuota / 2
+	// maxOverRetry is the maximum while the demand is above the quota. It is at least MinOverQuota then, so that messages stay few.
+	maxOverRetry = 250 * time.Millisecond
 )
 
 // bucket holds the permits of one tenant. The sum of tokens and of all outstanding permits is at most capacity, or falls to it within
@@ -131,12 +133,21 @@
 	}
 	n -= float64(o.limit - o.used)
 	if b.isOver() && b.tokens < freePart*b.capacity {
-		since := min(now-o.granted, time.Second)
+		since := min(now-o.granted, shareTime)
 		n = min(n, max(1, b.rate*o.rate/b.rates*since.Seconds()))
 	}
 	return n
 }
 
+// countGrant takes a grant from what the borrower's share of the rate amounts to since the time granted.
+func (b *bucket) countGrant(now time.Duration, o *loan, permits float64) {
+	if b.rates <= 0 || o.rate <= 0 {
+		o.granted = now
+		return
+	}
+	o.granted = min(now, max(o.granted, now-shareTime)+seconds(permits*b.rates/(o.rate*b.rate)))
+}
+
 // retry returns when the borrower should ask again for the missing permits, and its share of the rate.
 func (b *bucket) retry(o *loan, missing float64) (after time.Duration, share float64) {
 	share = b.rate
@@ -144,7 +155,7 @@
 		share = max(share*o.rate/b.rates, b.rate/maxBorrowers)
 	}
 	if b.isOver() {
-		return min(max(seconds(min(missing, 1)/share), overRetry), maxRetry), share
+		return min(max(seconds(min(missing, 1)/share), hornbeamcroft.MinOverQuota), maxOverRetry), share
 	}
 	return min(max(seconds((1-min(b.tokens, 1))/b.rate), minRetry), maxRetry), share
 }
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -2,6 +2,7 @@
 package lender
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"strings"
@@ -26,6 +27,9 @@
 	tolerancePart = 0.5
 	// maxBorrowers is the maximum number of borrowers of a tenant.
 	maxBorrowers = 1024
+	// earlyTime is how long a handover is kept for a tenant whose home is not here yet, and maxEarly the maximum number of them.
+	earlyTime = time.Second
+	maxEarly  = 1024
 	// unknownRetry is when to ask again for a tenant whose home is not here.
 	unknownRetry = 100 * time.Millisecond
 )
@@ -39,12 +43,21 @@
 	Over, Slack float64
 
 	buckets map[string]*bucket
+	// early holds handovers of tenants whose home is not here yet, because the change of the members has not been heard of.
+	early map[string]earlyHandover
 	// provenAt is the time at which the configuration was last known to be the newest; it is valid if proven is set.
 	provenAt time.Duration
 	proven   bool
 	counts   Counts
 }
 
+// earlyHandover is a handover that arrived before the tenant.
+type earlyHandover struct {
+	hornbeamcroft.PermitHandover
+	from string
+	at   time.Duration
+}
+
 // Counts are numbers since the start for the metrics.
 type Counts struct {
 	// Asked counts demands, Lent permits that were lent, Short demands that were not met in full, Undecided demands for tenants that
@@ -55,14 +68,24 @@
 // Counts returns the counts, and the number of tenants whose home is here.
 func (l *Lender) Counts() (c Counts, tenants int) { return l.counts, len(l.buckets) }
 
-// SetProof states the age of the proof of the configuration. If the last proof was older than lapseAge, another node may have been the
-// home meanwhile, and all buckets settle again.
+// Lent returns the number of permits that count as lent.
+func (l *Lender) Lent() uint64 {
+	n := 0.0
+	for _, b := range l.buckets {
+		n += b.lent()
+	}
+	return uint64(n)
+}
+
+// SetProof states the age of the proof of the configuration. Buckets settle from the first proof on, unless a previous home has handed
+// over. If the last proof was older than lapseAge, another node may have been the home meanwhile, and all buckets settle again.
 func (l *Lender) SetProof(now, age time.Duration, proven bool) {
 	if !proven || age >= MaxProofAge {
 		return
 	}
-	if !l.proven || now-l.provenAt >= lapseAge {
-		for _, b := range l.buckets {
+	lapsed := l.proven && now-l.provenAt >= lapseAge
+	for _, b := range l.buckets {
+		if lapsed || !l.proven && !b.lends(now) {
 			b.reset(now)
 		}
 	}
@@ -93,6 +116,10 @@
 		}
 		b.refill(now)
 		b.rate, b.capacity = t.Quota.Rate, l.capacity(t.Quota)
+		if h, ok := l.early[t.Name]; ok && now-h.at < earlyTime {
+			l.TakeOver(now, h.from, h.PermitHandover)
+		}
+		delete(l.early, t.Name)
 	}
 	var gone []hornbeamcroft.PermitHandover
 	for name, b := range l.buckets {
@@ -125,7 +152,11 @@
 // TakeOver starts lending of a tenant at once, because its previous home has stopped. A bucket that lends already ignores it.
 func (l *Lender) TakeOver(now time.Duration, from string, h hornbeamcroft.PermitHandover) {
 	b := l.buckets[h.Tenant]
-	if b == nil || b.lends(now) {
+	if b == nil {
+		l.keepEarly(now, earlyHandover{h, from, now})
+		return
+	}
+	if b.lends(now) {
 		return
 	}
 	b.startsAt, b.updatedAt = now, now
@@ -138,6 +169,17 @@
 	l.counts.Taken++
 }
 
+// keepEarly keeps a handover for earlyTime.
+func (l *Lender) keepEarly(now time.Duration, h earlyHandover) {
+	if l.early == nil {
+		l.early = make(map[string]earlyHandover)
+	}
+	maps.DeleteFunc(l.early, func(_ string, old earlyHandover) bool { return now-old.at >= earlyTime })
+	if len(l.early) < maxEarly {
+		l.early[h.Tenant] = h
+	}
+}
+
 // Request answers a request. The borrower is identified by its name and the start of its process. Demands older than the last one
 // of the same borrower are not answered, because they are duplicates or were overtaken.
 func (l *Lender) Request(now time.Duration, borrower string, r hornbeamcroft.PermitRequest) hornbeamcroft.PermitGrant {
@@ -186,7 +228,7 @@
 		if add > 0 {
 			b.tokens -= add
 			o.limit += uint64(add)
-			o.granted = now
+			b.countGrant(now, o, add)
 			l.counts.Lent += int64(add)
 		}
 		if add < missing {
--- /dev/null
+++ b/lender/lender_test.go
@@ -0,0 +1,121 @@
+package lender_test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/lender"
+)
+
+// scenario runs the lines of one file. The bound is that of the page: 5 s, 0.1, 20.
+type scenario struct {
+	now   time.Duration
+	asked map[string]time.Duration
+	l     lender.Lender
+	gone  []hornbeamcroft.PermitHandover
+}
+
+// TestScenarios guards against permits that are lent too early, twice or beyond the capacity, and against shares that do not follow
+// the demand.
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no scenarios", err)
+	}
+	for _, name := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(name), ".txt"), func(t *testing.T) {
+			f, err := os.Open(name)
+			is.New(t).NoErr(err)
+			defer f.Close()
+			s := scenario{asked: map[string]time.Duration{}, l: lender.Lender{Window: 5 * time.Second, Over: 0.1, Slack: 20}}
+			lines := bufio.NewScanner(f)
+			for n := 1; lines.Scan(); n++ {
+				line, want, _ := strings.Cut(lines.Text(), " -> ")
+				if got := s.step(t, strings.Fields(line)); got != want {
+					t.Errorf("line %d: %s: got %q, want %q", n, line, got, want)
+				}
+			}
+		})
+	}
+}
+
+func scan(t *testing.T, format string, words []string, values ...any) {
+	t.Helper()
+	if _, err := fmt.Sscanf(strings.Join(words, " "), format, values...); err != nil {
+		t.Fatal(words, err)
+	}
+}
+
+// step runs one line and returns what it shows.
+func (s *scenario) step(t *testing.T, words []string) string {
+	if len(words) == 0 || words[0] == "#" {
+		return ""
+	}
+	duration := func() time.Duration {
+		d, err := time.ParseDuration(words[1])
+		is.New(t).NoErr(err)
+		return d
+	}
+	var h hornbeamcroft.PermitHandover
+	switch words[0] {
+	case "at":
+		s.now = duration()
+	case "proof":
+		s.l.SetProof(s.now, duration(), true)
+	case "quota":
+		var tenants []hornbeamcroft.Tenant
+		if len(words) > 1 {
+			tenants = append(tenants, hornbeamcroft.Tenant{Name: words[1]})
+			scan(t, "%g %g", words[2:], &tenants[0].Quota.Rate, &tenants[0].Quota.Burst)
+		}
+		s.gone = s.l.SetTenants(s.now, tenants)
+	case "acknowledge":
+		s.l.Acknowledge(words[1])
+	case "handover":
+		scan(t, "%s %g %d", words[2:], &h.Tenant, &h.Available, &h.Lent)
+		s.l.TakeOver(s.now, words[1], h)
+	case "lent":
+		scan(t, "%d", words[1:], &h.Lent)
+		is.New(t).Equal(s.l.Lent(), h.Lent)
+	case "gone":
+		scan(t, "%s %d", words[1:], &h.Tenant, &h.Lent)
+		is.New(t).Equal(len(s.gone), 1)
+		is.New(t).Equal(s.gone[0].Tenant, h.Tenant)
+		is.New(t).Equal(s.gone[0].Lent, h.Lent)
+	case "ask", "again":
+		return s.ask(t, words)
+	default:
+		t.Fatal(words)
+	}
+	return ""
+}
+
+func (s *scenario) ask(t *testing.T, words []string) string {
+	d := hornbeamcroft.PermitDemand{Tenant: words[2]}
+	scan(t, "used=%d limit=%d want=%d rate=%g", words[3:], &d.Used, &d.Limit, &d.Want, &d.Rate)
+	if words[0] == "ask" {
+		s.asked[words[1]]++
+	}
+	g := s.l.Request(s.now, words[1], hornbeamcroft.PermitRequest{Asked: s.asked[words[1]], Demands: []hornbeamcroft.PermitDemand{d}})
+	if len(g.Permits) == 0 {
+		return "none"
+	}
+	p := g.Permits[0]
+	switch {
+	case p.Undecided:
+		return fmt.Sprintf("undecided %s", p.Retry)
+	case p.Retry == 0:
+		return fmt.Sprintf("limit %d", p.Limit)
+	case p.Retry < hornbeamcroft.MinOverQuota:
+		return fmt.Sprintf("limit %d retry %s", p.Limit, p.Retry)
+	}
+	return fmt.Sprintf("limit %d retry %s share %.2g", p.Limit, p.Retry, p.Share)
+}
--- a/permit.go
+++ b/permit.go
@@ -12,6 +12,9 @@
 	MaxPermitItems = 256
 	// MaxPermitLife is the maximum time for which permits of a quota are lent, from the time of asking.
 	MaxPermitLife = 1200 * time.Millisecond
+	// MinOverQuota is the least time until it is useful to ask again while the demand for a tenant's permits exceeds its quota. A
+	// shorter time says that permits are short only because of chance.
+	MinOverQuota = 100 * time.Millisecond
 )
 
 // PermitRequest asks the home of tenants for permits of their quotas. One permit lets one request of the tenant run.
