agent: quotas are lent and borrowed over links

The home of a tenant may not be linked, so that it is dialed and asked again when the link is open. Off unless a tenant has a rate: nothing is locked, sent or timed then.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -120,6 +120,7 @@
 	callers, peers *stopGate
 	// callerRequests counts the callers' requests in flight; calls made by a running request are not counted.
 	callerRequests atomic.Int64
+	quotas         *quotas
 	// dialing holds the addresses that are being dialed in the background.
 	dialing sync.Map
 }
@@ -158,6 +159,7 @@
 	go a.tick(background)
 	go a.probeUntilKnown(background)
 	go a.dialIntroducers(background)
+	go a.runQuotas(background)
 	go func() {
 		a.enroller.Run(background)
 		close(enrollerDone)
@@ -224,11 +226,13 @@
 		Rationer: a.newRationer(rationer.SenderShare),
 	}
 	a.runner.Levels = a.courier.Levels
+	a.quotas = a.newQuotas()
 	a.members = a.newMembersPublisher()
 	a.enroller = &enroller.Enroller{
 		Store: a.storeBreaker, Key: keyPrefix + cfg.Name, OnStoreLost: a.onStoreLost("record"), OnStoreRecovered: a.onStoreRecovered("record"),
 		OnWritten: func(revision int64) {
 			a.Log.Info().Int64("revision", revision).Msg("enroller: record written")
+			a.setQuotaListed(true, revision)
 		},
 		OnStored: a.onRecordStored, OnFound: a.onRecordFound, Keep: a.keepsRecord,
 	}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -218,6 +218,18 @@
 			return err
 		}
 		a.onEarlierRecord(l, r)
+	case framer.TypeQuotaRequest:
+		var r hornbeamcroft.PermitRequest
+		if err := framer.Decode(payload, &r); err != nil {
+			return err
+		}
+		a.onPermitRequest(l, r)
+	case framer.TypeQuotaGrant:
+		var g hornbeamcroft.PermitGrant
+		if err := framer.Decode(payload, &g); err != nil {
+			return err
+		}
+		a.onPermitGrant(l, g)
 	}
 	return nil
 }
--- a/agent/members.go
+++ b/agent/members.go
@@ -58,6 +58,7 @@
 		a.enroller.ReportMissing(revision)
 	}
 	a.members.Update()
+	a.setQuotaListed(ownListed, revision)
 }
 
 // decodeRecord returns the member in a store entry. An entry that cannot be read, or is stored under another name than its own,
@@ -95,6 +96,7 @@
 		},
 		Publish: func(members []hornbeamcroft.Member) {
 			a.courier.Update(members)
+			a.updateQuotaMembers()
 			hosts := 0
 			for _, m := range members {
 				if m.Service == a.Settings.Agent.Service {
@@ -144,6 +146,7 @@
 	a.membersMu.Unlock()
 	a.sendEarlierRecord(l)
 	a.send(l, framer.TypeNodeState, a.newNodeState())
+	a.onQuotaLink(l.Peer.Name)
 	if m := (childCalls{Routes: a.courier.LearnedRoutes()}); len(m.Routes) > 0 && m.Check() == nil {
 		a.send(l, framer.TypeChildCalls, m)
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -97,6 +97,7 @@
 		m.gauge("log/omitted/"+kind, n)
 	}
 	a.collectStore()
+	a.collectQuotas()
 }
 
 // collectStore sets the gauges for the calls to the store, by kind of call.
--- /dev/null
+++ b/agent/quota_test.go
@@ -0,0 +1,110 @@
+package agent
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/logger"
+	"hornbeamcroft/platform"
+)
+
+// startQuotaAgents returns agents with links on loopback and a record each in the store. Their configuration has the tenants gold, with
+// 100 requests a second, and free, without a quota.
+func startQuotaAgents(t *testing.T, n int) []*Agent {
+	t.Helper()
+	var agents []*Agent
+	var records []hornbeamcroft.Entry
+	for i := range n {
+		a := &Agent{Bounds: platform.DefaultBounds(), Log: logger.New(io.Discard, "info")}
+		s := httptest.NewUnstartedServer(nil)
+		a.Settings.Agent.Name, a.Settings.Agent.ClusterKey = fmt.Sprintf("node-%d", i), "0123456789abcdef"
+		a.Settings.Agent.LinksAnnounced = s.Listener.Addr().String()
+		a.createComponents()
+		s.Config.Handler = http.HandlerFunc(a.links.Accept)
+		s.Start()
+		t.Cleanup(s.Close)
+		go a.links.Run(t.Context())
+		go a.runQuotas(t.Context())
+		value, err := cbor.Marshal(a.ownRecord())
+		is.New(t).NoErr(err)
+		records = append(records, hornbeamcroft.Entry{Key: keyPrefix + a.Settings.Agent.Name, Value: value})
+		agents = append(agents, a)
+	}
+	table := hornbeamcroft.RouteTable{Version: 1, HasTenants: true, Tenants: []hornbeamcroft.Tenant{
+		{Name: "free"}, {Name: "gold", Quota: hornbeamcroft.Quota{Rate: 100, Burst: 10}},
+	}}
+	for _, a := range agents {
+		a.onRecords(records, 1)
+		a.routes.Store(&activeRoutes{table: table})
+		a.updateQuotas()
+	}
+	return agents
+}
+
+// admit sends requests of the tenant gold to the agents in turn, 500 a second for d, and returns how many ran and how many were
+// undecided.
+func admit(t *testing.T, agents []*Agent, d time.Duration) (admitted, undecided int) {
+	t.Helper()
+	codes := make(chan hornbeamcroft.Code, 10_000)
+	sent := 0
+	for end := time.Now().Add(d); time.Now().Before(end); sent++ {
+		go func(a *Agent) {
+			code, after := a.takePermit(t.Context(), "gold")
+			if code != 0 && after <= 0 {
+				t.Error("no Retry-After")
+			}
+			codes <- code
+		}(agents[sent%len(agents)])
+		time.Sleep(2 * time.Millisecond)
+	}
+	for range sent {
+		switch <-codes {
+		case 0:
+			admitted++
+		case hornbeamcroft.CodeQuotaUndecided:
+			undecided++
+		}
+	}
+	return admitted, undecided
+}
+
+// TestQuota guards against nodes that let more run than the quota allows, that wait for a home to which they have no link, or that
+// leave a tenant without permits when its home stops.
+func TestQuota(t *testing.T) {
+	is := is.New(t)
+	agents := startQuotaAgents(t, 4)
+	code, _ := agents[0].takePermit(t.Context(), "free")
+	is.Equal(code, hornbeamcroft.Code(0))
+	code, after := agents[0].takePermit(t.Context(), "gold") // the home does not lend yet
+	is.Equal(code, hornbeamcroft.CodeQuotaUndecided)
+	is.True(after > 0)
+	time.Sleep(4 * time.Second)
+	admitted, undecided := admit(t, agents, 2*time.Second)
+	t.Logf("%d admitted in 2 s, %d undecided", admitted, undecided)
+	is.True(admitted >= 190)
+	is.True(admitted <= 320) // 100 a second, burst 10 and tolerance
+	is.True(undecided <= 2)
+
+	home := agents[0].quotas.homes["gold"].home
+	i := int(home[len(home)-1] - '0')
+	stopping := agents[i]
+	stopping.peers.closed.Store(true)
+	stopping.recordSequence++
+	stopping.updateOwnMember()
+	stopping.broadcastNodeState()
+	admitted, undecided = admit(t, append(agents[:i:i], agents[i+1:]...), 2*time.Second)
+	t.Logf("%d admitted in 2 s after the home stopped, %d undecided", admitted, undecided)
+	is.True(admitted >= 150)
+	is.True(admitted <= 320)
+
+	stopping.collectQuotas()
+	is.True(stopping.metrics.registry.Get("quotas/lent") != nil)
+}
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -44,6 +44,7 @@
 	a.requester.Applied(t.Version)
 	a.routes.Store(&activeRoutes{router: router.New(t), table: t, since: time.Now(), source: source})
 	a.routesMu.Unlock()
+	a.updateQuotas()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
 	}
--- a/borrower/asking.go
+++ b/borrower/asking.go
@@ -64,6 +64,13 @@
 	return h
 }
 
+// SetLinked records that a home that was not reachable is. What was sent to it before is lost.
+func (b *Borrower) SetLinked(name string) {
+	if h := b.homes[name]; h != nil {
+		h.inFlight = false
+	}
+}
+
 // ask returns the request for the accounts of one home.
 func (b *Borrower) ask(now time.Duration, name string, accounts []*account) Message {
 	b.lastAsked = max(now, b.lastAsked+1)
--- a/borrower/model_test.go
+++ b/borrower/model_test.go
@@ -96,11 +96,11 @@
 func ownQuota(l *load) hornbeamcroft.Quota { return l.Quota }
 
 // drop makes the others drop a node whose record in the store lapses, each when it reads the list.
-func (f *fleet) drop(n *node, if_ func() bool) {
+func (f *fleet) drop(n *node, gone func() bool) {
 	lapse := 11*time.Second - f.between(0, 2250*time.Millisecond)
 	for _, m := range f.nodes {
 		f.at(lapse+f.between(0, 3*time.Second), func() {
-			if m != n && m.cut != n.cut && if_() || !n.alive && if_() {
+			if m != n && m.cut != n.cut && gone() || !n.alive && gone() {
 				m.see(n.name, false)
 			}
 		})
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -27,8 +27,9 @@
 	tolerancePart = 0.5
 	// maxBorrowers is the maximum number of borrowers of a tenant.
 	maxBorrowers = 1024
-	// earlyTime is how long a handover is kept for a tenant whose home is not here yet, and maxEarly the maximum number of them.
-	earlyTime = time.Second
+	// earlyTime is how long a handover is kept for a tenant whose home is not here yet, and maxEarly the maximum number of them. It is
+	// below settleTime, after which the previous home could lend again.
+	earlyTime = 3 * time.Second
 	maxEarly  = 1024
 	// unknownRetry is when to ask again for a tenant whose home is not here.
 	unknownRetry = 100 * time.Millisecond
@@ -80,7 +81,7 @@
 // SetProof states the age of the proof of the configuration. Buckets settle from the first proof on, unless a previous home has handed
 // over. If the last proof was older than lapseAge, another node may have been the home meanwhile, and all buckets settle again.
 func (l *Lender) SetProof(now, age time.Duration, proven bool) {
-	if !proven || age >= MaxProofAge {
+	if !proven {
 		return
 	}
 	lapsed := l.proven && now-l.provenAt >= lapseAge
@@ -89,9 +90,7 @@
 			b.reset(now)
 		}
 	}
-	if at := now - max(age, 0); !l.proven || at > l.provenAt {
-		l.provenAt, l.proven = at, true
-	}
+	l.provenAt, l.proven = now-max(age, 0), true
 }
 
 func (l *Lender) hasProof(now time.Duration) bool { return l.proven && now-l.provenAt < MaxProofAge }
@@ -149,6 +148,17 @@
 	}
 }
 
+// Unacknowledged returns the tenants for which Acknowledge has not been called.
+func (l *Lender) Unacknowledged() []string {
+	var names []string
+	for name, b := range l.buckets {
+		if !b.acknowledged {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // TakeOver starts lending of a tenant at once, because its previous home has stopped. A bucket that lends already ignores it.
 func (l *Lender) TakeOver(now time.Duration, from string, h hornbeamcroft.PermitHandover) {
 	b := l.buckets[h.Tenant]
