quotas: a node that is not a tenant's home names the one that it takes for it

Nodes read the list of members every few seconds, and a home that is back gets its tenants at once, so that others asked the wrong node meanwhile.

--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -169,6 +169,7 @@
 		q.lender.TakeOver(now, l.Peer.Name, h)
 	}
 	g := q.lender.Request(now, quotaBorrowerName(l.Peer.Name, l.Peer.Incarnation), r)
+	g.Homes = a.otherHomes(g.Permits)
 	q.mu.Unlock()
 	if len(r.Handovers) > 0 {
 		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(r.Handovers)).Msg("quotas: taken over")
@@ -178,8 +179,32 @@
 	}
 }
 
-// onPermitGrant applies permits that the home of tenants granted.
+// otherHomes returns the homes of the tenants that are not lent here because another node is their home. The sender of the request may
+// not know of it yet: nodes read the list of members every few seconds. The lock of the quotas is held.
+func (a *Agent) otherHomes(permits []hornbeamcroft.Permits) []hornbeamcroft.Member {
+	var homes []hornbeamcroft.Member
+	a.membersMu.Lock()
+	defer a.membersMu.Unlock()
+	for _, p := range permits {
+		name := a.quotas.homes[p.Tenant].home
+		if !p.Undecided || name == a.Settings.Agent.Name || len(homes) == hornbeamcroft.MaxPermitHomes {
+			continue
+		}
+		if m, known := a.locator.Member(name); known && !slices.Contains(homes, m) {
+			homes = append(homes, m)
+		}
+	}
+	return homes
+}
+
+// onPermitGrant applies permits that the home of tenants granted. Homes without a link are dialed; what they send of themselves when the
+// link opens makes them known.
 func (a *Agent) onPermitGrant(l *connector.Link, g hornbeamcroft.PermitGrant) {
+	for _, m := range g.Homes {
+		if a.links.LinkTo(m.Name) == nil {
+			a.dial(m)
+		}
+	}
 	q, now := a.quotas, a.quotaNow()
 	q.mu.Lock()
 	q.decide(q.borrower.Receive(now, l.Peer.Name, g))
--- a/borrower/fleet_test.go
+++ b/borrower/fleet_test.go
@@ -268,6 +268,11 @@
 		g := home.l.Request(home.now, fmt.Sprintf("%s/%d", n.name, n.incarnation), r)
 		incarnation := n.incarnation
 		home.deliver(n.name, func(n *node) {
+			for _, p := range g.Permits {
+				if other := n.peer(home.homes[p.Tenant][0]); p.Undecided && other != nil && !other.stopping {
+					n.see(other.name, true) // a link to it is opened
+				}
+			}
 			if n.incarnation == incarnation {
 				n.decide(n.b.Receive(n.now, home.name, g))
 				n.ask()
--- a/borrower/model_test.go
+++ b/borrower/model_test.go
@@ -188,7 +188,7 @@
 		n.stopping = false
 		n.start()
 		for _, m := range f.nodes {
-			f.at(f.between(0, 10*time.Millisecond), func() { m.see(n.name, true) })
+			f.at(f.between(0, 4*time.Second), func() { m.see(n.name, true) })
 		}
 		f.run(f.now + 4*time.Second)
 	}
--- a/permit.go
+++ b/permit.go
@@ -10,6 +10,8 @@
 const (
 	// MaxPermitItems is the maximum number of tenants in one message on permits, so that it stays below the maximum size of a frame.
 	MaxPermitItems = 256
+	// MaxPermitHomes is the maximum number of homes named in one answer.
+	MaxPermitHomes = 16
 	// MaxPermitLife is the maximum time for which permits of a quota are lent, from the time of asking.
 	MaxPermitLife = 1200 * time.Millisecond
 	// MinOverQuota is the least time until it is useful to ask again while the demand for a tenant's permits exceeds its quota. A
@@ -52,6 +54,8 @@
 	// Asked is that of the request.
 	Asked   time.Duration `cbor:"1,keyasint"`
 	Permits []Permits     `cbor:"2,keyasint,omitempty"`
+	// Homes are members that the sender takes for homes of tenants that were asked for, because it is not.
+	Homes []Member `cbor:"3,keyasint,omitempty"`
 }
 
 // Permits are the permits of one tenant that a borrower may use.
@@ -90,8 +94,14 @@
 
 // Check returns an error if the message is malformed.
 func (g PermitGrant) Check() error {
-	if g.Asked < 0 || len(g.Permits) > MaxPermitItems {
-		return errors.Errorf("permits: asked at %s, %d items: need a time above 0 and at most %d", g.Asked, len(g.Permits), MaxPermitItems)
+	if g.Asked < 0 || len(g.Permits) > MaxPermitItems || len(g.Homes) > MaxPermitHomes {
+		return errors.Errorf("permits: asked at %s, %d items, %d homes: need a time above 0 and at most %d and %d", g.Asked, len(g.Permits),
+			len(g.Homes), MaxPermitItems, MaxPermitHomes)
+	}
+	for _, m := range g.Homes {
+		if err := m.Check(); err != nil {
+			return errors.Wrap(err, "permits: home")
+		}
 	}
 	for _, p := range g.Permits {
 		if len(p.Tenant) > maxNameLength || p.Life < 0 || p.Life > MaxPermitLife || p.Retry < 0 || !isCount(p.Share) {
