--- a/agent/calls.go
+++ b/agent/calls.go
@@ -77,7 +77,10 @@
 	}
 	var age time.Duration
 	if !isChild {
-		// The quota of call.Tenant applies here: calls of running requests do not count, nor do requests refused above.
+		if answer, refused := a.refuseByQuota(ctx, &call); refused {
+			a.recordRejected(in.Attempt, answer, nil)
+			return answer
+		}
 		a.callerRequests.Add(1)
 		defer a.callerRequests.Add(-1)
 		age = a.courier.Age(route.Name, in.Remaining)
@@ -102,6 +105,20 @@
 	return answer
 }
 
+// refuseByQuota takes a permit of the tenant's quota, which calls of running requests and requests refused before do not need. It returns
+// the refusal if there is none. The time spent waiting is taken from that of the call.
+func (a *Agent) refuseByQuota(ctx context.Context, call *hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+	begin := a.clock.Now()
+	code, retryAfter := a.takePermit(ctx, call.Tenant)
+	if code != 0 {
+		return hornbeamcroft.Answer{Code: code, RetryAfter: retryAfter}, true
+	}
+	waited := a.clock.Now() - begin
+	call.Remaining -= waited
+	call.Objective -= waited
+	return hornbeamcroft.Answer{}, false
+}
+
 // takesAtStop reports whether the stopping node takes a request that entered the system here. A child call is one of a running request.
 func (a *Agent) takesAtStop(now time.Duration, call hornbeamcroft.Call, isChild bool) bool {
 	if isChild {
@@ -238,6 +255,18 @@
 			return err
 		}
 		a.onProof(l, m)
+	case framer.TypeQuotaRequest:
+		var r hornbeamcroft.PermitRequest
+		if err := framer.Decode(payload, &r); err != nil {
+			return err
+		}
+		a.onPermitRequest(l, r)
+	case framer.TypeQuotaGrant:
+		var g hornbeamcroft.PermitGrant
+		if err := framer.Decode(payload, &g); err != nil {
+			return err
+		}
+		a.onPermitGrant(l, g)
 	}
 	return nil
 }
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -99,6 +99,7 @@
 	}
 	a.collectStore()
 	a.collectProof()
+	a.collectQuotas()
 }
 
 // collectStore sets the gauges for the calls to the store, by kind of call.
--- a/agent/routes.go
+++ b/agent/routes.go
@@ -56,6 +56,7 @@
 		maxTenantRate: maxTenantRate(t.Tenants),
 	})
 	a.routesMu.Unlock()
+	a.updateQuotas()
 	if p, ok := t.Services[a.Settings.Agent.Service]; ok {
 		a.exchanger.SetLimit(p.MaxConnections)
 	}
