borrower: late grants add nothing to what was given back

A request that reports a lower limit than an unanswered one may still grant made the home take permits back that the borrower could get by the late answer. Only a request that gives back states a limit now, and answers to earlier requests are void from then on.

--- a/borrower/account.go
+++ b/borrower/account.go
@@ -54,8 +54,10 @@
 	until time.Duration
 }
 
-func newAccount(now time.Duration, tenant, home string) *account {
-	return &account{tenant: tenant, home: home, countedAt: now}
+// newAccount returns an account without permits. Grants that answer requests before the time floor are void: they count for an earlier
+// account of the tenant.
+func newAccount(now, floor time.Duration, tenant, home string) *account {
+	return &account{tenant: tenant, home: home, countedAt: now, floor: floor}
 }
 
 // count adds a request to the estimates of the rate.
@@ -132,11 +134,13 @@
 func (a *account) demand(asked time.Duration) hornbeamcroft.PermitDemand {
 	rate := a.rate(asked)
 	want := a.want(rate)
+	d := hornbeamcroft.PermitDemand{Tenant: a.tenant, Used: a.used, Limit: hornbeamcroft.PermitsKept, Want: uint32(want), Rate: rate}
 	if a.limit > a.used+uint64(want) {
 		a.limit, a.floor = a.used+uint64(want), asked
+		d.Limit = a.limit
 	}
 	a.askedAt = asked
-	return hornbeamcroft.PermitDemand{Tenant: a.tenant, Used: a.used, Limit: a.limit, Want: uint32(want), Rate: rate}
+	return d
 }
 
 // accept applies permits that answer the request of the time asked. It reports whether they are newer than those before.
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -90,7 +90,7 @@
 	}
 	for name := range limited {
 		if b.accounts[name] == nil {
-			b.accounts[name] = newAccount(now, name, b.Home(name))
+			b.accounts[name] = newAccount(now, b.lastAsked+1, name, b.Home(name))
 		}
 	}
 	var decided []Decision
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -109,7 +109,11 @@
 	for _, m := range s.b.Due(s.now) {
 		s.asked = append(s.asked, m.Request.Asked)
 		for _, d := range m.Request.Demands {
-			text = append(text, fmt.Sprintf("%s: %s used=%d limit=%d want=%d", m.Home, d.Tenant, d.Used, d.Limit, d.Want))
+			limit := ""
+			if d.Limit != hornbeamcroft.PermitsKept {
+				limit = fmt.Sprintf(" limit=%d", d.Limit)
+			}
+			text = append(text, fmt.Sprintf("%s: %s used=%d%s want=%d", m.Home, d.Tenant, d.Used, limit, d.Want))
 		}
 	}
 	if len(text) == 0 {
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -108,15 +108,19 @@
 	return o
 }
 
-// report records what the borrower used and takes back what it gave up. If it counts from a lower number than before, nothing comes
-// back.
+// report records what the borrower used and takes back what it gave up. A borrower that counts from a lower number than before has
+// forgotten what it held, which is lost.
 func (b *bucket) report(o *loan, d hornbeamcroft.PermitDemand) {
+	b.wants += float64(d.Want) - float64(o.want)
+	b.rates += d.Rate - o.rate
+	if d.Used < o.used {
+		o.used, o.limit = d.Used, d.Used
+		return
+	}
 	limit := max(min(o.limit, d.Limit), d.Used)
-	if d.Used >= o.used && o.limit > limit {
+	if o.limit > limit {
 		b.tokens += float64(o.limit - limit)
 	}
-	b.wants += float64(d.Want) - float64(o.want)
-	b.rates += d.Rate - o.rate
 	o.used, o.limit = d.Used, limit
 	b.clamp()
 }
--- a/permit.go
+++ b/permit.go
@@ -19,6 +19,9 @@
 	MinOverQuota = 100 * time.Millisecond
 )
 
+// PermitsKept is the Limit of a borrower that gives nothing back. An earlier grant may still be on its way to it.
+const PermitsKept = math.MaxUint64
+
 // PermitRequest asks the home of tenants for permits of their quotas. One permit lets one request of the tenant run.
 type PermitRequest struct {
 	// Asked is the time of asking on the borrower's clock. It rises with each request of a process, and the answer repeats it.
@@ -33,7 +36,8 @@
 	Tenant string `cbor:"1,keyasint"`
 	// Used is the number of permits that were used until the time of asking.
 	Used uint64 `cbor:"2,keyasint"`
-	// Limit is at least Used. The borrower uses no permit beyond it until a grant answers this request or a later one.
+	// Limit is at least Used. If it is below PermitsKept, the borrower gives back permits: it uses none beyond Limit until a grant answers
+	// this request or a later one.
 	Limit uint64 `cbor:"3,keyasint"`
 	// Want is the number of unused permits that the borrower wants to hold.
 	Want uint32 `cbor:"4,keyasint"`
