quotas: a new home claims its tenants from the previous one

A handover that was sent without being asked for could lie in the socket of a frozen node and start its lending long after the sender had become home again. The new home asks now, and an answer older than 0.5 s is not used.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -19,8 +17,9 @@
 	// quotaTick is the interval at which requests that wait for permits are decided and renewals are sent. It is well below the 150 ms
 	// within which a request is decided.
 	quotaTick = 10 * time.Millisecond
-	// quotaProofTicks is the number of ticks between two looks at the proof of the configuration.
-	quotaProofTicks = 10
+	// settleTicks is the number of ticks between two looks at the proof of the configuration, and between two claims of tenants whose
+	// home this node has become.
+	settleTicks = 10
 )
 
 // quotas holds what the node lends and borrows of the tenants' quotas.
@@ -44,8 +43,8 @@
 	waits map[uint64]chan borrower.Decision
 }
 
-// quotaHome names the home of a tenant and the member next in line.
-type quotaHome struct{ home, next string }
+// quotaHome names the home of a tenant, the member next in line, and the home before.
+type quotaHome struct{ home, next, previous string }
 
 func (a *Agent) newQuotas() *quotas {
 	q := &quotas{
@@ -158,8 +157,9 @@
 			return
 		case <-t.C:
 		}
-		if n%quotaProofTicks == 0 {
+		if n%settleTicks == 0 {
 			a.updateQuotaProof()
+			a.settleQuotas()
 		}
 		a.tickQuotas()
 	}
@@ -175,29 +175,12 @@
 	a.sendPermitRequests(out)
 }
 
-// updateQuotaProof tells the lender the age of the proof of the configuration, and makes the nodes next in line know of this home.
+// updateQuotaProof tells the lender the age of the proof of the configuration.
 func (a *Agent) updateQuotaProof() {
 	age, proven := a.configurationAge()
-	q := a.quotas
-	q.mu.Lock()
-	q.lender.SetProof(a.quotaNow(), age, proven)
-	next := make(map[string]string)
-	for _, tenant := range q.lender.Unacknowledged() {
-		next[tenant] = q.homes[tenant].next
-	}
-	q.mu.Unlock()
-	for _, tenant := range slices.Sorted(maps.Keys(next)) {
-		name := next[tenant]
-		if name != "" && a.links.LinkTo(name) == nil {
-			a.dialName(name)
-			continue
-		}
-		q.mu.Lock()
-		if q.homes[tenant].next == name {
-			q.lender.Acknowledge(tenant)
-		}
-		q.mu.Unlock()
-	}
+	a.quotas.mu.Lock()
+	a.quotas.lender.SetProof(a.quotaNow(), age, proven)
+	a.quotas.mu.Unlock()
 }
 
 // dialName opens a link to a member in the background.
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"slices"
 	"time"
 
@@ -11,14 +10,6 @@
 	"hornbeamcroft/assigner"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
-	"hornbeamcroft/sleeper"
-)
-
-const (
-	// handoverTime is how long a tenant's new home is tried to be reached. A later handover would not be used.
-	handoverTime = time.Second
-	// handoverInterval is the time between two attempts.
-	handoverInterval = 20 * time.Millisecond
 )
 
 // quotaNow returns the time for quotas. Unlike the monotonic clock of the runtime it goes on while the machine is suspended, so that
@@ -46,7 +37,7 @@
 		q.mu.Unlock()
 		return
 	}
-	handovers, here := a.assignQuotas()
+	here := a.assignQuotas()
 	q.decide(q.borrower.SetTenants(a.quotaNow(), q.tenants))
 	q.active.Store(active)
 	tenants := len(q.tenants)
@@ -56,7 +47,7 @@
 	case q.wake <- struct{}{}:
 	default: // runQuotas has not taken the last one yet
 	}
-	a.handOverAll(handovers)
+	a.settleQuotas()
 }
 
 // updateQuotaMembers chooses the homes of the tenants again if the eligible members have changed.
@@ -74,11 +65,11 @@
 		q.mu.Unlock()
 		return
 	}
-	handovers, here := a.assignQuotas()
+	here := a.assignQuotas()
 	q.borrower.UpdateHomes()
 	q.mu.Unlock()
 	a.Log.Info().Int("members", len(eligible)).Int("home-here", here).Msg("quotas: homes changed")
-	a.handOverAll(handovers)
+	a.settleQuotas()
 }
 
 // quotaMembers returns the members that may be homes of tenants. This node is one of them while the store has a record of it: nodes
@@ -111,70 +102,75 @@
 	a.updateQuotaMembers()
 }
 
-// assignQuotas chooses the homes of all tenants. It returns the handovers of those that are no longer here, by new home, and how many
-// are here. The lock of the quotas is held.
-func (a *Agent) assignQuotas() (handovers map[string][]hornbeamcroft.PermitHandover, here int) {
+// assignQuotas chooses the homes of all tenants, and returns how many are here. The lock of the quotas is held.
+func (a *Agent) assignQuotas() (here int) {
 	q := a.quotas
-	q.homes = make(map[string]quotaHome, len(q.tenants))
+	homes := make(map[string]quotaHome, len(q.tenants))
 	var own []hornbeamcroft.Tenant
 	for _, t := range q.tenants {
 		home, next := assigner.Assigner{}.Home(t.Name, q.members)
-		q.homes[t.Name] = quotaHome{home, next}
+		homes[t.Name] = quotaHome{home: home, next: next, previous: q.homes[t.Name].home}
 		if home == a.Settings.Agent.Name {
 			own = append(own, t)
 		}
 	}
-	handovers = make(map[string][]hornbeamcroft.PermitHandover)
-	for _, h := range q.lender.SetTenants(a.quotaNow(), own) {
-		if home := q.homes[h.Tenant].home; home != "" {
-			handovers[home] = append(handovers[home], h)
-		}
-	}
-	return handovers, len(own)
+	q.homes = homes
+	q.lender.SetTenants(a.quotaNow(), own)
+	return len(own)
 }
 
-// handOverAll passes tenants on to their new homes in the background.
-func (a *Agent) handOverAll(handovers map[string][]hornbeamcroft.PermitHandover) {
-	for home, list := range handovers {
-		go a.handOver(home, list)
+// settleQuotas makes the nodes next in line know of this home, and claims tenants from their previous homes. The previous home of a
+// tenant may be unknown to a node that has just started; it is then probably the node next in line.
+func (a *Agent) settleQuotas() {
+	q, now := a.quotas, a.quotaNow()
+	claims := make(map[string][]string)
+	var missing []string
+	q.mu.Lock()
+	for _, tenant := range q.lender.Unsettled(now) {
+		h := q.homes[tenant]
+		if h.next == "" || a.links.LinkTo(h.next) != nil {
+			q.lender.Acknowledge(tenant)
+		}
+		claims[h.next] = append(claims[h.next], tenant)
+		if h.previous != h.next {
+			claims[h.previous] = append(claims[h.previous], tenant)
+		}
 	}
-}
-
-// handOver sends handovers to a new home, which is dialed if there is no link to it. If it cannot be reached, it starts to lend when
-// what this node lent has ended.
-func (a *Agent) handOver(home string, list []hornbeamcroft.PermitHandover) {
-	ctx, cancel := context.WithTimeout(context.Background(), handoverTime)
-	defer cancel()
-	for ctx.Err() == nil {
-		l := a.links.LinkTo(home)
+	q.mu.Unlock()
+	for name, tenants := range claims {
+		if name == "" || name == a.Settings.Agent.Name {
+			continue
+		}
+		l := a.links.LinkTo(name)
 		if l == nil {
-			a.dialName(home)
-			sleeper.Sleep(ctx, handoverInterval)
+			missing = append(missing, name)
 			continue
 		}
-		for part := range slices.Chunk(list, hornbeamcroft.MaxPermitItems) {
-			a.send(l, framer.TypeQuotaRequest, hornbeamcroft.PermitRequest{Handovers: part})
+		for part := range slices.Chunk(tenants, hornbeamcroft.MaxPermitItems) {
+			go a.send(l, framer.TypeQuotaRequest, hornbeamcroft.PermitRequest{Asked: now, Claims: part})
 		}
-		a.Log.Info().Str("peer", home).Int("tenants", len(list)).Msg("quotas: handed over")
-		return
 	}
-	a.Log.Warn().Str("peer", home).Int("tenants", len(list)).Msg("quotas: not handed over")
+	for _, name := range missing {
+		a.dialName(name)
+	}
 }
 
-// onPermitRequest answers a request of another node for permits, and takes over what it hands over.
+// onPermitRequest answers a request of another node for permits, and hands over tenants that it claims.
 func (a *Agent) onPermitRequest(l *connector.Link, r hornbeamcroft.PermitRequest) {
 	q, now := a.quotas, a.quotaNow()
 	q.mu.Lock()
-	for _, h := range r.Handovers {
-		q.lender.TakeOver(now, l.Peer.Name, h)
-	}
 	g := q.lender.Request(now, quotaBorrowerName(l.Peer.Name, l.Peer.Incarnation), r)
 	g.Homes = a.otherHomes(g.Permits)
+	for _, tenant := range r.Claims {
+		if h, ok := q.lender.Release(now, tenant); ok {
+			g.Handovers = append(g.Handovers, h)
+		}
+	}
 	q.mu.Unlock()
-	if len(r.Handovers) > 0 {
-		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(r.Handovers)).Msg("quotas: taken over")
+	if len(g.Handovers) > 0 {
+		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(g.Handovers)).Msg("quotas: handed over")
 	}
-	if len(g.Permits) > 0 {
+	if len(g.Permits)+len(g.Handovers) > 0 {
 		go a.send(l, framer.TypeQuotaGrant, g)
 	}
 }
@@ -205,9 +201,17 @@
 			a.dial(m)
 		}
 	}
+	if len(g.Handovers) > 0 {
+		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(g.Handovers)).Msg("quotas: taken over")
+	}
 	q, now := a.quotas, a.quotaNow()
 	q.mu.Lock()
-	q.decide(q.borrower.Receive(now, l.Peer.Name, g))
+	for _, h := range g.Handovers {
+		q.lender.TakeOver(now, g.Asked, l.Peer.Name, h)
+	}
+	if len(g.Permits) > 0 {
+		q.decide(q.borrower.Receive(now, l.Peer.Name, g))
+	}
 	out := q.exchange(now, a.Settings.Agent.Name, a.quotaBorrower())
 	q.mu.Unlock()
 	a.sendPermitRequests(out)
--- a/borrower/account.go
+++ b/borrower/account.go
@@ -18,9 +18,9 @@
 	// minRate is the number of requests a second from which on permits are held ahead of need. Below it, renewals would cost more
 	// messages than asking for each request.
 	minRate = 0.4
-	// maxSilent is the maximum time for which a home that does not lend is not asked again. It may start earlier than it said, when the
-	// previous home hands over.
-	maxSilent = 400 * time.Millisecond
+	// maxSilent is the maximum time for which a home that does not lend is not asked again: as long as callers are told to wait. It may
+	// start earlier than it said, when the previous home hands over.
+	maxSilent = undecidedRetry
 	// maxWant is the maximum number of permits asked for.
 	maxWant = 1 << 16
 )
--- a/borrower/fleet_test.go
+++ b/borrower/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -76,10 +77,12 @@
 	stopping    bool
 	provenAt    time.Duration
 	view        map[string]bool
-	homes       map[string][2]string
-	b           *borrower.Borrower
-	l           *lender.Lender
-	waits       map[uint64]*load
+	// homes holds the home and the node next in line of each tenant, and previous the home before.
+	homes    map[string][2]string
+	previous map[string]string
+	b        *borrower.Borrower
+	l        *lender.Lender
+	waits    map[uint64]*load
 }
 
 func (f *fleet) at(d time.Duration, run func()) {
@@ -173,6 +176,10 @@
 			members = append(members, hornbeamcroft.Member{Name: m.name, Stopping: m == n && n.stopping})
 		}
 	}
+	n.previous = make(map[string]string)
+	for tenant, h := range n.homes {
+		n.previous[tenant] = h[0]
+	}
 	n.homes = make(map[string][2]string)
 	var own []hornbeamcroft.Tenant
 	for _, t := range n.loads {
@@ -182,9 +189,7 @@
 			own = append(own, t.Tenant)
 		}
 	}
-	for _, h := range n.l.SetTenants(n.now, own) {
-		n.send(n.homes[h.Tenant][0], hornbeamcroft.PermitRequest{Asked: n.now, Handovers: []hornbeamcroft.PermitHandover{h}})
-	}
+	n.l.SetTenants(n.now, own)
 	n.b.UpdateHomes()
 }
 
@@ -206,20 +211,34 @@
 		n.provenAt = n.now - n.between(0, 400*time.Millisecond) // the proof comes from a node that read the store
 	}
 	n.l.SetProof(n.now, n.now-n.provenAt, true)
-	for _, t := range n.loads {
-		h := n.homes[t.Name]
-		if h[0] != n.name || n.rnd.IntN(10) > 0 {
-			continue
-		}
-		if next := n.peer(h[1]); next != nil { // a link to the node next in line is open
-			next.see(n.name, true)
-			n.l.Acknowledge(t.Name)
-		}
+	if n.rnd.IntN(10) == 0 {
+		n.settle()
 	}
 	n.decide(n.b.Tick(n.now))
 	n.ask()
 }
 
+// settle tells the nodes next in line that this one is the home of tenants, and claims the tenants from their previous homes.
+func (n *node) settle() {
+	claims := make(map[string][]string)
+	for _, tenant := range n.l.Unsettled(n.now) {
+		next, previous := n.homes[tenant][1], n.previous[tenant]
+		if m := n.peer(next); m != nil { // a link to the node next in line is open
+			m.see(n.name, true)
+			n.l.Acknowledge(tenant)
+		}
+		claims[next] = append(claims[next], tenant)
+		if previous != next {
+			claims[previous] = append(claims[previous], tenant)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(claims)) {
+		if name != n.name {
+			n.send(name, hornbeamcroft.PermitRequest{Asked: n.now, Claims: claims[name]})
+		}
+	}
+}
+
 func (n *node) arrive(t *load) {
 	if !n.alive || n.now < n.frozenUntil {
 		return
@@ -262,10 +281,15 @@
 
 func (n *node) send(to string, r hornbeamcroft.PermitRequest) {
 	n.deliver(to, func(home *node) {
-		for _, h := range r.Handovers {
-			home.l.TakeOver(home.now, n.name, h)
-		}
 		g := home.l.Request(home.now, fmt.Sprintf("%s/%d", n.name, n.incarnation), r)
+		for _, tenant := range r.Claims {
+			if h, ok := home.l.Release(home.now, tenant); ok {
+				g.Handovers = append(g.Handovers, h)
+			}
+		}
+		if len(g.Permits)+len(g.Handovers) == 0 {
+			return
+		}
 		incarnation := n.incarnation
 		home.deliver(n.name, func(n *node) {
 			for _, p := range g.Permits {
@@ -274,6 +298,9 @@
 				}
 			}
 			if n.incarnation == incarnation {
+				for _, h := range g.Handovers {
+					n.l.TakeOver(n.now, g.Asked, home.name, h)
+				}
 				n.decide(n.b.Receive(n.now, home.name, g))
 				n.ask()
 			}
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -158,10 +158,11 @@
 	if b.rates > 0 {
 		share = max(share*o.rate/b.rates, b.rate/maxBorrowers)
 	}
+	next := seconds(min(missing, 1) / share)
 	if b.isOver() {
-		return min(max(seconds(min(missing, 1)/share), hornbeamcroft.MinOverQuota), maxOverRetry), share
+		return min(max(next, hornbeamcroft.MinOverQuota), maxOverRetry), share
 	}
-	return min(max(seconds((1-min(b.tokens, 1))/b.rate), minRetry), maxRetry), share
+	return min(max(next, minRetry), maxRetry), share
 }
 
 // seconds returns the duration of s seconds, at most an hour.
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -5,7 +5,6 @@
 	"maps"
 	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"hornbeamcroft"
@@ -27,10 +26,11 @@
 	tolerancePart = 0.5
 	// maxBorrowers is the maximum number of borrowers of a tenant.
 	maxBorrowers = 1024
-	// earlyTime is how long a handover is kept for a tenant whose home is not here yet, and maxEarly the maximum number of them. It is
-	// below settleTime, after which the previous home could lend again.
-	earlyTime = 3 * time.Second
-	maxEarly  = 1024
+	// releaseTime is how long a home that has stopped to lend a tenant can hand it over, and claimTime the age of a claim from which on
+	// its answer is not used: a node that was frozen may find it in its socket late. Together they are below settleTime, after which the
+	// previous home could lend again.
+	releaseTime = 2 * time.Second
+	claimTime   = 500 * time.Millisecond
 	// unknownRetry is when to ask again for a tenant whose home is not here.
 	unknownRetry = 100 * time.Millisecond
 )
@@ -44,19 +44,18 @@
 	Over, Slack float64
 
 	buckets map[string]*bucket
-	// early holds handovers of tenants whose home is not here yet, because the change of the members has not been heard of.
-	early map[string]earlyHandover
+	// released holds what is left of tenants that were lent here until shortly before.
+	released map[string]release
 	// provenAt is the time at which the configuration was last known to be the newest; it is valid if proven is set.
 	provenAt time.Duration
 	proven   bool
 	counts   Counts
 }
 
-// earlyHandover is a handover that arrived before the tenant.
-type earlyHandover struct {
+// release is a tenant that this node has stopped to lend.
+type release struct {
 	hornbeamcroft.PermitHandover
-	from string
-	at   time.Duration
+	at time.Duration
 }
 
 // Counts are numbers since the start for the metrics.
@@ -95,12 +94,12 @@
 
 func (l *Lender) hasProof(now time.Duration) bool { return l.proven && now-l.provenAt < MaxProofAge }
 
-// SetTenants states the tenants whose home is this node. It returns what new homes need of the tenants that are no longer here; it
-// lends nothing of them from then on.
-func (l *Lender) SetTenants(now time.Duration, tenants []hornbeamcroft.Tenant) []hornbeamcroft.PermitHandover {
+// SetTenants states the tenants whose home is this node. It lends nothing of others from then on; Release hands them over.
+func (l *Lender) SetTenants(now time.Duration, tenants []hornbeamcroft.Tenant) {
 	if l.buckets == nil {
-		l.buckets = make(map[string]*bucket)
+		l.buckets, l.released = make(map[string]*bucket), make(map[string]release)
 	}
+	maps.DeleteFunc(l.released, func(_ string, r release) bool { return now-r.at >= releaseTime })
 	present := make(map[string]bool, len(tenants))
 	for _, t := range tenants {
 		if t.Quota.Rate <= 0 {
@@ -115,24 +114,26 @@
 		}
 		b.refill(now)
 		b.rate, b.capacity = t.Quota.Rate, l.capacity(t.Quota)
-		if h, ok := l.early[t.Name]; ok && now-h.at < earlyTime {
-			l.TakeOver(now, h.from, h.PermitHandover)
-		}
-		delete(l.early, t.Name)
+		delete(l.released, t.Name)
 	}
-	var gone []hornbeamcroft.PermitHandover
 	for name, b := range l.buckets {
 		if present[name] {
 			continue
 		}
 		if l.hasProof(now) && b.lends(now) {
 			b.refill(now)
-			gone = append(gone, hornbeamcroft.PermitHandover{Tenant: name, Available: b.tokens, Lent: uint64(b.lent())})
+			l.released[name] = release{hornbeamcroft.PermitHandover{Tenant: name, Available: b.tokens, Lent: uint64(b.lent())}, now}
 		}
 		delete(l.buckets, name)
 	}
-	slices.SortFunc(gone, func(a, b hornbeamcroft.PermitHandover) int { return strings.Compare(a.Tenant, b.Tenant) })
-	return gone
+}
+
+// Release hands over a tenant to its new home, once. It returns false if this node has not lent permits of the tenant until shortly
+// before, or still does.
+func (l *Lender) Release(now time.Duration, tenant string) (hornbeamcroft.PermitHandover, bool) {
+	r, ok := l.released[tenant]
+	delete(l.released, tenant)
+	return r.PermitHandover, ok && now-r.at < releaseTime
 }
 
 // capacity returns the number of permits that may be lent at one moment: the burst and a part of the tolerance.
@@ -148,29 +149,26 @@
 	}
 }
 
-// Unacknowledged returns the tenants for which Acknowledge has not been called.
-func (l *Lender) Unacknowledged() []string {
+// Unsettled returns the tenants that are not lent yet, or whose next node in line has not acknowledged this home.
+func (l *Lender) Unsettled(now time.Duration) []string {
 	var names []string
 	for name, b := range l.buckets {
-		if !b.acknowledged {
+		if !b.acknowledged || !b.lends(now) {
 			names = append(names, name)
 		}
 	}
+	slices.Sort(names)
 	return names
 }
 
-// TakeOver starts lending of a tenant at once, because its previous home has stopped. A bucket that lends already ignores it.
-func (l *Lender) TakeOver(now time.Duration, from string, h hornbeamcroft.PermitHandover) {
+// TakeOver starts lending of a tenant at once, because its previous home has stopped. The claim that it answers was made at the time
+// asked. A bucket that lends already ignores it.
+func (l *Lender) TakeOver(now, asked time.Duration, from string, h hornbeamcroft.PermitHandover) {
 	b := l.buckets[h.Tenant]
-	if b == nil {
-		l.keepEarly(now, earlyHandover{h, from, now})
-		return
-	}
-	if b.lends(now) {
+	if b == nil || b.lends(now) || now-asked >= claimTime {
 		return
 	}
-	b.startsAt, b.updatedAt = now, now
-	b.acknowledged = true
+	b.startsAt, b.updatedAt, b.acknowledged = now, now, true
 	// What the previous home lent may still be used.
 	o := b.loan("handover/"+from, 0)
 	o.limit, o.expires, o.seen = min(h.Lent, math.MaxInt32), now+hornbeamcroft.MaxPermitLife, now
@@ -179,17 +177,6 @@
 	l.counts.Taken++
 }
 
-// keepEarly keeps a handover for earlyTime.
-func (l *Lender) keepEarly(now time.Duration, h earlyHandover) {
-	if l.early == nil {
-		l.early = make(map[string]earlyHandover)
-	}
-	maps.DeleteFunc(l.early, func(_ string, old earlyHandover) bool { return now-old.at >= earlyTime })
-	if len(l.early) < maxEarly {
-		l.early[h.Tenant] = h
-	}
-}
-
 // Request answers a request. The borrower is identified by its name and the start of its process. Demands older than the last one
 // of the same borrower are not answered, because they are duplicates or were overtaken.
 func (l *Lender) Request(now time.Duration, borrower string, r hornbeamcroft.PermitRequest) hornbeamcroft.PermitGrant {
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -19,8 +19,9 @@
 type scenario struct {
 	now   time.Duration
 	asked map[string]time.Duration
-	l     lender.Lender
-	gone  []hornbeamcroft.PermitHandover
+	// claimed is the time of the last claim.
+	claimed time.Duration
+	l       lender.Lender
 }
 
 // TestScenarios guards against permits that are lent too early, twice or beyond the capacity, and against shares that do not follow
@@ -76,20 +77,22 @@
 			tenants = append(tenants, hornbeamcroft.Tenant{Name: words[1]})
 			scan(t, "%g %g", words[2:], &tenants[0].Quota.Rate, &tenants[0].Quota.Burst)
 		}
-		s.gone = s.l.SetTenants(s.now, tenants)
+		s.l.SetTenants(s.now, tenants)
 	case "acknowledge":
 		s.l.Acknowledge(words[1])
 	case "handover":
 		scan(t, "%s %g %d", words[2:], &h.Tenant, &h.Available, &h.Lent)
-		s.l.TakeOver(s.now, words[1], h)
+		s.l.TakeOver(s.now, s.claimed, words[1], h)
 	case "lent":
 		scan(t, "%d", words[1:], &h.Lent)
 		is.New(t).Equal(s.l.Lent(), h.Lent)
-	case "gone":
-		scan(t, "%s %d", words[1:], &h.Tenant, &h.Lent)
-		is.New(t).Equal(len(s.gone), 1)
-		is.New(t).Equal(s.gone[0].Tenant, h.Tenant)
-		is.New(t).Equal(s.gone[0].Lent, h.Lent)
+	case "claim":
+		s.claimed = s.now
+	case "release":
+		if h, ok := s.l.Release(s.now, words[1]); ok {
+			return fmt.Sprintf("available %g lent %d", h.Available, h.Lent)
+		}
+		return "none"
 	case "ask", "again":
 		return s.ask(t, words)
 	default:
--- a/permit.go
+++ b/permit.go
@@ -27,8 +27,8 @@
 	// Asked is the time of asking on the borrower's clock. It rises with each request of a process, and the answer repeats it.
 	Asked   time.Duration  `cbor:"1,keyasint"`
 	Demands []PermitDemand `cbor:"2,keyasint,omitempty"`
-	// Handovers are sent by the previous home of tenants to the receiver, the new one.
-	Handovers []PermitHandover `cbor:"3,keyasint,omitempty"`
+	// Claims are tenants whose home the sender has become. The receiver may have been it before.
+	Claims []string `cbor:"3,keyasint,omitempty"`
 }
 
 // PermitDemand is what a borrower holds and wants of the permits of one tenant. Counts start with the borrower's process.
@@ -60,6 +60,8 @@
 	Permits []Permits     `cbor:"2,keyasint,omitempty"`
 	// Homes are members that the sender takes for homes of tenants that were asked for, because it is not.
 	Homes []Member `cbor:"3,keyasint,omitempty"`
+	// Handovers are those of the claimed tenants that the sender has lent until shortly before.
+	Handovers []PermitHandover `cbor:"4,keyasint,omitempty"`
 }
 
 // Permits are the permits of one tenant that a borrower may use.
@@ -79,18 +81,18 @@
 
 // Check returns an error if the message is malformed.
 func (r PermitRequest) Check() error {
-	if r.Asked < 0 || len(r.Demands)+len(r.Handovers) > MaxPermitItems {
+	if r.Asked < 0 || len(r.Demands)+len(r.Claims) > MaxPermitItems {
 		return errors.Errorf("permit request: asked at %s, %d items: need a time above 0 and at most %d", r.Asked,
-			len(r.Demands)+len(r.Handovers), MaxPermitItems)
+			len(r.Demands)+len(r.Claims), MaxPermitItems)
 	}
 	for _, d := range r.Demands {
 		if len(d.Tenant) > maxNameLength || d.Limit < d.Used || !isCount(d.Rate) {
 			return errors.Errorf("permit request: limit %d, used %d, rate %g", d.Limit, d.Used, d.Rate)
 		}
 	}
-	for _, h := range r.Handovers {
-		if len(h.Tenant) > maxNameLength || !isCount(h.Available) {
-			return errors.Errorf("permit request: handover of %g permits", h.Available)
+	for _, tenant := range r.Claims {
+		if len(tenant) > maxNameLength {
+			return errors.Errorf("permit request: tenant name of %d bytes", len(tenant))
 		}
 	}
 	return nil
@@ -98,9 +100,14 @@
 
 // Check returns an error if the message is malformed.
 func (g PermitGrant) Check() error {
-	if g.Asked < 0 || len(g.Permits) > MaxPermitItems || len(g.Homes) > MaxPermitHomes {
-		return errors.Errorf("permits: asked at %s, %d items, %d homes: need a time above 0 and at most %d and %d", g.Asked, len(g.Permits),
-			len(g.Homes), MaxPermitItems, MaxPermitHomes)
+	if g.Asked < 0 || len(g.Permits)+len(g.Handovers) > MaxPermitItems || len(g.Homes) > MaxPermitHomes {
+		return errors.Errorf("permits: asked at %s, %d items, %d homes: need a time above 0 and at most %d and %d", g.Asked,
+			len(g.Permits)+len(g.Handovers), len(g.Homes), MaxPermitItems, MaxPermitHomes)
+	}
+	for _, h := range g.Handovers {
+		if len(h.Tenant) > maxNameLength || !isCount(h.Available) {
+			return errors.Errorf("permits: handover of %g", h.Available)
+		}
 	}
 	for _, m := range g.Homes {
 		if err := m.Check(); err != nil {
