--- a/borrower/model_test.go
+++ b/borrower/model_test.go
@@ -95,9 +95,11 @@
 // ownQuota is the quota that did not change.
 func ownQuota(l *load) hornbeamcroft.Quota { return l.Quota }
 
-// drop makes the others drop a node whose record in the store lapses, each when it reads the list.
-func (f *fleet) drop(n *node, gone func() bool) {
-	lapse := 11*time.Second - f.between(0, 2250*time.Millisecond)
+// recordLife is the time after which the record of a node without contact to the store has certainly lapsed and been missed.
+const recordLife = 11 * time.Second
+
+// drop makes the others drop a node whose record in the store lapses after that time, each when it reads the list.
+func (f *fleet) drop(n *node, lapse time.Duration, gone func() bool) {
 	for _, m := range f.nodes {
 		f.at(lapse+f.between(0, 3*time.Second), func() {
 			if m != n && m.cut != n.cut && gone() || !n.alive && gone() {
@@ -114,11 +116,21 @@
 	}
 }
 
-// cutOff cuts the nodes off from the others and from the store for d.
-func (f *fleet) cutOff(nodes []*node, d time.Duration) {
+// third returns a third of the nodes, with the home of the tenant among them.
+func (f *fleet) third(t *load) []*node {
+	nodes := f.nodes[: len(f.nodes)/3 : len(f.nodes)/3]
+	home := f.nodes[0].homes[t.Name][0]
+	if i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.name == home }); i >= len(nodes) {
+		nodes = append(nodes, f.nodes[i])
+	}
+	return nodes
+}
+
+// cutOff cuts the nodes off from the others and from the store for d. The others drop them when their records have lapsed.
+func (f *fleet) cutOff(nodes []*node, d, lapse time.Duration) {
 	for _, n := range nodes {
 		n.cut = true
-		f.drop(n, func() bool { return n.cut })
+		f.drop(n, lapse, func() bool { return n.cut })
 		f.at(d, func() {
 			n.cut = false
 			f.list(n)
@@ -130,7 +142,7 @@
 func (f *fleet) kill(n *node, d time.Duration) {
 	incarnation := n.incarnation
 	n.alive = false
-	f.drop(n, func() bool { return n.incarnation == incarnation })
+	f.drop(n, recordLife-f.between(0, 2250*time.Millisecond), func() bool { return n.incarnation == incarnation })
 	f.at(d, func() {
 		n.start()
 		f.list(n)
@@ -154,7 +166,7 @@
 		from := f.now
 		f.phase(t, "hot", 8*time.Second, 8900)
 		checkService(t, f, from+time.Second, f.now)
-		f.cutOff(f.nodes[:len(f.nodes)/3], 20*time.Second)
+		f.cutOff(f.third(hot), 20*time.Second, recordLife-2*time.Second)
 		f.phase(t, "hot, a third cut off", 24*time.Second, 8900)
 		hot.factor = 1
 		f.phase(t, "settling", 8*time.Second, 8900)
@@ -171,6 +183,23 @@
 	}
 }
 
+// TestHomesOnBothSides guards against a home that is cut off and one that replaces it which lend at the same time: during the cut, when
+// others drop the old home at once, as after a restored store, and when the two sides meet again.
+func TestHomesOnBothSides(t *testing.T) {
+	for seed := range uint64(4) {
+		f := newFleet(seed, 21, 3, 600)
+		for _, l := range f.loads {
+			l.factor = 6
+		}
+		f.run(8 * time.Second)
+		for _, l := range f.loads {
+			f.cutOff(f.third(l), 9*time.Second, 0)
+			f.run(f.now + 15*time.Second)
+		}
+		checkBound(t, f, ownQuota)
+	}
+}
+
 // TestPlannedStops guards against tenants that go without permits while their homes stop and start one after the other.
 func TestPlannedStops(t *testing.T) {
 	f := newFleet(9, 20, 30, 400)
