hornbeamctl place: where a node would send a request now

Operators could learn why a request went where it did only afterwards, from log lines of several nodes.

GET /place on the metrics address of an agent makes the decisions of serve without their effects and answers with their inputs and the age of these; hornbeamctl place prints the answer as tables or as JSON. A call through Deliver with a flag "dry run" was ruled out: it counts requests for the retry budget, creates placers, dials and draws random numbers on the way. The decisions are read instead by methods that work on copies: Explain of Placer, Throttler, Borrower, Router and Courier, Peek of Estimator. The decision on identity is shared with serve. A service that the node has not called is explained by a placer that is not kept.

The tests compare each explanation with the decision that follows: with Pick, with the part that Admit admits, with Take at each step of the borrower's scenarios, with Service of the router; and with a node process in TestTenants.

--- a/agent/identity.go
+++ b/agent/identity.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft"
+	"hornbeamcroft/authenticator"
 	"hornbeamcroft/exchanger"
 	"hornbeamcroft/platform"
 )
@@ -49,17 +50,30 @@
 	r *activeRoutes, proof proofState, route hornbeamcroft.Route, in hornbeamcroft.Incoming,
 ) (hornbeamcroft.Tenant, *refusal) {
 	v := r.authenticator.Identify(in.Credentials, route.Public)
+	return v.Tenant, a.refuseIdentity(v, proof)
+}
+
+// refuseIdentity returns the refusal that follows from an identification and the proof of the configuration, or nil.
+func (a *Agent) refuseIdentity(v authenticator.Verdict, proof proofState) *refusal {
 	switch {
-	case v.Code == hornbeamcroft.CodeCredentialUnknown && !(proof.proven && proof.age <= maxRefusalAge):
-		return v.Tenant, newRefusal(hornbeamcroft.CodeConfigurationUnproven, unprovenRetryAfter, string(v.Reason))
+	case v.Code == hornbeamcroft.CodeCredentialUnknown && !proof.refusesFinally():
+		return newRefusal(hornbeamcroft.CodeConfigurationUnproven, unprovenRetryAfter, string(v.Reason))
 	case v.Code == hornbeamcroft.CodeRouteUnreadable:
-		return v.Tenant, newRefusal(v.Code, unreadableRetryAfter, string(v.Reason))
+		return newRefusal(v.Code, unreadableRetryAfter, string(v.Reason))
 	case v.Code != 0:
-		return v.Tenant, newRefusal(v.Code, 0, string(v.Reason))
-	case v.Tenant.Name != "" && a.Bounds.StrictRevoke && !(proof.proven && proof.age < a.Bounds.RevokeTime-revokeMargin):
-		return v.Tenant, newRefusal(hornbeamcroft.CodeConfigurationUnproven, unprovenRetryAfter, "tenant "+v.Tenant.Name)
+		return newRefusal(v.Code, 0, string(v.Reason))
+	case v.Tenant.Name != "" && !a.acceptsKeys(proof):
+		return newRefusal(hornbeamcroft.CodeConfigurationUnproven, unprovenRetryAfter, "tenant "+v.Tenant.Name)
 	}
-	return v.Tenant, nil
+	return nil
+}
+
+// refusesFinally reports whether the configuration is recent enough to refuse a key for good.
+func (p proofState) refusesFinally() bool { return p.proven && p.age <= maxRefusalAge }
+
+// acceptsKeys reports whether the configuration is recent enough to serve requests with a known key.
+func (a *Agent) acceptsKeys(proof proofState) bool {
+	return !a.Bounds.StrictRevoke || proof.proven && proof.age < a.Bounds.RevokeTime-revokeMargin
 }
 
 func newRefusal(code hornbeamcroft.Code, retryAfter time.Duration, reason string) *refusal {
--- a/agent/listen.go
+++ b/agent/listen.go
@@ -34,6 +34,7 @@
 			Routes: append(profiler.Profiler{}.Routes(),
 				rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
 				rest.Route{Method: http.MethodGet, Path: "/status", Handler: a.serveStatus},
+				rest.Route{Method: http.MethodGet, Path: "/place", Handler: a.servePlace},
 			),
 		},
 	} {
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -65,7 +65,7 @@
 		s.now = duration(t, words[1])
 		return ""
 	case "take":
-		d := s.b.Take(s.now, words[1])
+		d := s.take(t, words[1])
 		d.ID = 0
 		return show([]Decision{d})
 	case "takes": // TENANT INTERVAL END: requests with an interval until END, of which none may wait
--- a/cmd/hornbeam-node/tenants_test.go
+++ b/cmd/hornbeam-node/tenants_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamcroft"
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/operator"
 	"hornbeamcroft/platform/standin/storeserver"
@@ -83,6 +85,7 @@
 	t.Run("identity", n.identity)
 	t.Run("retries", n.retriesWithKey)
 	t.Run("child call", n.childCall)
+	t.Run("place", n.place)
 	t.Run("unreadable", func(t *testing.T) { n.unreadableTenants(t, value) })
 	t.Run("no key shown", n.noKeyShown)
 }
@@ -155,6 +158,32 @@
 	is.Equal((<-ended).Status, http.StatusOK)
 }
 
+// place asks the node where a request of a tenant would go. It guards against an answer that is not served, that lacks the reports of the
+// upstream, or that sends a request.
+func (n *node) place(t *testing.T) {
+	is := is.New(t)
+	is.Equal(n.sendFields(http.MethodGet, "/get/1", "placed", "Authorization: Bearer "+acmeKey).Status, http.StatusOK)
+	n.mu.Lock()
+	requests := len(n.headers)
+	n.mu.Unlock()
+	resp, err := http.Get("http://" + n.metrics + "/place?tenant=acme&path=/get/1&host=" + routeHost)
+	is.NoErr(err)
+	defer resp.Body.Close()
+	var p hornbeamcroft.Placement
+	is.NoErr(json.NewDecoder(resp.Body).Decode(&p))
+	is.Equal(p.Refused, nil)
+	is.Equal(p.Tenant.Name, "acme")
+	is.Equal(len(p.Targets), 1)
+	is.True(p.Targets[0].InUse)
+	is.Equal(len(p.Targets[0].Candidates), 1)
+	is.Equal(p.Targets[0].Candidates[0].LeftOut, "")
+	is.True(p.Targets[0].Candidates[0].Report.Limit > 0)
+	is.Equal(p.Targets[0].Admission.Share, 1.0)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	is.Equal(len(n.headers), requests)
+}
+
 // unreadableTenants replaces the table of tenants by a text.
 func (n *node) unreadableTenants(t *testing.T, value []byte) {
 	is := is.New(t)
@@ -175,7 +204,7 @@
 // noKeyShown stops the node and looks for keys in everything that it has sent to the upstream, and in what it shows of itself.
 func (n *node) noKeyShown(t *testing.T) {
 	is := is.New(t)
-	for _, path := range []string{"/metrics", "/status", "/debug/pprof/goroutine?debug=2"} {
+	for _, path := range []string{"/metrics", "/status", "/debug/pprof/goroutine?debug=2", "/place?host=" + routeHost + "&path=/get/1"} {
 		resp, err := http.Get("http://" + n.metrics + path)
 		is.NoErr(err)
 		text, err := io.ReadAll(resp.Body)
--- a/cmd/hornbeamctl/app.go
+++ b/cmd/hornbeamctl/app.go
@@ -80,8 +80,8 @@
 		},
 		Action: rootAction,
 		Commands: []*cli.Command{
-			checkCommand(), diffCommand(), applyCommand(), showCommand(), drainCommand(), reportCommand(), explainCommand(), codesCommand(),
-			versionCommand(),
+			checkCommand(), diffCommand(), applyCommand(), showCommand(), drainCommand(), reportCommand(), explainCommand(), placeCommand(),
+			codesCommand(), versionCommand(),
 		},
 		ConfigureShellCompletionCommand: func(c *cli.Command) { c.Hidden = false },
 	}
--- a/cmd/hornbeamctl/main.go
+++ b/cmd/hornbeamctl/main.go
@@ -1,5 +1,5 @@
 // Command hornbeamctl is the operators' command-line tool: it checks, edits and shows the document, reports on its
-// service-level objectives, explains requests from logs, and drains nodes.
+// service-level objectives, explains requests from logs, shows where a request would go, and drains nodes.
 package main
 
 import (
--- a/cmd/hornbeamctl/script_test.go
+++ b/cmd/hornbeamctl/script_test.go
@@ -1,11 +1,14 @@
 package main
 
 import (
+	"bytes"
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -19,6 +22,9 @@
 	"hornbeamcroft/sloreporter"
 )
 
+//go:embed testdata/place.json
+var samplePlacement []byte
+
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){"hornbeamctl": main})
 }
@@ -90,11 +96,33 @@
 			_, _ = w.Write(answer)
 		}
 	}
+	mux.HandleFunc("GET /place", func(w http.ResponseWriter, r *http.Request) { servePlacement(w, r, name) })
 	mux.HandleFunc("POST /drain", authorized([]byte(`{"started-at":1}`)))
 	mux.HandleFunc("GET /slo", authorized(sampleCounts(name)))
 	return mux
 }
 
+// servePlacement answers with testdata/place.json and the request. It refuses a request with credentials, which must not be sent to the
+// metrics address.
+func servePlacement(w http.ResponseWriter, r *http.Request, name string) {
+	var p hornbeamcroft.Placement
+	decoder := json.NewDecoder(bytes.NewReader(samplePlacement))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&p); err != nil || r.Header.Get("Authorization") != "" {
+		http.Error(w, fmt.Sprint("credentials, or a malformed file: ", err), http.StatusBadRequest)
+		return
+	}
+	q := r.URL.Query()
+	remaining, _ := strconv.ParseInt(q.Get("remaining-ms"), 10, 64)
+	p.Node, p.Request = name, hornbeamcroft.PlacementRequest{
+		Host: q.Get("host"), Path: q.Get("path"), Tenant: q.Get("tenant"), Importance: q.Get("importance"), RemainingMs: remaining,
+	}
+	if p.Request.Path == "/none" { // as a node that starts
+		p = hornbeamcroft.Placement{Node: name, Request: p.Request, Refused: p.Refused}
+	}
+	_ = json.NewEncoder(w).Encode(p)
+}
+
 // sampleCounts returns the JSON counts of a node with three good requests of type cash/deposit and a bad one.
 func sampleCounts(name string) []byte {
 	now := time.Now()
--- a/router/router_test.go
+++ b/router/router_test.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -35,7 +36,8 @@
 	}
 }
 
-// TestWeights guards against a division of requests that differs from the weights.
+// TestWeights guards against a division of requests that differs from the weights, and against an explanation that does not name the next
+// service.
 func TestWeights(t *testing.T) {
 	is := is.New(t)
 	split := route("r", "a", "/", hornbeamcroft.Target{Service: "x", Weight: 90},
@@ -43,7 +45,10 @@
 	r := New(hornbeamcroft.RouteTable{Routes: []hornbeamcroft.Route{split}})
 	counts := make(map[string]int)
 	for range 200 {
-		counts[r.Service(split)]++
+		next := slices.IndexFunc(r.Explain(split), func(e hornbeamcroft.PlacementTarget) bool { return e.Next })
+		service := r.Service(split)
+		is.Equal(split.Targets[next].Service, service) // the explanation names it and changes nothing
+		counts[service]++
 	}
 	is.Equal(counts["x"], 180)
 	is.Equal(counts["y"], 20)
