ingress: connections served by a loop of its own, heads in reserved memory

net/http.Server can neither account for the memory of heads before it reads them nor read ahead. Packages headreader and pipeliner read heads into memory reserved from one account, bound fields and empty lines, and answer in order; the acceptor bounds the number of connections and closes the one without a complete head for longest. Requests, bodies and the parser stay net/http's.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -1,43 +1,81 @@
-// Package acceptor serves HTTP connections of callers. It closes idle and slow connections by limits that may change
-// while it runs, and shuts down without cutting off requests in flight.
+// Package acceptor serves HTTP connections of callers. It bounds their number and the memory of their heads, closes idle and slow
+// connections by limits that may change while it runs, and shuts down without cutting off requests in flight.
 package acceptor
 
 import (
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
 
 	"hornbeamcroft/finisher"
+	"hornbeamcroft/pipeliner"
+	"hornbeamcroft/reserver"
 )
 
 const (
-	// maxHeaderBytes is the maximum size of a request header in bytes, independent of the configuration.
-	maxHeaderBytes = 256 << 10
-	// maxHeaderTime is the maximum time in which a request header must arrive, independent of the configuration.
-	maxHeaderTime = 30 * time.Second
-	// sweepInterval is the interval between two checks for connections that exceed a limit.
-	sweepInterval = time.Second
-	// defaultIdleTime is the maximum idle time of a connection while the configuration gives no limit.
-	defaultIdleTime = 30 * time.Second
+	// maxHeadBytes is the maximum size of a request head in bytes, independent of the configuration.
+	maxHeadBytes = 256 << 10
+	// unconfiguredHeadBytes is the maximum size of a head while there is no configuration.
+	unconfiguredHeadBytes = 64 << 10
+	// headSlack is how much longer a head may be than the configured limit. The limit does not count the method, the version, the
+	// host and spaces; the handler applies it exactly.
+	headSlack = 4 << 10
+	// fieldCost is the least that a field counts in the configured limit: a name of one byte and its separators.
+	fieldCost = 5
+	// maxAhead is the number of requests of a connection that run at the same time, maxAheadBytes the size of their heads.
+	maxAhead      = 16
+	maxAheadBytes = 64 << 10
 )
 
+// Limits are the configured limits of connections. Zero means that the configuration gives no limit.
+type Limits struct {
+	// Configured is false while there is no configuration.
+	Configured bool
+	// HeadBytes is the maximum size of a head, HeadTime the maximum time from its first byte to its last, IdleTime the maximum
+	// time without a request.
+	HeadBytes          int
+	HeadTime, IdleTime time.Duration
+}
+
 // Acceptor serves HTTP on one address. Set the exported fields before Open.
 type Acceptor struct {
 	Address string
 	Handler http.Handler
-	// Limits returns the configured maximum time for a request header to arrive and the maximum time without a request; zero
-	// means that the configuration gives no limit.
-	Limits func() (header, idle time.Duration)
+	// Limits returns the configured limits.
+	Limits func() Limits
+	// RunsAhead reports whether a request without a body may run before those ahead of it on its connection are answered.
+	RunsAhead func(r *http.Request) bool
+	// Heads limits the memory of the heads of all connections, Ahead that of the requests that run ahead.
+	Heads, Ahead *reserver.Reserver
+	// MaxConns bounds the number of connections; zero means no limit.
+	MaxConns int
+	// OnPanic is called with what the handler has panicked with; it may be nil.
+	OnPanic func(v any)
 
-	server   *http.Server
-	finisher finisher.Finisher
+	rules    pipeliner.Rules
+	listener net.Listener
 	inFlight atomic.Int64
+	// Evicted counts the connections that were closed for others, Refused those that were closed because no other could be.
+	// Late counts those closed because a head, an answer or a next request took too long.
+	Evicted, Refused, Late atomic.Int64
+
+	stopping atomic.Bool
+	// ended is closed when no connection is accepted any more.
+	ended chan struct{}
+	mu    sync.Mutex
+	conns map[*pipeliner.Pipeliner]*accounts
+	// victims are the connections to close next when there are too many, the first at the end.
+	victims []victim
 }
 
+// accounts are the accounts of one connection.
+type accounts struct{ heads, ahead *reserver.Account }
+
 // Open starts to listen and serves in the background. If the server fails later, fail is called with the error.
 func (a *Acceptor) Open(fail func(error)) error {
 	cfg := net.ListenConfig{}
@@ -46,19 +84,35 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
-	a.server = &http.Server{
-		Handler: http.HandlerFunc(a.serve), ReadHeaderTimeout: maxHeaderTime, MaxHeaderBytes: maxHeaderBytes,
+	a.listener = l
+	a.ended = make(chan struct{})
+	a.conns = make(map[*pipeliner.Pipeliner]*accounts)
+	a.rules = pipeliner.Rules{
+		Handler: http.HandlerFunc(a.serve), MaxHeadBytes: a.maxHeadBytes, MaxFields: (maxHeadBytes + headSlack) / fieldCost,
+		RunsAhead: a.RunsAhead, MaxAhead: maxAhead, MaxAheadBytes: maxAheadBytes,
+		MakeRoom: a.makeRoom, OnEnd: a.remove, OnPanic: a.OnPanic,
 	}
-	a.finisher.Server = a.server
-	a.finisher.Attach()
-	go a.finisher.Run(func() {
-		if err := a.server.Serve(l); !a.finisher.Finished() {
+	go func() {
+		defer close(a.ended)
+		if err := a.accept(); !a.stopping.Load() {
 			fail(errors.Wrap(err, "serve "+a.Address))
 		}
-	})
+	}()
 	return nil
 }
 
+// maxHeadBytes returns the maximum size of a head.
+func (a *Acceptor) maxHeadBytes() int {
+	l := a.Limits()
+	switch {
+	case !l.Configured:
+		return unconfiguredHeadBytes
+	case l.HeadBytes <= 0:
+		return maxHeadBytes
+	}
+	return min(l.HeadBytes+headSlack, maxHeadBytes)
+}
+
 func (a *Acceptor) serve(w http.ResponseWriter, r *http.Request) {
 	a.inFlight.Add(1)
 	defer a.inFlight.Add(-1)
@@ -68,37 +122,93 @@
 // InFlight returns the number of requests in flight.
 func (a *Acceptor) InFlight() int { return int(a.inFlight.Load()) }
 
-// Run closes connections that exceed the limits, until ctx ends.
-func (a *Acceptor) Run(ctx context.Context) {
-	t := time.NewTicker(sweepInterval)
-	defer t.Stop()
+// Connections returns the number of open connections.
+func (a *Acceptor) Connections() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.conns)
+}
+
+// acceptRetryTime is the time after which accepting is tried again when the process has no descriptor left.
+const acceptRetryTime = 5 * time.Millisecond
+
+// accept serves connections until the listener fails or is closed.
+func (a *Acceptor) accept() error {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-t.C:
-			a.sweep(now)
+		c, err := a.listener.Accept()
+		if err != nil {
+			if isTemporary(err) {
+				a.evict()
+				time.Sleep(acceptRetryTime)
+				continue
+			}
+			return err
+		}
+		if a.MaxConns > 0 && a.Connections() >= a.MaxConns && !a.evict() {
+			a.Refused.Add(1)
+			_ = c.Close()
+			continue
 		}
+		a.add(c)
 	}
 }
 
-// sweep closes the connections that have been idle, or have not sent their first request header, for too long.
-func (a *Acceptor) sweep(now time.Time) {
-	header, idle := a.Limits()
-	if idle <= 0 {
-		idle = defaultIdleTime
-	}
-	if header <= 0 {
-		header = maxHeaderTime
+// isTemporary reports whether accepting may succeed later.
+func isTemporary(err error) bool {
+	t, ok := err.(interface{ Temporary() bool })
+	return ok && t.Temporary()
+}
+
+// add serves a connection in the background.
+func (a *Acceptor) add(c net.Conn) {
+	acc := &accounts{heads: a.Heads.Open(), ahead: a.Ahead.Open()}
+	p := &pipeliner.Pipeliner{Rules: &a.rules, Conn: c, Memory: acc.heads, Ahead: acc.ahead}
+	p.Init()
+	a.mu.Lock()
+	a.conns[p] = acc
+	a.mu.Unlock()
+	go p.Serve()
+}
+
+// remove forgets a connection that has ended.
+func (a *Acceptor) remove(p *pipeliner.Pipeliner) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	acc := a.conns[p]
+	delete(a.conns, p)
+	acc.heads.Close()
+	acc.ahead.Close()
+}
+
+// each calls fn with all connections.
+func (a *Acceptor) each(fn func(p *pipeliner.Pipeliner)) int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for p := range a.conns {
+		fn(p)
 	}
-	a.finisher.CloseConns(func(state http.ConnState, since time.Time) bool {
-		age := now.Sub(since)
-		// A connection is in StateNew until the header of its first request is complete.
-		return state == http.StateIdle && age > idle || state == http.StateNew && age > max(header, idle)
-	})
+	return len(a.conns)
 }
 
 // Shutdown takes the connections that callers have opened, stops listening and returns when all requests are answered and all
 // connections are closed. When ctx ends, it cuts off the requests that are left and returns the error of ctx. The handler should
 // set "Connection: close" meanwhile.
-func (a *Acceptor) Shutdown(ctx context.Context) error { return a.finisher.Finish(ctx) }
+func (a *Acceptor) Shutdown(ctx context.Context) error {
+	a.stopping.Store(true)
+	finisher.CloseListener(ctx, a.listener)
+	select { // the last accepted connection is known before this
+	case <-a.ended:
+	case <-ctx.Done():
+	}
+	t := time.NewTicker(stopPollInterval)
+	defer t.Stop()
+	for a.each(closeQuiet) > 0 {
+		select {
+		case <-ctx.Done():
+			a.each(func(p *pipeliner.Pipeliner) { p.CloseIf(func(pipeliner.State) bool { return true }) })
+			return ctx.Err()
+		case <-t.C:
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/acceptor/evict.go
@@ -0,0 +1,89 @@
+package acceptor
+
+import (
+	"cmp"
+	"slices"
+
+	"hornbeamcroft/pipeliner"
+)
+
+// maxVictims is the number of connections that one search finds. A search passes all connections.
+const maxVictims = 64
+
+// victim is a connection that may be closed for another, and its state when it was found.
+type victim struct {
+	conn  *pipeliner.Pipeliner
+	state pipeliner.State
+}
+
+// evict closes the connection that has been without a complete head longest or, if there is none, the one that has been idle
+// longest. It returns false if requests run on all connections.
+func (a *Acceptor) evict() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.evictFound() || a.find() && a.evictFound()
+}
+
+// evictFound closes the first connection found whose state has not changed.
+func (a *Acceptor) evictFound() bool {
+	for len(a.victims) > 0 {
+		v := a.victims[len(a.victims)-1]
+		a.victims = a.victims[:len(a.victims)-1]
+		if v.conn.CloseIf(func(s pipeliner.State) bool { return s.Phase == v.state.Phase && s.Since.Equal(v.state.Since) }) {
+			a.Evicted.Add(1)
+			return true
+		}
+	}
+	return false
+}
+
+// find searches the connections to close.
+func (a *Acceptor) find() bool {
+	found := a.victims[:0]
+	for p := range a.conns {
+		if s := p.State(); s.Phase != pipeliner.Serving {
+			found = append(found, victim{p, s})
+		}
+	}
+	slices.SortFunc(found, func(v, w victim) int {
+		return cmp.Or(cmp.Compare(order(w.state), order(v.state)), w.state.Since.Compare(v.state.Since))
+	})
+	a.victims = found[max(0, len(found)-maxVictims):]
+	return len(a.victims) > 0
+}
+
+// order returns the order in which connections are closed: those with a last answer that the caller may still be reading are
+// closed after those without a complete head, idle ones last.
+func order(s pipeliner.State) int {
+	switch s.Phase {
+	case pipeliner.Unfinished:
+		return 0
+	case pipeliner.Lingering:
+		return 1
+	}
+	return 2
+}
+
+// makeRoom closes the connection that has held memory for an unfinished head longest. It returns false if that is p.
+func (a *Acceptor) makeRoom(p *pipeliner.Pipeliner) bool {
+	own := p.State()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var oldest *pipeliner.Pipeliner
+	since := own
+	for c, acc := range a.conns {
+		if c == p || acc.heads.Reserved() == 0 {
+			continue
+		}
+		if s := c.State(); s.Phase == pipeliner.Unfinished && s.Began && s.Since.Before(since.Since) {
+			oldest, since = c, s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	if oldest.CloseIf(func(s pipeliner.State) bool { return s.Phase == pipeliner.Unfinished && s.Since.Equal(since.Since) }) {
+		a.Evicted.Add(1)
+	}
+	return true
+}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -108,7 +108,9 @@
 	storeBreaker *breaker.Breaker
 	recorder     *recorder.Recorder
 	ingress      *acceptor.Acceptor
-	metrics      *metricSet
+	// shares bounds the connections to the listening sockets.
+	shares  connectionShares
+	metrics *metricSet
 	// bodies limits the memory that the bodies of requests and answers hold.
 	bodies *reserver.Reserver
 	// stopping is set when a planned stop begins, at the time stopBegan.
@@ -195,6 +197,7 @@
 	a.clock = monotonic{start: a.started}
 	a.incarnation = uint64(a.started.UnixMicro())
 	a.metrics = newMetricSet()
+	a.shares = newConnectionShares(descriptorLimit(), cfg.MemoryMB)
 	a.callers, a.peers = newStopGate(a.stopLimit()), newStopGate(a.stopLimit())
 	a.recorder = &recorder.Recorder{Log: a.Log.Logger}
 	a.bodies = &reserver.Reserver{Limit: int64(cfg.MemoryMB) << 20 / bodyMemoryDivisor}
@@ -243,7 +246,7 @@
 // listen opens all listening sockets. Servers that fail later send the error to serverErrs.
 func (a *Agent) listen(serverErrs chan error) error {
 	fail := func(err error) { serverErrs <- err }
-	a.ingress = &acceptor.Acceptor{Address: a.Settings.Agent.Ingress, Handler: a.newIngressHandler(), Limits: a.connectionLimits}
+	a.ingress = a.newAcceptor()
 	if err := a.ingress.Open(fail); err != nil {
 		return errors.Wrap(err, "ingress address")
 	}
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -31,11 +31,6 @@
 	return r.table.Limits, true
 }
 
-func (a *Agent) connectionLimits() (header, idle time.Duration) {
-	l, _ := a.callerLimits()
-	return l.HeaderTime, l.IdleTime
-}
-
 // unreadableRetryAfter is the retry delay given to callers of a route that this node cannot read. A node of another version
 // may be able to.
 const unreadableRetryAfter = time.Second
--- /dev/null
+++ b/agent/connections.go
@@ -0,0 +1,77 @@
+package agent
+
+import (
+	"math"
+	"net/http"
+
+	"golang.org/x/sys/unix"
+
+	"hornbeamcroft/acceptor"
+	"hornbeamcroft/reserver"
+)
+
+const (
+	// headMemoryDivisor and aheadMemoryDivisor divide the memory limit: the heads of all callers' connections may take an eighth of
+	// it, and requests that run beside earlier ones of their connection a sixteenth.
+	headMemoryDivisor  = 8
+	aheadMemoryDivisor = 16
+	// connectionBytes is what a connection takes without a request: its goroutine, its buffer and its records.
+	connectionBytes = 12 << 10
+	// connectionMemoryDivisor divides the memory limit: callers' connections may take a quarter of it.
+	connectionMemoryDivisor = 4
+)
+
+// connectionShares are the numbers of connections that the listening sockets accept.
+type connectionShares struct {
+	// ingress bounds those of callers, links the links that other nodes open, and handshakes those that are not links yet.
+	ingress, links, handshakes int
+	// internal bounds those to each of the other addresses.
+	internal int
+}
+
+// newConnectionShares divides the descriptors of the process. About a sixth of them stays for the upstream, links to other nodes, the
+// store and files.
+func newConnectionShares(descriptors, memoryMB int) connectionShares {
+	byMemory := memoryMB << 20 / connectionMemoryDivisor / connectionBytes
+	return connectionShares{
+		ingress: min(descriptors*5/8, byMemory), links: descriptors / 6,
+		handshakes: min(max(8, descriptors/64), 64), internal: min(max(8, descriptors/64), 64),
+	}
+}
+
+// descriptorLimit returns how many descriptors the process may have open.
+func descriptorLimit() int {
+	var l unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(l.Cur)
+}
+
+// newAcceptor returns the server for callers.
+func (a *Agent) newAcceptor() *acceptor.Acceptor {
+	memory := int64(a.Settings.Agent.MemoryMB) << 20
+	return &acceptor.Acceptor{
+		Address: a.Settings.Agent.Ingress, Handler: a.newIngressHandler(), Limits: a.connectionLimits, RunsAhead: a.runsAhead,
+		Heads: &reserver.Reserver{Limit: memory / headMemoryDivisor}, Ahead: &reserver.Reserver{Limit: memory / aheadMemoryDivisor},
+		MaxConns: a.shares.ingress,
+		OnPanic:  func(v any) { a.Log.Error().Any("panic", v).Msg("acceptor: request failed") },
+	}
+}
+
+// connectionLimits returns the configured limits of callers' connections.
+func (a *Agent) connectionLimits() acceptor.Limits {
+	l, ok := a.callerLimits()
+	return acceptor.Limits{Configured: ok, HeadBytes: l.HeaderBytes, HeadTime: l.HeaderTime, IdleTime: l.IdleTime}
+}
+
+// runsAhead reports whether a request may run before those ahead of it on its connection are answered. During a planned stop, each
+// answer closes its connection, so that none does.
+func (a *Agent) runsAhead(r *http.Request) bool {
+	routes := a.routes.Load()
+	if routes == nil || a.stopping.Load() {
+		return false
+	}
+	route, ok := routes.router.Match(r.Host, path(r.RequestURI))
+	return ok && route.Idempotent && !route.Unreadable
+}
--- a/finisher/finisher.go
+++ b/finisher/finisher.go
@@ -136,25 +136,12 @@
 	}
 }
 
-// closeListener closes the listening socket once all callers that have begun a handshake are accepted. Others are refused
-// as soon as it is closed.
+// closeListener closes the listening socket of the server.
 func (f *Finisher) closeListener(ctx context.Context) {
 	f.mu.Lock()
 	l := f.listener
 	f.mu.Unlock()
-	if queue, ok := newAcceptQueue(l); ok {
-		queueCtx, cancel := context.WithCancel(ctx)
-		defer cancel()
-		if queue.refuseHandshakes() {
-			wait(ctx, handshakeTime)
-		} else {
-			time.AfterFunc(handshakeTime, cancel) // the queue may never be empty while handshakes go on
-		}
-		for queueCtx.Err() == nil && queue.length() > 0 {
-			wait(queueCtx, pollInterval)
-		}
-	}
-	_ = l.Close()
+	CloseListener(ctx, l)
 }
 
 // wait waits for the duration or until ctx ends.
--- /dev/null
+++ b/pipeliner/pipeliner.go
@@ -0,0 +1,325 @@
+// Package pipeliner serves the HTTP/1 requests of one connection. It reads ahead while a request is served, runs requests that may run
+// at the same time side by side, and answers in order. Requests, bodies and headers are those of net/http.
+package pipeliner
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+
+	"hornbeamcroft/headreader"
+)
+
+const (
+	// maxEmptyLines is the number of empty lines allowed before a request: some clients send one after a body.
+	maxEmptyLines = 4
+	// aheadBytes is what a request that runs beside an earlier one takes besides its head: the stack of its goroutine and the
+	// records of its call.
+	aheadBytes = 16 << 10
+)
+
+// Memory is the account of one connection.
+type Memory = headreader.Memory
+
+// Rules are the settings that all connections of a server share. Set them before the first connection.
+type Rules struct {
+	Handler http.Handler
+	// MaxHeadBytes returns the maximum size of a head in bytes; MaxFields bounds the number of its fields.
+	MaxHeadBytes func() int
+	MaxFields    int
+	// RunsAhead reports whether a request without a body may run before those ahead of it are answered; nil if none may.
+	RunsAhead func(r *http.Request) bool
+	// MaxAhead bounds the number of requests of one connection that run at the same time, MaxAheadBytes the size of their heads.
+	MaxAhead, MaxAheadBytes int
+	// MakeRoom closes another connection that holds memory for an unfinished head. It returns false if none holds it for longer
+	// than p.
+	MakeRoom func(p *Pipeliner) bool
+	// OnEnd is called when the connection is closed and none of its requests runs; OnPanic with what a handler has panicked with.
+	OnEnd   func(p *Pipeliner)
+	OnPanic func(v any)
+}
+
+// Pipeliner serves one connection. Set the exported fields, call Init and then Serve.
+type Pipeliner struct {
+	*Rules
+	Conn net.Conn
+	// Memory is the account of heads, Ahead that of requests that run ahead.
+	Memory, Ahead Memory
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	remote string
+	// head, pending and fault belong to the goroutine of Serve. While a body is read, head belongs to the body. pending is a
+	// request that waits for those before it, fault the error that is answered after them.
+	head    headreader.HeadReader
+	pending *headreader.Head
+	ahead   bool
+	fault   error
+
+	mu sync.Mutex
+	// changed wakes Serve when a request or a body has ended.
+	changed sync.Cond
+	// first to last are the requests that were passed on and not answered, in order.
+	first, last *exchange
+	count       int
+	headBytes   int
+	// sideBySide is true while all of them may run ahead.
+	sideBySide bool
+	// closing is set once no further request is passed on: an answer says so, or the client or the node has ended the connection.
+	closing, failed, lingering bool
+	// bodyOwner is the request whose body is being read.
+	bodyOwner *exchange
+	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that must wait, paused while
+	// its buffer is full. woken is true if its read was ended by a deadline.
+	reading, waiting, paused, woken, deadlineSet bool
+	// served is true once a head was complete, inHead while bytes of one have arrived. since is when the connection entered
+	// its state, writing when the present write began.
+	served, inHead, serving bool
+	since, writing          time.Time
+	received                uint64
+	buffered                int
+	// ends counts the requests that have ended, seen is its value when Serve last decided to wait.
+	ends, seen int
+	// done is true once Serve has ended.
+	done bool
+}
+
+// Init prepares the connection. Its owner may call the methods of state.go from then on.
+func (p *Pipeliner) Init() {
+	p.ctx, p.cancel = context.WithCancel(context.Background())
+	p.changed.L = &p.mu
+	p.since = time.Now()
+	if a := p.Conn.RemoteAddr(); a != nil {
+		p.remote = a.String()
+	}
+	p.head = headreader.HeadReader{MaxFields: p.MaxFields, MaxEmptyLines: maxEmptyLines, Memory: p.Memory}
+}
+
+// Serve serves the connection until it is closed.
+func (p *Pipeliner) Serve() {
+	defer p.endReading()
+	for p.fill() {
+		p.advance()
+	}
+}
+
+// fill waits until bytes have arrived or requests have ended. It returns false when the connection has ended.
+func (p *Pipeliner) fill() bool {
+	p.head.MaxBytes = p.MaxHeadBytes()
+	space, ok := p.space()
+	if !ok {
+		return p.pause()
+	}
+	p.mu.Lock()
+	if p.failed {
+		p.mu.Unlock()
+		return false
+	}
+	if p.waiting && (p.count == 0 || p.ends != p.seen) && !p.closing {
+		p.mu.Unlock()
+		return true // what it waits for has ended before the read
+	}
+	p.reading = true
+	p.mu.Unlock()
+	n, err := p.Conn.Read(space)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading = false
+	p.head.Received(n)
+	p.received += uint64(n)
+	p.buffered = p.head.Buffered()
+	if p.woken {
+		p.woken = false
+		_ = p.Conn.SetReadDeadline(time.Time{})
+		return true
+	}
+	if err != nil {
+		p.leave()
+		return false
+	}
+	return true
+}
+
+// space returns where to put the next bytes, or false if Serve must wait for requests to end.
+func (p *Pipeliner) space() ([]byte, bool) {
+	if p.isLingering() {
+		p.head.Discard()
+	} else if p.isStuck() && p.head.Full() {
+		return nil, false
+	}
+	for {
+		space, err := p.head.Space()
+		if err == nil {
+			return space, true
+		}
+		if p.holds() {
+			return nil, false
+		}
+		if !errors.Is(err, headreader.ErrNoMemory) || !p.MakeRoom(p) {
+			p.fault = err
+			return nil, false
+		}
+	}
+}
+
+// isStuck reports whether Serve reads only to notice that the client leaves.
+func (p *Pipeliner) isStuck() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.waiting || p.closing
+}
+
+// isLingering reports whether the last answer is sent.
+func (p *Pipeliner) isLingering() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.lingering
+}
+
+// holds lets Serve wait for a request to end. It returns false if none runs.
+func (p *Pipeliner) holds() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.count > 0 {
+		p.hold()
+	}
+	return p.count > 0
+}
+
+// pause waits until a request has ended. It returns false when the connection has ended.
+func (p *Pipeliner) pause() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.paused = true
+	for p.count > 0 && (p.ends == p.seen || p.closing) && !p.failed {
+		p.changed.Wait()
+	}
+	p.paused = false
+	return !p.failed
+}
+
+// advance passes on the requests that have arrived and may run.
+func (p *Pipeliner) advance() {
+	for {
+		p.next()
+		switch {
+		case p.fault != nil:
+			p.answerFault()
+			return
+		case p.pending == nil || !p.pass():
+			return
+		}
+	}
+}
+
+// next reads the next head if there is none yet.
+func (p *Pipeliner) next() {
+	if p.pending != nil || p.fault != nil || p.isClosing() {
+		return
+	}
+	for {
+		head, err := p.head.Next()
+		if errors.Is(err, headreader.ErrNoMemory) {
+			if p.holds() {
+				return
+			}
+			if p.MakeRoom(p) {
+				continue
+			}
+		}
+		p.fault, p.pending = err, head
+		p.noteHead(head == nil && err == nil && p.head.Began())
+		if head != nil {
+			p.ahead = !head.HasBody() && p.RunsAhead != nil && p.RunsAhead(head.Request)
+		}
+		return
+	}
+}
+
+func (p *Pipeliner) isClosing() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closing
+}
+
+// noteHead records whether the first bytes of a head have arrived.
+func (p *Pipeliner) noteHead(began bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if began && !p.inHead {
+		p.since = time.Now()
+	}
+	p.inHead, p.waiting = began, false
+	p.buffered = p.head.Buffered()
+}
+
+// pass passes the pending request on to the handler. It returns false if the request must wait or the connection is closing.
+func (p *Pipeliner) pass() bool {
+	e := &exchange{p: p, head: p.pending, body: p.pending.HasBody(), response: response{length: -1}}
+	p.mu.Lock()
+	if p.closing {
+		p.Memory.Release(p.pending.Cost)
+		p.pending, p.waiting = nil, false
+		p.mu.Unlock()
+		return false
+	}
+	if p.count > 0 && !p.mayRunAhead(e) {
+		p.hold()
+		p.mu.Unlock()
+		return false
+	}
+	p.add(e)
+	p.mu.Unlock()
+	e.open()
+	go e.run()
+	p.pending = nil
+	return p.awaitBody(e)
+}
+
+// mayRunAhead reports whether the pending request may run beside those before it, and reserves what that takes.
+func (p *Pipeliner) mayRunAhead(e *exchange) bool {
+	if !p.ahead || !p.sideBySide || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
+		return false
+	}
+	e.ahead = aheadBytes
+	return true
+}
+
+// add appends the request to those that run.
+func (p *Pipeliner) add(e *exchange) {
+	if p.last == nil {
+		p.first, p.sideBySide = e, p.ahead
+	} else {
+		p.last.next = e
+		e.turn = make(chan struct{})
+		p.sideBySide = p.sideBySide && p.ahead
+	}
+	p.last = e
+	p.count++
+	p.headBytes += e.head.Cost
+	p.served, p.serving, p.inHead, p.waiting = true, true, false, false
+	p.buffered = p.head.Buffered()
+	if e.body {
+		p.bodyOwner = e
+	}
+	if e.head.Request.Close {
+		p.closing = true
+	}
+}
+
+// awaitBody waits until the body of the request is read or not wanted.
+func (p *Pipeliner) awaitBody(e *exchange) bool {
+	if !e.body {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for p.bodyOwner == e {
+		p.changed.Wait()
+	}
+	return !p.failed
+}
--- a/reserver/reserver.go
+++ b/reserver/reserver.go
@@ -1,5 +1,5 @@
-// Package reserver limits the memory that all bodies in a process hold together. A body is reserved before or while its bytes
-// arrive, so that the limit holds whatever the other side sends.
+// Package reserver limits the memory that all bodies, or all request heads, in a process hold together. Memory is reserved before
+// or while bytes arrive, so that the limit holds whatever the other side sends.
 package reserver
 
 import "sync/atomic"
@@ -13,7 +13,7 @@
 	refused  atomic.Int64
 }
 
-// Account is the memory that one request holds. It implements hornbeamcroft.Memory.
+// Account is the memory that one request or one connection holds. It implements hornbeamcroft.Memory.
 type Account struct {
 	reserver *Reserver
 	reserved atomic.Int64
@@ -34,6 +34,21 @@
 	return true
 }
 
+// Release takes bytes from the account, but never more than it holds.
+func (a *Account) Release(bytes int) {
+	for {
+		have := a.reserved.Load()
+		n := min(have, int64(bytes))
+		if a.reserved.CompareAndSwap(have, have-n) {
+			a.reserver.reserved.Add(-n)
+			return
+		}
+	}
+}
+
+// Reserved returns the bytes that the account holds.
+func (a *Account) Reserved() int64 { return a.reserved.Load() }
+
 // Close releases what the account holds.
 func (a *Account) Close() { a.reserver.reserved.Add(-a.reserved.Swap(0)) }
 
