--- a/agent/agent.go
+++ b/agent/agent.go
@@ -212,7 +212,7 @@
 	a.links = &connector.Connector{
 		Self: a.hello, Key: []byte(cfg.ClusterKey), MaxBody: func() int { return maxAnswerBody }, Memory: a.bodies,
 		OnCall: a.onCall, OnOutcome: a.recaller.Outcome, OnMessage: a.onMessage, OnUp: a.onUp, OnDown: a.onDown,
-		SilenceTimeout: linkSilenceTimeout, Log: a.Log.Logger,
+		SilenceTimeout: linkSilenceTimeout, MaxInbound: a.shares.links, Log: a.Log.Logger,
 	}
 	a.runner = &runner.Runner{
 		Clock: a.clock, Service: cfg.Service, Exchanger: a.exchanger, Request: platform.UpstreamRequest,
--- a/agent/connections.go
+++ b/agent/connections.go
@@ -35,7 +35,7 @@
 	byMemory := memoryMB << 20 / connectionMemoryDivisor / connectionBytes
 	return connectionShares{
 		ingress: min(descriptors*5/8, byMemory), links: descriptors / 6,
-		handshakes: min(max(8, descriptors/64), 64), internal: min(max(8, descriptors/64), 64),
+		handshakes: min(max(16, descriptors/16), 256), internal: min(max(8, descriptors/64), 64),
 	}
 }
 
--- a/agent/listen.go
+++ b/agent/listen.go
@@ -24,13 +24,13 @@
 	}
 	for _, l := range []listener.Listener{
 		{
-			Name: "links", Address: cfg.Links,
+			Name: "links", Address: cfg.Links, MaxConns: a.shares.handshakes,
 			Routes: []rest.Route{{Method: http.MethodGet, Path: "/link", Handler: a.links.Accept}},
 		},
-		{Name: "announcements", Address: cfg.Announcements, Routes: announcements.Routes()},
-		{Name: "readiness", Address: cfg.Readiness, Routes: platform.ReadinessRoutes(a.ready)},
+		{Name: "announcements", Address: cfg.Announcements, Routes: announcements.Routes(), MaxConns: a.shares.internal},
+		{Name: "readiness", Address: cfg.Readiness, Routes: platform.ReadinessRoutes(a.ready), MaxConns: a.shares.internal},
 		{
-			Name: "metrics", Address: cfg.Metrics,
+			Name: "metrics", Address: cfg.Metrics, MaxConns: a.shares.internal,
 			Routes: append(profiler.Profiler{}.Routes(),
 				rest.Route{Method: http.MethodGet, Path: "/metrics", Handler: a.serveMetrics},
 				rest.Route{Method: http.MethodGet, Path: "/status", Handler: a.serveStatus},
--- a/connector/accept.go
+++ b/connector/accept.go
@@ -1,6 +1,7 @@
 package connector
 
 import (
+	"cmp"
 	"net/http"
 	"time"
 
@@ -13,7 +14,7 @@
 // Accept upgrades an HTTP request to a link and returns when the link has closed.
 func (c *Connector) Accept(w http.ResponseWriter, r *http.Request) {
 	c.mu.Lock()
-	reject := c.inboundCount >= maxInboundLinks || c.shutDown
+	reject := c.inboundCount >= cmp.Or(c.MaxInbound, maxInboundLinks) || c.shutDown
 	if !reject {
 		c.inboundCount++
 	}
--- a/connector/connector.go
+++ b/connector/connector.go
@@ -45,7 +45,8 @@
 // DefaultCredit is the number of calls that a peer may have outstanding on one link.
 const DefaultCredit = 1024
 
-// maxInboundLinks is the maximum number of accepted links; the planned deployment size needs fewer than 700.
+// maxInboundLinks is the maximum number of accepted links where MaxInbound does not set it; the planned deployment size needs fewer
+// than 700.
 const maxInboundLinks = 4096
 
 // Connector manages the links of one node. Set the exported fields before Run.
@@ -74,6 +75,8 @@
 	OnDown func(l *Link)
 	// SilenceTimeout is the time without received frames after which a link with an unanswered ping is closed; 1.5 s if zero.
 	SilenceTimeout time.Duration
+	// MaxInbound is the maximum number of accepted links; maxInboundLinks if zero.
+	MaxInbound int
 	// Memory limits the memory that the bodies of received calls, and of answers to calls with an account, hold; nil for no
 	// limit.
 	Memory *reserver.Reserver
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -6,6 +6,7 @@
 	"crypto/tls"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/zeromicro/go-zero/core/service"
 	"github.com/zeromicro/go-zero/rest"
 
+	"hornbeamcroft/evictor"
 	"hornbeamcroft/finisher"
 )
 
@@ -22,6 +24,12 @@
 	readHeaderTimeout = 5 * time.Second
 	// maxHeaderBytes is the maximum size of a request header.
 	maxHeaderBytes = 16 << 10
+	// boundedReadTimeout and boundedIdleTimeout apply where the number of connections is bounded: the maximum time in which a
+	// whole request must arrive, and the maximum time without one. Upstreams and probes send one each second or two.
+	boundedReadTimeout = 5 * time.Second
+	boundedIdleTimeout = 60 * time.Second
+	// maxBoundedBody is the maximum size of the body of a request where the number of connections is bounded.
+	maxBoundedBody = 64 << 10
 )
 
 // StopFunc shuts a listener down and waits for requests in flight until ctx ends.
@@ -38,11 +46,20 @@
 	KeyFile  string
 	TLS      *tls.Config
 	Routes   []rest.Route
+	// MaxConns bounds the number of connections, without those that a handler has taken over. Zero means no limit.
+	MaxConns int
 }
 
 // Open serves in the background until the returned function is called. If the server fails to listen after Open's own check
 // has succeeded, the error is sent to serverErrs.
 func (l Listener) Open(serverErrs chan<- error) (StopFunc, error) {
+	bound := &evictor.Evictor{MaxConns: l.MaxConns, MaxBody: maxBoundedBody}
+	if l.MaxConns > 0 {
+		l.Routes = slices.Clone(l.Routes)
+		for i := range l.Routes {
+			l.Routes[i].Handler = bound.Wrap(l.Routes[i].Handler)
+		}
+	}
 	server, err := l.build()
 	if err != nil {
 		return nil, err
@@ -64,6 +81,10 @@
 		server.StartWithOpts(func(httpServer *http.Server) {
 			httpServer.ReadHeaderTimeout = readHeaderTimeout
 			httpServer.MaxHeaderBytes = maxHeaderBytes
+			if l.MaxConns > 0 {
+				httpServer.ReadTimeout, httpServer.IdleTimeout = boundedReadTimeout, boundedIdleTimeout
+				bound.Attach(httpServer)
+			}
 			f.Server = httpServer
 			f.Attach()
 			close(ready)
