--- a/headreader/headreader.go
+++ b/headreader/headreader.go
@@ -239,33 +239,6 @@
 	return errors.Wrap(ErrMalformed, err.Error())
 }
 
-// check applies the rules that net/http's server has besides those of its parser. Rest is the number of bytes of the head that were
-// not parsed: its parser ends at a line of spaces.
-func check(r *http.Request, hasHost bool, rest int) error {
-	switch {
-	case r.ProtoMajor != 1:
-		return ErrVersion
-	case rest > 0:
-		return errors.Wrap(ErrMalformed, "line of spaces")
-	case r.ProtoAtLeast(1, 1) && !hasHost && r.Method != http.MethodConnect:
-		return errors.Wrap(ErrMalformed, "Host is missing")
-	case r.Header.Get("Expect") != "" && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
-		return ErrExpectation
-	case strings.ContainsFunc(r.Host, isNoHostRune):
-		return errors.Wrap(ErrMalformed, "Host has characters that are not allowed")
-	}
-	return nil
-}
-
-// isNoHostRune reports whether a character is not allowed in the field Host.
-func isNoHostRune(c rune) bool {
-	switch {
-	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		return false
-	}
-	return !strings.ContainsRune("!$%&()*+,-.:;=@[]'_~", c)
-}
-
 // source is what the parser and then the body of one request read from: first the head, then the connection.
 type source struct {
 	head []byte
