--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -27,8 +27,7 @@
 	headSlack = 4 << 10
 	// fieldCost is the least that a field counts in the configured limit: a name of one byte and its separators.
 	fieldCost = 5
-	// maxAhead is the number of requests of a connection that run at the same time, maxAheadBytes the size of their heads.
-	maxAhead      = 16
+	// maxAheadBytes is the memory of the heads of the requests of a connection that run at the same time.
 	maxAheadBytes = 64 << 10
 )
 
@@ -50,6 +49,8 @@
 	Limits func() Limits
 	// RunsAhead reports whether a request without a body may run before those ahead of it on its connection are answered.
 	RunsAhead func(r *http.Request) bool
+	// MaxAhead bounds the number of requests of a connection that run at the same time.
+	MaxAhead int
 	// Heads limits the memory of the heads of all connections, Ahead that of the requests that run ahead.
 	Heads, Ahead *reserver.Reserver
 	// MaxConns bounds the number of connections; zero means no limit.
@@ -71,6 +72,8 @@
 	conns map[*pipeliner.Pipeliner]*accounts
 	// victims are the connections to close next when there are too many, the first at the end.
 	victims []victim
+	// holders are the connections to close next when there is no memory for a head, the first at the end.
+	holders []victim
 }
 
 // accounts are the accounts of one connection.
@@ -89,7 +92,7 @@
 	a.conns = make(map[*pipeliner.Pipeliner]*accounts)
 	a.rules = pipeliner.Rules{
 		Handler: http.HandlerFunc(a.serve), MaxHeadBytes: a.maxHeadBytes, MaxFields: (maxHeadBytes + headSlack) / fieldCost,
-		RunsAhead: a.RunsAhead, MaxAhead: maxAhead, MaxAheadBytes: maxAheadBytes,
+		RunsAhead: a.RunsAhead, MaxAhead: a.MaxAhead, MaxAheadBytes: maxAheadBytes,
 		MakeRoom: a.makeRoom, OnEnd: a.remove, OnPanic: a.OnPanic,
 	}
 	go func() {
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -3,7 +3,9 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
+	"hornbeamcroft/finisher"
 	"hornbeamcroft/pipeliner"
 )
 
@@ -16,6 +18,14 @@
 	state pipeliner.State
 }
 
+// close closes the connection unless its state has changed or a request has begun to arrive on an idle one.
+func (v victim) close() bool {
+	return v.conn.CloseIf(func(s pipeliner.State) bool {
+		return s.Phase == v.state.Phase && s.Since.Equal(v.state.Since) &&
+			(s.Phase != pipeliner.Idle || finisher.IsQuiet(v.conn.Conn, s.Received, false, 0))
+	})
+}
+
 // evict closes the connection that has been without a complete head longest or, if there is none, the one that has been idle
 // longest. It returns false if requests run on all connections.
 func (a *Acceptor) evict() bool {
@@ -29,7 +39,7 @@
 	for len(a.victims) > 0 {
 		v := a.victims[len(a.victims)-1]
 		a.victims = a.victims[:len(a.victims)-1]
-		if v.conn.CloseIf(func(s pipeliner.State) bool { return s.Phase == v.state.Phase && s.Since.Equal(v.state.Since) }) {
+		if v.close() {
 			a.Evicted.Add(1)
 			return true
 		}
@@ -45,11 +55,16 @@
 			found = append(found, victim{p, s})
 		}
 	}
+	a.victims = sortVictims(found)
+	return len(a.victims) > 0
+}
+
+// sortVictims returns the connections to close next, the first at the end.
+func sortVictims(found []victim) []victim {
 	slices.SortFunc(found, func(v, w victim) int {
 		return cmp.Or(cmp.Compare(order(w.state), order(v.state)), w.state.Since.Compare(v.state.Since))
 	})
-	a.victims = found[max(0, len(found)-maxVictims):]
-	return len(a.victims) > 0
+	return found[max(0, len(found)-maxVictims):]
 }
 
 // order returns the order in which connections are closed: those with a last answer that the caller may still be reading are
@@ -66,24 +81,39 @@
 
 // makeRoom closes the connection that has held memory for an unfinished head longest. It returns false if that is p.
 func (a *Acceptor) makeRoom(p *pipeliner.Pipeliner) bool {
-	own := p.State()
+	since := p.State().Since
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var oldest *pipeliner.Pipeliner
-	since := own
-	for c, acc := range a.conns {
-		if c == p || acc.heads.Reserved() == 0 {
-			continue
+	return a.evictHolder(since) || a.findHolders() && a.evictHolder(since)
+}
+
+// evictHolder closes the first connection found that still holds memory, if it has done so since before the given time.
+func (a *Acceptor) evictHolder(before time.Time) bool {
+	for len(a.holders) > 0 {
+		v := a.holders[len(a.holders)-1]
+		if !v.state.Since.Before(before) {
+			return false
 		}
-		if s := c.State(); s.Phase == pipeliner.Unfinished && s.Began && s.Since.Before(since.Since) {
-			oldest, since = c, s
+		a.holders = a.holders[:len(a.holders)-1]
+		if v.close() {
+			a.Evicted.Add(1)
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	if oldest.CloseIf(func(s pipeliner.State) bool { return s.Phase == pipeliner.Unfinished && s.Since.Equal(since.Since) }) {
-		a.Evicted.Add(1)
+	return false
+}
+
+// findHolders searches the connections that hold memory for an unfinished head.
+func (a *Acceptor) findHolders() bool {
+	found := a.holders[:0]
+	for p, acc := range a.conns {
+		if acc.heads.Reserved() == 0 {
+			continue
+		}
+		if s := p.State(); s.Phase == pipeliner.Unfinished && s.Began {
+			found = append(found, victim{p, s})
+		}
 	}
-	return true
+	a.holders = sortVictims(found)
+	return len(a.holders) > 0
 }
--- a/acceptor/sweep.go
+++ b/acceptor/sweep.go
@@ -48,15 +48,16 @@
 		l.HeadTime = defaultHeadTime
 	}
 	a.each(func(p *pipeliner.Pipeliner) {
-		paused := false
+		var found pipeliner.State
 		closed := p.CloseIf(func(s pipeliner.State) bool {
-			paused = s.Paused
-			return s.Phase != pipeliner.Lingering && isLate(s, l, now) || s.Phase == pipeliner.Lingering && now.Sub(s.Since) > lingerTime
+			found = s
+			// A request that has just arrived is served.
+			return isLate(s, l, now) && (s.Phase != pipeliner.Idle || finisher.IsQuiet(p.Conn, s.Received, false, 0))
 		})
 		switch {
-		case closed:
+		case closed && found.Phase != pipeliner.Lingering:
 			a.Late.Add(1)
-		case paused && finisher.HasLeft(p.Conn):
+		case found.Paused && finisher.HasLeft(p.Conn):
 			p.Leave()
 		}
 	})
@@ -70,6 +71,8 @@
 		return s.Began && age > l.HeadTime || age > max(l.HeadTime, l.IdleTime)
 	case pipeliner.Idle:
 		return age > l.IdleTime
+	case pipeliner.Lingering:
+		return age > lingerTime
 	case pipeliner.Serving:
 		return !s.Writing.IsZero() && now.Sub(s.Writing) > writeTime
 	}
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -274,6 +274,7 @@
 	t := time.NewTicker(interval)
 	defer t.Stop()
 	var lastRate rateLog
+	var lastConnections connectionLog
 	for {
 		select {
 		case <-ctx.Done():
@@ -281,6 +282,7 @@
 		case <-t.C:
 		}
 		a.logRate(&lastRate)
+		a.logConnections(&lastConnections)
 		a.recaller.Tick()
 		a.tickMembers()
 		a.requestRoutes()
--- a/agent/connections.go
+++ b/agent/connections.go
@@ -1,8 +1,11 @@
 package agent
 
 import (
+	"cmp"
 	"math"
 	"net/http"
+	"runtime/debug"
+	"time"
 
 	"golang.org/x/sys/unix"
 
@@ -50,12 +53,17 @@
 
 // newAcceptor returns the server for callers.
 func (a *Agent) newAcceptor() *acceptor.Acceptor {
-	memory := int64(a.Settings.Agent.MemoryMB) << 20
+	cfg := a.Settings.Agent
+	memory := int64(cfg.MemoryMB) << 20
 	return &acceptor.Acceptor{
-		Address: a.Settings.Agent.Ingress, Handler: a.newIngressHandler(), Limits: a.connectionLimits, RunsAhead: a.runsAhead,
-		Heads: &reserver.Reserver{Limit: memory / headMemoryDivisor}, Ahead: &reserver.Reserver{Limit: memory / aheadMemoryDivisor},
-		MaxConns: a.shares.ingress,
-		OnPanic:  func(v any) { a.Log.Error().Any("panic", v).Msg("acceptor: request failed") },
+		Address: cfg.Ingress, Handler: a.newIngressHandler(), Limits: a.connectionLimits,
+		RunsAhead: a.runsAhead, MaxAhead: cfg.Ahead,
+		Heads:    &reserver.Reserver{Limit: cmp.Or(int64(cfg.HeadsMB)<<20, memory/headMemoryDivisor)},
+		Ahead:    &reserver.Reserver{Limit: memory / aheadMemoryDivisor},
+		MaxConns: cmp.Or(cfg.Connections, a.shares.ingress),
+		OnPanic: func(v any) {
+			a.Log.Error().Any("panic", v).Bytes("stack", debug.Stack()).Msg("acceptor: request failed")
+		},
 	}
 }
 
@@ -75,3 +83,35 @@
 	route, ok := routes.router.Match(r.Host, path(r.RequestURI))
 	return ok && route.Idempotent && !route.Unreadable
 }
+
+// collectConnections sets the gauges for callers' connections.
+func (a *Agent) collectConnections() {
+	m := a.metrics
+	m.gauge("way-in/in-flight", int64(a.ingress.InFlight()))
+	m.gauge("way-in/connections", int64(a.ingress.Connections()))
+	m.gauge("way-in/head-bytes", a.ingress.Heads.Reserved())
+	m.gauge("way-in/ahead-bytes", a.ingress.Ahead.Reserved())
+	m.gauge("way-in/closed-for-others", a.ingress.Evicted.Load())
+	m.gauge("way-in/closed-at-once", a.ingress.Refused.Load())
+	m.gauge("way-in/closed-late", a.ingress.Late.Load())
+}
+
+// connectionLogInterval is the minimum time between two log lines about connections closed for others.
+const connectionLogInterval = 5 * time.Second
+
+// connectionLog is what was logged last about connections.
+type connectionLog struct {
+	at     time.Duration
+	closed int64
+}
+
+// logConnections logs that connections had to be closed since the last line.
+func (a *Agent) logConnections(last *connectionLog) {
+	now, closed := a.clock.Now(), a.ingress.Evicted.Load()+a.ingress.Refused.Load()
+	if closed == last.closed || now-last.at < connectionLogInterval {
+		return
+	}
+	a.Log.Warn().Int64("closed", closed-last.closed).Int("open", a.ingress.Connections()).Int("limit", a.ingress.MaxConns).
+		Int64("head-bytes", a.ingress.Heads.Reserved()).Msg("way-in: connections closed for others")
+	*last = connectionLog{at: now, closed: closed}
+}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -77,7 +77,7 @@
 	m.gauge("links/late-answers", a.links.LateAnswers.Load())
 	m.gauge("links/bytes-in", a.links.BytesIn.Load())
 	m.gauge("links/bytes-out", a.links.BytesOut.Load())
-	m.gauge("way-in/in-flight", int64(a.ingress.InFlight()))
+	a.collectConnections()
 	m.gauge("way-in/body-bytes", a.bodies.Reserved())
 	m.gauge("bodies/refused", a.bodies.Refused())
 	m.gauge("process/goroutines", int64(runtime.NumGoroutine()))
--- a/finisher/shared.go
+++ b/finisher/shared.go
@@ -29,7 +29,7 @@
 // IsQuiet reports whether a connection may be closed by a planned stop: no bytes have arrived on it beyond the first received, which
 // were read and served. A new connection, on which none have arrived, must be open for long enough to send its first request.
 func IsQuiet(c net.Conn, received uint64, isNew bool, age time.Duration) bool {
-	return bytesReceived(c) <= received && !hasData(c) && (!isNew || age > firstRequestTime)
+	return (!isNew || age > firstRequestTime) && bytesReceived(c) <= received && !hasData(c)
 }
 
 // HasLeft reports whether the other side has closed the connection, which may have bytes that were not read.
--- a/loader/agent.go
+++ b/loader/agent.go
@@ -43,6 +43,12 @@
 	ClusterKey string
 	// MemoryMB is the memory limit of the process in MiB.
 	MemoryMB int
+	// Connections is the maximum number of callers' connections, HeadsMB the memory of their heads in MiB. Zero means that they
+	// follow from the limit of descriptors and from MemoryMB.
+	Connections int
+	HeadsMB     int
+	// Ahead is the maximum number of requests of one connection that run at the same time.
+	Ahead int
 	// Bounds holds the limits that the platform sets, as name=value pairs separated by commas.
 	Bounds string
 }
@@ -68,6 +74,9 @@
 	{"agent", "introducers", "", "IP addresses and ports, separated by commas"},
 	{"agent", "cluster-key", "", "the same on all nodes; links of nodes with another key are refused"},
 	{"agent", "memory-mb", "", "MiB, 32 to 1048576"},
+	{"agent", "way-in-connections", "0", "0 to 1048576; 0: follows from the limit of descriptors and memory-mb"},
+	{"agent", "way-in-heads-mb", "0", "MiB, 0 to 1048576; 0: an eighth of memory-mb"},
+	{"agent", "way-in-ahead", "16", "1 to 1024 requests of one connection that run at the same time"},
 	{"agent", "bounds", "", "name=value pairs of the platform, separated by commas"},
 	{"platform-store", "address", "", "IP address and port"},
 	{"log", "level", DefaultLogLevel, "debug, info, warn, error"},
@@ -79,6 +88,9 @@
 	maxMemoryMB = 1 << 20
 )
 
+// defaultAhead is the default of way-in-ahead.
+const defaultAhead = 16
+
 // LoadAgent parses and checks the text of an agent's settings file. If any value is not allowed, the error is a
 // parser.Problems that lists every problem.
 func LoadAgent(text []byte) (AgentSettings, error) {
@@ -103,6 +115,9 @@
 			Introducers:    c.commaAddresses("agent", "introducers"),
 			ClusterKey:     c.optionalKey("agent", "cluster-key"),
 			MemoryMB:       c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
+			Connections:    c.optionalNumber("agent", "way-in-connections", 0, maxMemoryMB, 0),
+			HeadsMB:        c.optionalNumber("agent", "way-in-heads-mb", 0, maxMemoryMB, 0),
+			Ahead:          c.optionalNumber("agent", "way-in-ahead", 1, 1024, defaultAhead),
 			Bounds:         c.file.Section("agent").Key("bounds").String(),
 		},
 		Store: AgentStoreSettings{Address: c.address("platform-store", "address", true)},
@@ -133,6 +148,14 @@
 	return list
 }
 
+// optionalNumber reads an integer from least to most, or returns the default if the file has none.
+func (c *checker) optionalNumber(section, key string, least, most, value int) int {
+	if c.file.Section(section).Key(key).String() == "" {
+		return value
+	}
+	return c.number(section, key, least, most)
+}
+
 // number reads an integer from least to most.
 func (c *checker) number(section, key string, least, most int) int {
 	v := c.file.Section(section).Key(key).String()
