--- a/headreader/check.go
+++ b/headreader/check.go
@@ -60,4 +60,3 @@
 	}
 	return !strings.ContainsRune("!$%&()*+,-.:;=@[]'_~", c)
 }
-
