acceptor: busy and unread connections make room for others

Now a client that takes nothing for 2 s may be closed, and the connection that has been busy longest closes with its next answer.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -72,6 +72,8 @@
 	conns map[*pipeliner.Pipeliner]*accounts
 	// victims are the connections to close next when there are too many, the first at the end.
 	victims []victim
+	// searched is when they were searched last.
+	searched time.Time
 	// holders are the connections to close next when there is no memory for a head, the first at the end.
 	holders []victim
 }
@@ -147,12 +149,12 @@
 			}
 			return err
 		}
-		if a.MaxConns > 0 && a.Connections() >= a.MaxConns && !a.evict() {
-			a.Refused.Add(1)
-			_ = c.Close()
+		if a.hasRoom() {
+			a.add(c)
 			continue
 		}
-		a.add(c)
+		a.Refused.Add(1)
+		_ = c.Close()
 	}
 }
 
--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -39,8 +39,11 @@
 		RunsAhead: func(*http.Request) bool { return true },
 		Heads:     &reserver.Reserver{Limit: 72 << 10}, Ahead: &reserver.Reserver{Limit: 1 << 20},
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if r.URL.Path == "/slow" {
+			switch r.URL.Path {
+			case "/slow":
 				<-s.release
+			case "/large":
+				_, _ = w.Write(make([]byte, 32<<20))
 			}
 			s.served.Store(r.URL.Path, true)
 			time.Sleep(2 * time.Millisecond)
@@ -105,6 +108,7 @@
 	is.True(isOpen(second))
 	for range 8 {
 		is.True(answers(s.dial(t, get("/"))))
+		time.Sleep(recentTime)
 	}
 	is.True(!isOpen(second))
 	is.True(!isOpen(idle))
@@ -113,6 +117,58 @@
 	is.True(answers(served))
 }
 
+// TestEvictedWithoutReading guards against callers that do not read their answers and keep others out.
+func TestEvictedWithoutReading(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 2)
+	served, unread := s.dial(t, get("/slow")), s.dial(t, get("/large"))
+	is.True(!answers(s.dial(t, get("/")))) // not at once
+	time.Sleep(stallTime + 500*time.Millisecond)
+	is.True(answers(s.dial(t, get("/"))))
+	_ = unread.SetReadDeadline(time.Now().Add(time.Second))
+	resp, err := http.ReadResponse(bufio.NewReader(unread), nil)
+	is.NoErr(err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	is.True(err != nil)
+	close(s.release)
+	is.True(answers(served))
+}
+
+// TestBusyCallers guards against callers that send request after request on all connections and keep others out, and against a request
+// that is lost when such a connection closes.
+func TestBusyCallers(t *testing.T) {
+	is := is.New(t)
+	s := start(t, 16)
+	var callers sync.WaitGroup
+	var stop atomic.Bool
+	for range 16 {
+		c := s.dial(t, strings.Repeat(get("/"), 3))
+		callers.Go(func() {
+			reader := bufio.NewReader(c)
+			for {
+				_ = c.SetReadDeadline(time.Now().Add(2 * time.Second))
+				resp, err := http.ReadResponse(reader, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, resp.Body)
+				if resp.Close || stop.Load() {
+					return
+				}
+				_, _ = io.WriteString(c, get("/"))
+			}
+		})
+	}
+	for range 5 {
+		c := s.dial(t, get("/"))
+		is.True(answers(c))
+		_ = c.Close()
+	}
+	stop.Store(true)
+	callers.Wait()
+}
+
 // TestEvictedForMemory guards against unfinished heads that take all memory, and against requests that are cut off for it.
 func TestEvictedForMemory(t *testing.T) {
 	is := is.New(t)
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -12,26 +12,95 @@
 // maxVictims is the number of connections that one search finds. A search passes all connections.
 const maxVictims = 64
 
+const (
+	// searchInterval is the time after which connections to close are searched again when there were none: a search passes all.
+	searchInterval = 5 * time.Millisecond
+	// extraDivisor divides the maximum number of connections: so many more are accepted while requests run on all.
+	extraDivisor = 16
+	// recentTime is the time after an answer in which the next request of a caller may be on its way: closed then, it would be lost.
+	recentTime = 50 * time.Millisecond
+)
+
+// stallTime is the time after which a caller that takes no part of an answer counts as not reading it.
+const stallTime = 2 * time.Second
+
 // victim is a connection that may be closed for another, and its state when it was found.
 type victim struct {
 	conn  *pipeliner.Pipeliner
 	state pipeliner.State
 }
 
+// isVictim reports whether a connection in the state may be closed for another.
+func isVictim(s pipeliner.State, now time.Time) bool {
+	switch s.Phase {
+	case pipeliner.Serving:
+		return !s.Writing.IsZero() && now.Sub(s.Writing) > stallTime
+	case pipeliner.Idle:
+		return now.Sub(s.Since) > recentTime
+	}
+	return true
+}
+
+// since returns since when the connection has held its share for nothing.
+func (v victim) since() time.Time {
+	if v.state.Phase == pipeliner.Serving {
+		return v.state.Writing
+	}
+	return v.state.Since
+}
+
 // close closes the connection unless its state has changed or a request has begun to arrive on an idle one.
 func (v victim) close() bool {
 	return v.conn.CloseIf(func(s pipeliner.State) bool {
-		return s.Phase == v.state.Phase && s.Since.Equal(v.state.Since) &&
+		return s.Phase == v.state.Phase && s.Since.Equal(v.state.Since) && s.Writing.Equal(v.state.Writing) &&
 			(s.Phase != pipeliner.Idle || finisher.IsQuiet(v.conn.Conn, s.Received, false, 0))
 	})
 }
 
+// hasRoom makes room for one more connection if there are too many. While requests run on all, a few more are accepted, and the one
+// that has been busy longest is closed with its next answer: callers that send request after request would keep all others out.
+func (a *Acceptor) hasRoom() bool {
+	n := a.Connections()
+	if a.MaxConns <= 0 || n < a.MaxConns || a.evict() {
+		return true
+	}
+	if n >= a.MaxConns+a.MaxConns/extraDivisor {
+		return false
+	}
+	a.closeBusy()
+	return true
+}
+
+// closeBusy lets the connection that has been busy longest end with its next answer.
+func (a *Acceptor) closeBusy() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var busy *pipeliner.Pipeliner
+	var since time.Time
+	for p := range a.conns {
+		s := p.State()
+		if s.Phase == pipeliner.Serving && !s.Soon && (busy == nil || s.BusySince.Before(since)) {
+			busy, since = p, s.BusySince
+		}
+	}
+	if busy != nil {
+		busy.CloseSoon()
+		a.Evicted.Add(1)
+	}
+}
+
 // evict closes the connection that has been without a complete head longest or, if there is none, the one that has been idle
-// longest. It returns false if requests run on all connections.
+// longest, or at last the one whose caller has not read its answer for longest. It returns false if requests run on all connections.
 func (a *Acceptor) evict() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.evictFound() || a.find() && a.evictFound()
+	if a.evictFound() {
+		return true
+	}
+	if time.Since(a.searched) < searchInterval {
+		return false
+	}
+	return a.find() && a.evictFound()
 }
 
 // evictFound closes the first connection found whose state has not changed.
@@ -49,34 +118,39 @@
 
 // find searches the connections to close.
 func (a *Acceptor) find() bool {
-	found := a.victims[:0]
+	found, now := a.victims[:0], time.Now()
 	for p := range a.conns {
-		if s := p.State(); s.Phase != pipeliner.Serving {
+		if s := p.State(); isVictim(s, now) {
 			found = append(found, victim{p, s})
 		}
 	}
-	a.victims = sortVictims(found)
-	return len(a.victims) > 0
+	if a.victims = sortVictims(found); len(a.victims) > 0 {
+		return true
+	}
+	a.searched = now
+	return false
 }
 
 // sortVictims returns the connections to close next, the first at the end.
 func sortVictims(found []victim) []victim {
 	slices.SortFunc(found, func(v, w victim) int {
-		return cmp.Or(cmp.Compare(order(w.state), order(v.state)), w.state.Since.Compare(v.state.Since))
+		return cmp.Or(cmp.Compare(order(w.state), order(v.state)), w.since().Compare(v.since()))
 	})
 	return found[max(0, len(found)-maxVictims):]
 }
 
 // order returns the order in which connections are closed: those with a last answer that the caller may still be reading are
-// closed after those without a complete head, idle ones last.
+// closed after those without a complete head, then idle ones, and last those whose caller does not read its answer.
 func order(s pipeliner.State) int {
 	switch s.Phase {
 	case pipeliner.Unfinished:
 		return 0
 	case pipeliner.Lingering:
 		return 1
+	case pipeliner.Idle:
+		return 2
 	}
-	return 2
+	return 3
 }
 
 // makeRoom closes the connection that has held memory for an unfinished head longest. It returns false if that is p.
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -89,6 +89,9 @@
 	}
 	if p.count == 0 {
 		p.serving, p.since = false, time.Now()
+		if !p.waiting && p.buffered == 0 {
+			p.busySince = time.Time{}
+		}
 		if p.closing && !p.failed {
 			p.linger()
 		}
@@ -121,7 +124,7 @@
 	p := e.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closing = p.closing || want
+	p.closing = p.closing || want || p.soon
 	return p.closing && e.next == nil
 }
 
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -80,8 +80,12 @@
 	// its state, writing when the present write began.
 	served, inHead, serving bool
 	since, writing          time.Time
-	received                uint64
-	buffered                int
+	// busySince is since when the connection has always had a request; zero if it has none. soon is true if it is to be closed
+	// with the next answer.
+	busySince time.Time
+	soon      bool
+	received  uint64
+	buffered  int
 	// ends counts the requests that have ended, seen is its value when Serve last decided to wait.
 	ends, seen int
 	// done is true once Serve has ended.
@@ -291,6 +295,9 @@
 
 // add appends the request to those that run.
 func (p *Pipeliner) add(e *exchange) {
+	if p.busySince.IsZero() {
+		p.busySince = time.Now()
+	}
 	if p.last == nil {
 		p.first, p.sideBySide = e, p.ahead
 	} else {
--- a/pipeliner/state.go
+++ b/pipeliner/state.go
@@ -25,6 +25,9 @@
 	Began bool
 	// Writing is when the present write of an answer began; zero if none is being written.
 	Writing time.Time
+	// BusySince is since when a connection in the phase Serving has always had a request. Soon is true after CloseSoon.
+	BusySince time.Time
+	Soon      bool
 	// Received is the number of bytes read from the connection that belong to requests that were passed on.
 	Received uint64
 	// Paused is true while the connection is not read because its buffer is full.
@@ -40,6 +43,7 @@
 
 func (p *Pipeliner) state() State {
 	s := State{Since: p.since, Writing: p.writing, Received: p.received - uint64(p.buffered), Began: p.inHead, Paused: p.paused}
+	s.BusySince, s.Soon = p.busySince, p.soon
 	switch {
 	case p.lingering:
 		s.Phase = Lingering
@@ -51,6 +55,13 @@
 	return s
 }
 
+// CloseSoon lets the next answer be the last, besides those to requests that are passed on by then.
+func (p *Pipeliner) CloseSoon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.soon = true
+}
+
 // CloseIf closes the connection if due returns true for its state. No request is passed on in between.
 func (p *Pipeliner) CloseIf(due func(s State) bool) bool {
 	p.mu.Lock()
