--- a/headreader/check.go
+++ b/headreader/check.go
@@ -20,26 +20,44 @@
 		return errors.Wrap(ErrMalformed, "Host is missing")
 	case r.Header.Get("Expect") != "" && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
 		return ErrExpectation
-	case strings.ContainsFunc(r.Host, isNoHostRune):
+	case !hostChars.hasOnly(r.Host):
 		return errors.Wrap(ErrMalformed, "Host has characters that are not allowed")
 	}
 	for name, values := range r.Header {
-		if !isToken(name) || slices.ContainsFunc(values, hasControl) {
+		if name == "" || !tokenChars.hasOnly(name) || slices.ContainsFunc(values, hasControl) {
 			return errors.Wrap(ErrMalformed, "field has characters that are not allowed")
 		}
 	}
 	return nil
 }
 
-// isToken reports whether the name of a field consists of characters that are allowed there.
-func isToken(name string) bool {
-	for i := range len(name) {
-		c := name[i]
-		if c <= ' ' || c >= 0x7f || strings.IndexByte("\"(),/:;<=>?@[\\]{}", c) >= 0 {
+// charSet is a set of bytes.
+type charSet [256]bool
+
+// newCharSet returns the set of letters, digits and the given characters.
+func newCharSet(others string) *charSet {
+	set := &charSet{}
+	for c := range set {
+		letter := c|0x20 >= 'a' && c|0x20 <= 'z'
+		set[c] = letter || c >= '0' && c <= '9' || strings.IndexByte(others, byte(c)) >= 0
+	}
+	return set
+}
+
+// Characters that are allowed in the name of a field and in the field Host.
+var (
+	tokenChars = newCharSet("!#$%&'*+-.^_`|~")
+	hostChars  = newCharSet("!$%&()*+,-.:;=@[]'_~")
+)
+
+// hasOnly reports whether a text consists of characters of the set.
+func (s *charSet) hasOnly(text string) bool {
+	for i := range len(text) {
+		if !s[text[i]] {
 			return false
 		}
 	}
-	return name != ""
+	return true
 }
 
 // hasControl reports whether the value of a field has control characters other than tabs.
@@ -51,12 +69,3 @@
 	}
 	return false
 }
-
-// isNoHostRune reports whether a character is not allowed in the field Host.
-func isNoHostRune(c rune) bool {
-	switch {
-	case c >= 'a' && c <= 'z', c >= 'A' && c <= 'Z', c >= '0' && c <= '9':
-		return false
-	}
-	return !strings.ContainsRune("!$%&()*+,-.:;=@[]'_~", c)
-}
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -149,7 +149,7 @@
 		}
 	}
 	if _, ok := e.header["Date"]; !ok {
-		b = append(time.Now().UTC().AppendFormat(append(b, "Date: "...), http.TimeFormat), "\r\n"...)
+		b = appendDate(b, time.Now())
 	}
 	switch {
 	case e.chunked:
