--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -82,13 +82,14 @@
 	}
 	p.count--
 	p.ends++
+	p.noteAnswer(e.status)
 	p.headBytes -= e.head.Cost
 	p.Memory.Release(e.head.Cost)
 	if e.ahead > 0 {
 		p.Ahead.Release(e.ahead)
 	}
 	if p.count == 0 {
-		p.serving, p.since = false, time.Now()
+		p.serving, p.since = p.waiting && !p.closing, time.Now() // a request that waits is next
 		if !p.waiting && p.buffered == 0 {
 			p.busySince = time.Time{}
 		}
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -14,13 +14,8 @@
 	"hornbeamcroft/headreader"
 )
 
-const (
-	// maxEmptyLines is the number of empty lines allowed before a request: some clients send one after a body.
-	maxEmptyLines = 4
-	// aheadBytes is what a request that runs beside an earlier one takes besides its head: the stack of its goroutine and the
-	// records of its call.
-	aheadBytes = 16 << 10
-)
+// maxEmptyLines is the number of empty lines allowed before a request: some clients send one after a body.
+const maxEmptyLines = 4
 
 // Memory is the account of one connection.
 type Memory = headreader.Memory
@@ -86,6 +81,9 @@
 	soon      bool
 	received  uint64
 	buffered  int
+	// rejected is true while the last answer was a rejection: then requests are passed on one by one, not before resumeAt.
+	rejected bool
+	resumeAt time.Time
 	// ends counts the requests that have ended, seen is its value when Serve last decided to wait.
 	ends, seen int
 	// done is true once Serve has ended.
@@ -236,7 +234,7 @@
 			}
 		}
 		p.fault, p.pending = err, head
-		p.noteHead(head == nil && err == nil && p.head.Began())
+		p.noteHead(head == nil && err == nil && p.head.Began(), head != nil || err != nil)
 		if head != nil {
 			p.ahead = !head.HasBody() && p.RunsAhead != nil && p.RunsAhead(head.Request)
 		}
@@ -250,83 +248,14 @@
 	return p.closing
 }
 
-// noteHead records whether the first bytes of a head have arrived.
-func (p *Pipeliner) noteHead(began bool) {
+// noteHead records whether the first bytes of a head have arrived, or a whole one that will be answered: from then on the connection
+// counts as being served.
+func (p *Pipeliner) noteHead(began, complete bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if began && !p.inHead {
 		p.since = time.Now()
 	}
-	p.inHead, p.waiting = began, false
+	p.inHead, p.waiting, p.serving = began, false, p.count > 0 || complete
 	p.buffered = p.head.Buffered()
 }
-
-// pass passes the pending request on to the handler. It returns false if the request must wait or the connection is closing.
-func (p *Pipeliner) pass() bool {
-	e := &exchange{p: p, head: p.pending, body: p.pending.HasBody(), response: response{length: -1}}
-	p.mu.Lock()
-	if p.closing {
-		p.Memory.Release(p.pending.Cost)
-		p.pending, p.waiting = nil, false
-		p.mu.Unlock()
-		return false
-	}
-	if p.count > 0 && !p.mayRunAhead(e) {
-		p.hold()
-		p.mu.Unlock()
-		return false
-	}
-	p.add(e)
-	p.mu.Unlock()
-	e.open()
-	go e.run()
-	p.pending = nil
-	return p.awaitBody(e)
-}
-
-// mayRunAhead reports whether the pending request may run beside those before it, and reserves what that takes.
-func (p *Pipeliner) mayRunAhead(e *exchange) bool {
-	if !p.ahead || !p.sideBySide || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
-		return false
-	}
-	e.ahead = aheadBytes
-	return true
-}
-
-// add appends the request to those that run.
-func (p *Pipeliner) add(e *exchange) {
-	if p.busySince.IsZero() {
-		p.busySince = time.Now()
-	}
-	if p.last == nil {
-		p.first, p.sideBySide = e, p.ahead
-	} else {
-		p.last.next = e
-		e.turn = make(chan struct{})
-		p.sideBySide = p.sideBySide && p.ahead
-	}
-	p.last = e
-	p.count++
-	p.headBytes += e.head.Cost
-	p.served, p.serving, p.inHead, p.waiting = true, true, false, false
-	p.buffered = p.head.Buffered()
-	if e.body {
-		p.bodyOwner = e
-	}
-	if e.head.Request.Close {
-		p.closing = true
-	}
-}
-
-// awaitBody waits until the body of the request is read or not wanted.
-func (p *Pipeliner) awaitBody(e *exchange) bool {
-	if !e.body {
-		return true
-	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for p.bodyOwner == e {
-		p.changed.Wait()
-	}
-	return !p.failed
-}
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -69,6 +69,9 @@
 		panic(http.ErrAbortHandler)
 	case "close":
 		rw.Header().Set("Connection", "close")
+	case "reject":
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case "large":
 		text += strings.Repeat("x", 300<<10)
 	}
