placer: even placement, switched on by a setting

Calls crowd at upstreams that were idle in an old report, and slow upstreams are drawn as often as fast ones. With placement = even, members are drawn in proportion to the rate at which they finish calls, an old report counts until one call has renewed it, and a call leaves its zone at a lower price if the other zone has spare slots. The default is the present rule.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -219,7 +219,8 @@
 	send := &sender.Sender{Name: cfg.Name, Incarnation: a.incarnation, Links: a.links}
 	a.courier = &courier.Courier{
 		Clock: a.clock, Rand: randomizer.Randomizer{}, Name: cfg.Name, Zone: cfg.Zone,
-		Local: a.runner.Run, Remote: send.Send, Linked: func(name string) bool { return a.links.LinkTo(name) != nil },
+		EvenPlacement: cfg.Placement == loader.PlacementEven,
+		Local:         a.runner.Run, Remote: send.Send, Linked: func(name string) bool { return a.links.LinkTo(name) != nil },
 		Dial: a.dial, OnEnd: a.recordRequest,
 		Rationer: a.newRationer(rationer.SenderShare),
 	}
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -93,12 +93,30 @@
 	for service, left := range a.courier.RetriesLeft() {
 		m.gauge("repeats-left/"+service, int64(left))
 	}
+	a.collectPlacements()
 	for kind, n := range a.recorder.Omitted() {
 		m.gauge("log/omitted/"+kind, n)
 	}
 	a.collectStore()
 }
 
+// collectPlacements sets the gauges that show, by service, how old the reports were by which calls were placed, and how
+// evenly the members are loaded.
+func (a *Agent) collectPlacements() {
+	for service, s := range a.courier.Placements() {
+		prefix := "placed/" + service + "/"
+		for i, class := range [...]string{"report-100ms", "report-300ms", "report-1s", "report-older"} {
+			a.metrics.gauge(prefix+class, s.ByAge[i])
+		}
+		a.metrics.gauge(prefix+"other-zone", s.OtherZone)
+		a.metrics.gauge(prefix+"again", s.Again)
+		a.metrics.gauge(prefix+"spread-thousandths", int64(s.Spread*thousandths))
+	}
+}
+
+// thousandths converts a ratio to the unit of gauges whose names end in "-thousandths".
+const thousandths = 1000
+
 // collectStore sets the gauges for the calls to the store, by kind of call.
 func (a *Agent) collectStore() {
 	a.metrics.gauge("store/era", a.store.Era())
@@ -133,5 +151,5 @@
 	if !s.Limited {
 		return noRateLimit
 	}
-	return int64(s.RateLimit * 1000)
+	return int64(s.RateLimit * thousandths)
 }
--- a/courier/courier.go
+++ b/courier/courier.go
@@ -55,6 +55,8 @@
 	Rand  hornbeamcroft.Rand
 	Name  string
 	Zone  string
+	// EvenPlacement selects placer.Placer.Even.
+	EvenPlacement bool
 	// Local runs a call at the upstream of this node, Remote at that of another host.
 	Local  func(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer
 	Remote func(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) hornbeamcroft.Answer
@@ -118,7 +120,7 @@
 	if c.placers == nil {
 		c.placers = make(map[string]*placer.Placer)
 	}
-	p = &placer.Placer{Zone: c.Zone}
+	p = &placer.Placer{Zone: c.Zone, Even: c.EvenPlacement}
 	c.placers[service] = p
 	missing := c.updatePlacer(service, p)
 	go c.dialAll(missing)
--- a/courier/links.go
+++ b/courier/links.go
@@ -53,3 +53,14 @@
 	})
 	return members[:max(0, min(n, len(members)))]
 }
+
+// Placements returns, by service, how the calls of this node were placed.
+func (c *Courier) Placements() map[string]placer.Stats {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	placements := make(map[string]placer.Stats, len(c.placers))
+	for service, p := range c.placers {
+		placements[service] = p.Stats(c.Clock.Now())
+	}
+	return placements
+}
--- a/loader/agent.go
+++ b/loader/agent.go
@@ -43,10 +43,18 @@
 	ClusterKey string
 	// MemoryMB is the memory limit of the process in MiB.
 	MemoryMB int
+	// Placement is the rule by which calls are placed: PlacementTwoChoices or PlacementEven.
+	Placement string
 	// Bounds holds the limits that the platform sets, as name=value pairs separated by commas.
 	Bounds string
 }
 
+// Values of the setting placement.
+const (
+	PlacementTwoChoices = "two-choices"
+	PlacementEven       = "even"
+)
+
 // AgentStoreSettings holds the values of the section [platform-store].
 type AgentStoreSettings struct {
 	Address string
@@ -68,6 +76,7 @@
 	{"agent", "introducers", "", "IP addresses and ports, separated by commas"},
 	{"agent", "cluster-key", "", "the same on all nodes; links of nodes with another key are refused"},
 	{"agent", "memory-mb", "", "MiB, 32 to 1048576"},
+	{"agent", "placement", PlacementTwoChoices, "two-choices, even"},
 	{"agent", "bounds", "", "name=value pairs of the platform, separated by commas"},
 	{"platform-store", "address", "", "IP address and port"},
 	{"log", "level", DefaultLogLevel, "debug, info, warn, error"},
@@ -103,6 +112,7 @@
 			Introducers:    c.commaAddresses("agent", "introducers"),
 			ClusterKey:     c.optionalKey("agent", "cluster-key"),
 			MemoryMB:       c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
+			Placement:      c.oneOf("agent", "placement", PlacementTwoChoices, PlacementTwoChoices, PlacementEven),
 			Bounds:         c.file.Section("agent").Key("bounds").String(),
 		},
 		Store: AgentStoreSettings{Address: c.address("platform-store", "address", true)},
--- /dev/null
+++ b/placer/even.go
@@ -0,0 +1,121 @@
+package placer
+
+import (
+	"time"
+
+	"hornbeamcroft"
+)
+
+const (
+	// evenChoices is the number of members that Pick compares in each zone group, the node's own zone and the others.
+	evenChoices = 3
+	// retryChoices is the number of further members that Pick compares for each member that the call excludes. A refusal
+	// shows that members are full, and each further refusal costs a message.
+	retryChoices = 2
+	// probeAge is the age from which a report is to be renewed by one call. Until the call is answered, the old report
+	// counts: a report that expired would show a full member as idle, and all senders would choose it at once.
+	probeAge = 500 * time.Millisecond
+	// spareShare is the used share of the slots below which a member of another zone has spare capacity. A call then leaves
+	// its zone if it saves crossZoneTime plus spareZoneShare times the slack: traffic that does not fit into the zone has to
+	// leave it in any case, and a higher price only makes the calls wait before. If the other zone is nearly full too,
+	// crossZoneShare applies, so that full zones do not exchange calls.
+	spareShare     = 0.85
+	spareZoneShare = 0.01
+)
+
+// pickEven implements Pick for even placement, after collectCandidates. It draws no member of another zone if the call
+// would not save enough time there to leave the zone.
+func (p *Placer) pickEven(now time.Duration, rnd hornbeamcroft.Rand, r Requirements) (hornbeamcroft.Member, bool) {
+	price := crossZoneTime + time.Duration(spareZoneShare*float64(r.Slack))
+	local, localCost := p.selectEven(now, rnd, p.local, r)
+	if local != nil && localCost.time <= price {
+		return p.place(now, local), true
+	}
+	remote, remoteCost := p.selectEven(now, rnd, p.remote, r)
+	if remote == nil && local == nil {
+		return hornbeamcroft.Member{}, false
+	}
+	if remote != nil && !remote.hasSpareSlots(now) {
+		price = crossZoneTime + time.Duration(crossZoneShare*float64(r.Slack))
+	}
+	if remote == nil || local != nil && localCost.time <= remoteCost.time+price {
+		return p.place(now, local), true
+	}
+	return p.place(now, remote), true
+}
+
+// selectEven draws members in proportion to the rates at which they finish calls and returns the cheapest, and its cost.
+// If members were drawn evenly, a fast one would get too few calls and a slow one more than it can finish.
+func (p *Placer) selectEven(now time.Duration, rnd hornbeamcroft.Rand, candidates []*member, r Requirements,
+) (*member, candidateCost) {
+	total := 0.0
+	for _, m := range candidates {
+		total += m.rate
+	}
+	var cheapestMember *member
+	var minCost candidateCost
+	for k := range min(evenChoices+retryChoices*p.excluded, len(candidates)) {
+		i := k + drawIndex(candidates[k:], rnd.Float64()*total)
+		candidates[k], candidates[i] = candidates[i], candidates[k]
+		m := candidates[k]
+		total -= m.rate
+		if c := m.evenCost(now, r); cheapestMember == nil || c.less(minCost) {
+			cheapestMember, minCost = m, c
+		}
+	}
+	return cheapestMember, minCost
+}
+
+// drawIndex returns the index of the candidate in whose part of the sum of all rates x lies.
+func drawIndex(candidates []*member, x float64) int {
+	last := len(candidates) - 1
+	for i, m := range candidates[:last] {
+		if x -= m.rate; x < 0 {
+			return i
+		}
+	}
+	return last
+}
+
+// evenCost returns the cost of sending a call to the member. A member whose report is to be renewed costs nothing, except
+// for its failures.
+func (m *member) evenCost(now time.Duration, r Requirements) candidateCost {
+	if m.probeDue(now) {
+		return candidateCost{time: time.Duration(m.failureCost(r))}
+	}
+	busy, limit := m.lastOccupancy()
+	return m.costAt(busy, limit, r)
+}
+
+// probeDue reports whether the next call to the member is to renew its report. Only one call at a time does.
+func (m *member) probeDue(now time.Duration) bool {
+	return m.outstanding == 0 && m.reportedAt > 0 && now-m.reportedAt > probeAge
+}
+
+// hasSpareSlots reports whether the member has free slots beyond those that other senders are about to use.
+func (m *member) hasSpareSlots(now time.Duration) bool {
+	busy, limit := m.lastOccupancy()
+	return m.probeDue(now) || float64(busy) < spareShare*float64(limit)
+}
+
+// lastOccupancy returns the number of calls that run or wait at the member, and the number that may run at once, which is
+// at least 1, by its last report, however old. A member that reported that it accepts no calls counts as full.
+func (m *member) lastOccupancy() (busy, limit int) {
+	busy = max(m.outstanding, m.load.Running+m.load.Waiting+m.sent)
+	if m.reportedAt == 0 {
+		return busy, max(m.Slots, 1)
+	}
+	if m.load.Limit == 0 {
+		return max(busy, 1), 1
+	}
+	return busy, m.load.Limit
+}
+
+// updateRate sets the rate at which the member finishes calls if it is full, in calls a second.
+func (m *member) updateRate() {
+	limit := m.Slots
+	if m.reportedAt > 0 {
+		limit = m.load.Limit
+	}
+	m.rate = float64(max(limit, 1)) / m.serviceTime().Seconds()
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -57,11 +57,17 @@
 type Placer struct {
 	// Zone is the availability zone of the node.
 	Zone string
+	// Even selects even placement: members are drawn in proportion to their rates, and old reports count until they are
+	// renewed. Otherwise Pick compares two random members.
+	Even bool
 
 	members []*member
 	byName  map[string]*member
 	// local and remote are the candidates of the current call to Pick, in the node's zone and in other zones.
 	local, remote []*member
+	// excluded is the number of members that the current call excludes.
+	excluded int
+	stats    Stats
 }
 
 // member is a host of the service with its load.
@@ -76,6 +82,8 @@
 	sent, outstanding int
 	// unreachableUntil is the end of the time in which the member is avoided because it could not be reached.
 	unreachableUntil time.Duration
+	// rate is the number of calls that the member can finish in a second.
+	rate float64
 }
 
 // Update replaces the members of the service. It keeps the load of a member unless its incarnation has changed.
@@ -89,6 +97,7 @@
 			e = &member{linked: e != nil && e.linked}
 		}
 		e.Member = m
+		e.updateRate()
 		p.byName[m.Name] = e
 		p.members = append(p.members, e)
 	}
@@ -116,6 +125,7 @@
 func (p *Placer) Report(now time.Duration, name string, l hornbeamcroft.Load) {
 	if m := p.byName[name]; m != nil {
 		m.load, m.reportedAt, m.sent = l, max(now, 1), 0
+		m.updateRate()
 	}
 }
 
@@ -134,22 +144,35 @@
 	}
 }
 
+// preference is a condition on members. It is not a function, because Pick checks it for every member.
+type preference struct {
+	linked, notStopping bool
+}
+
 // preferences are the conditions on members in the order in which Pick tries them.
-var preferences = []func(m *member) bool{
-	func(m *member) bool { return m.linked && !m.Stopping },
-	func(m *member) bool { return !m.Stopping },
-	func(m *member) bool { return m.linked },
-	func(*member) bool { return true },
+var preferences = [...]preference{
+	{linked: true, notStopping: true},
+	{notStopping: true},
+	{linked: true},
+	{},
+}
+
+// allows reports whether the member meets the condition.
+func (c preference) allows(m *member) bool {
+	return (m.linked || !c.linked) && !(m.Stopping && c.notStopping)
 }
 
 // Pick returns the member to which to send the next call, or false if there is none.
 func (p *Placer) Pick(now time.Duration, rnd hornbeamcroft.Rand, r Requirements) (hornbeamcroft.Member, bool) {
-	for _, allow := range preferences {
-		if p.collectCandidates(now, r, allow); len(p.local)+len(p.remote) > 0 {
+	for _, condition := range preferences {
+		if p.collectCandidates(now, r, condition); len(p.local)+len(p.remote) > 0 {
 			break
 		}
 	}
 	r.Slack = max(r.Slack, minSlack)
+	if p.Even {
+		return p.pickEven(now, rnd, r)
+	}
 	local, localCost := cheapest(now, rnd, p.local, r)
 	remote, remoteCost := cheapest(now, rnd, p.remote, r)
 	remoteCost.time += crossZoneTime + time.Duration(crossZoneShare*float64(r.Slack))
@@ -157,22 +180,24 @@
 	case local == nil && remote == nil:
 		return hornbeamcroft.Member{}, false
 	case remote == nil || (local != nil && localCost.time <= remoteCost.time):
-		return local.Member, true
+		return p.place(now, local), true
 	}
-	return remote.Member, true
+	return p.place(now, remote), true
 }
 
 // Alternatives returns the number of other members that the last call to Pick could have returned.
 func (p *Placer) Alternatives() int { return max(0, len(p.local)+len(p.remote)-1) }
 
 // collectCandidates sets local and remote to the serving, reachable members that the condition and the call allow.
-func (p *Placer) collectCandidates(now time.Duration, r Requirements, allow func(*member) bool) {
+func (p *Placer) collectCandidates(now time.Duration, r Requirements, condition preference) {
 	p.local, p.remote = p.local[:0], p.remote[:0]
+	p.excluded = 0
 	for _, m := range p.members {
-		if m.State != hornbeamcroft.MemberServing || now < m.unreachableUntil || !allow(m) {
+		if m.State != hornbeamcroft.MemberServing || now < m.unreachableUntil || !condition.allows(m) {
 			continue
 		}
 		if r.Exclude != nil && r.Exclude(m.Name) {
+			p.excluded++
 			continue
 		}
 		if m.Zone == p.Zone {
@@ -220,11 +245,21 @@
 
 // costOf returns the cost of sending a call to the member.
 func (m *member) costOf(now time.Duration, r Requirements) candidateCost {
-	serviceTime := m.load.ServiceTime
-	if serviceTime <= 0 {
-		serviceTime = defaultServiceTime
-	}
 	busy, limit := m.occupancy(now)
+	return m.costAt(busy, limit, r)
+}
+
+// serviceTime returns the service time that the member reported.
+func (m *member) serviceTime() time.Duration {
+	if m.load.ServiceTime <= 0 {
+		return defaultServiceTime
+	}
+	return m.load.ServiceTime
+}
+
+// costAt returns the cost of sending a call to the member while the given number of its slots is busy.
+func (m *member) costAt(busy, limit int, r Requirements) candidateCost {
+	serviceTime := m.serviceTime()
 	slack := float64(r.Slack)
 	delay := float64(queueDelay(busy, limit, serviceTime))
 	delay += max(0, serviceTimeMargin*float64(serviceTime)-serviceTimeShare*slack)
