--- a/placer/even.go
+++ b/placer/even.go
@@ -7,11 +7,9 @@
 )
 
 const (
-	// evenChoices is the number of members that Pick compares in each zone group, the node's own zone and the others.
+	// evenChoices is the number of members that Pick compares in the node's zone, and again in the other zones. A call that
+	// was refused compares no more: this sent more calls to other zones in an overload and saved no refusals.
 	evenChoices = 3
-	// retryChoices is the number of further members that Pick compares for each member that the call excludes. A refusal
-	// shows that members are full, and each further refusal costs a message.
-	retryChoices = 2
 	// probeAge is the age from which a report is to be renewed by one call. Until the call is answered, the old report
 	// counts: a report that expired would show a full member as idle, and all senders would choose it at once.
 	probeAge = 500 * time.Millisecond
@@ -54,7 +52,7 @@
 	}
 	var cheapestMember *member
 	var minCost candidateCost
-	for k := range min(evenChoices+retryChoices*p.excluded, len(candidates)) {
+	for k := range min(evenChoices, len(candidates)) {
 		i := k + drawIndex(candidates[k:], rnd.Float64()*total)
 		candidates[k], candidates[i] = candidates[i], candidates[k]
 		m := candidates[k]
--- /dev/null
+++ b/placer/even_test.go
@@ -0,0 +1,165 @@
+package placer
+
+import (
+	"flag"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var tableSeeds = flag.Uint64("table-seeds", 0, "seeds for which TestTable prints the figures of docs/design/even-load.md; zero skips it")
+
+var (
+	speedsA = []float64{0.5, 1, 1, 1.5}
+	speedsB = []float64{0.55, 1.2, 1.2, 1.2}
+)
+
+// modelScenarios are the scenarios of the model, for each utilization.
+var modelScenarios = []scenario{
+	{senders: 20, upstreams: 5, zones: 3, speeds: speedsA},
+	{senders: 70, upstreams: 18, zones: 3, speeds: speedsB},
+	{senders: 90, upstreams: 28, zones: 4, speeds: speedsA},
+	{senders: 90, upstreams: 47, zones: 4, speeds: speedsB},
+	{senders: 300, upstreams: 28, zones: 4, speeds: speedsA},
+}
+
+var tableUtilizations = []float64{0.6, 0.8, 0.95, 1.1}
+
+// TestTable prints the figures of the model. It checks nothing.
+func TestTable(t *testing.T) {
+	if *tableSeeds == 0 {
+		t.Skip("needs -table-seeds")
+	}
+	var wg sync.WaitGroup
+	running := make(chan struct{}, 4)
+	var lines []*string
+	for _, s := range modelScenarios {
+		for _, s.utilization = range tableUtilizations {
+			for s.seed = range *tableSeeds {
+				for _, even := range []bool{false, true} {
+					run := s
+					run.even = even
+					line := new(string)
+					lines = append(lines, line)
+					wg.Go(func() {
+						running <- struct{}{}
+						*line = fmt.Sprintf("| %s, %d | %v | %s", run, run.seed, even, runModel(run))
+						<-running
+					})
+				}
+			}
+		}
+	}
+	wg.Wait()
+	for _, line := range lines {
+		fmt.Println(*line)
+	}
+}
+
+const (
+	// unevenShare bounds the excess of the greatest over the mean load, as a share of that without even placement.
+	// normalSpread is the ratio that the requirement gives for a normal day; even placement has to stay below it.
+	unevenShare  = 0.85
+	normalSpread = 2.0
+	// maxWronglyRefused bounds the share of sends that are refused while another upstream has a free slot.
+	maxWronglyRefused = 0.01
+	// remoteTolerance is by how much the share of sends to other zones may rise.
+	remoteTolerance = 0.02
+	// overloadTolerance is by how much waits and refusals may rise while no placement can help: two runs of the same rule
+	// with different draws differ by as much.
+	overloadTolerance = 1.06
+)
+
+// TestEven guards against calls that crowd at a few upstreams while others have free slots, against waits or traffic
+// between zones that grow with even placement, also with 300 senders.
+func TestEven(t *testing.T) {
+	for _, s := range modelScenarios {
+		for _, utilization := range []float64{0.6, 0.8} {
+			s := s
+			s.utilization = utilization
+			t.Run(s.String(), func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				two, even := runBoth(s)
+				t.Log("two-choices:", two)
+				t.Log("even:       ", even)
+				is.True(even.p99() <= two.p99())
+				is.True(even.spread < normalSpread)
+				is.True(even.spread-1 <= unevenShare*(two.spread-1))
+				is.True(even.wronglyRefused == 0)
+				is.True(float64(even.wronglyRefusedSends) <= maxWronglyRefused*float64(even.calls))
+				is.True(float64(even.remote)/float64(even.sends) <= float64(two.remote)/float64(two.sends)+remoteTolerance)
+				is.True(float64(even.sends)/float64(even.calls) <= float64(two.sends)/float64(two.calls)) // messages
+			})
+		}
+	}
+}
+
+// TestEvenOverload guards against even placement that makes an overload worse, in which no upstream has capacity.
+func TestEvenOverload(t *testing.T) {
+	for _, s := range modelScenarios[:2] {
+		t.Run(s.String(), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s.utilization = 1.1
+			two, even := runBoth(s)
+			t.Log("two-choices:", two)
+			t.Log("even:       ", even)
+			is.True(float64(even.p99()) <= overloadTolerance*float64(two.p99()))
+			is.True(float64(even.refused) <= overloadTolerance*float64(two.refused))
+			is.True(float64(even.sends) <= overloadTolerance*float64(two.sends))
+		})
+	}
+}
+
+// runBoth runs the scenario without and with even placement.
+func runBoth(s scenario) (two, even *result) {
+	two = runModel(s)
+	s.even = true
+	return two, runModel(s)
+}
+
+// TestProbe guards against senders that take an old report of a full member for none and send it all their calls, and
+// against a full member that is never tried again.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("a", "here"), newMember("b", "here"))
+	f.Even = true
+	f.Report(time.Second, "a", load(10, 90))
+	f.Report(time.Second, "b", load(9, 0))
+	pick := func(now time.Duration) string {
+		m, ok := f.Pick(now, f.rnd, Requirements{Slack: time.Second})
+		is.True(ok)
+		return m.Name
+	}
+	is.Equal(pick(time.Second), "b")
+	later := time.Second + probeAge + 1
+	f.Report(later, "b", load(9, 0))
+	is.Equal(pick(later), "a")
+	f.Start("a")
+	is.Equal(pick(later), "b") // one call renews the report
+	is.Equal(pick(later+reportTTL), "b")
+}
+
+// TestShares guards against a slow member that is drawn as often as a fast one.
+func TestShares(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("a", "here"), newMember("b", "here"), newMember("c", "here"), newMember("d", "here"),
+		newMember("e", "here"))
+	f.Even = true
+	slow := load(0, 0)
+	slow.ServiceTime *= 5
+	f.Report(0, "a", slow)
+	n := 0
+	const picks = 2000
+	for range picks {
+		if f.pick(time.Second) == "a" {
+			n++
+		}
+	}
+	is.True(n < picks/10) // an equal share is a fifth
+	is.True(n > 0)
+}
