--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -1,6 +1,7 @@
 package loader
 
 import (
+	"fmt"
 	"os"
 	"strings"
 	"testing"
@@ -67,3 +68,31 @@
 	is.True(err != nil)
 	is.True(!strings.Contains(err.Error(), "s3cret"))
 }
+
+// TestPlacement guards against agents whose settings lack the placement and that place calls evenly nevertheless, and
+// against a misspelled value that counts as the default.
+func TestPlacement(t *testing.T) {
+	is := is.New(t)
+	const text = `[agent]
+name = order-desk-1
+zone = quimper
+way-in = 127.0.0.1:7101
+links = 127.0.0.1:7102
+announcements = 127.0.0.1:7103
+readiness = 127.0.0.1:7104
+metrics = 127.0.0.1:7105
+memory-mb = 184
+%s
+[platform-store]
+address = 127.0.0.1:7001
+`
+	for line, want := range map[string]string{
+		"": PlacementTwoChoices, "placement =": PlacementTwoChoices, "placement = even": PlacementEven,
+	} {
+		s, err := LoadAgent(fmt.Appendf(nil, text, line))
+		is.NoErr(err)
+		is.Equal(s.Agent.Placement, want)
+	}
+	_, err := LoadAgent(fmt.Appendf(nil, text, "placement = evne"))
+	is.True(err != nil)
+}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -73,8 +73,8 @@
 // member is a host of the service with its load.
 type member struct {
 	hornbeamcroft.Member
-	// linked is true while a link with the member is open.
-	linked bool
+	// linked is true while a link with the member is open, local if the member is in the node's zone.
+	linked, local bool
 	load   hornbeamcroft.Load
 	// reportedAt is when load arrived; zero if no load has arrived.
 	reportedAt time.Duration
@@ -96,7 +96,7 @@
 		if e == nil || e.Incarnation != m.Incarnation {
 			e = &member{linked: e != nil && e.linked}
 		}
-		e.Member = m
+		e.Member, e.local = m, m.Zone == p.Zone
 		e.updateRate()
 		p.byName[m.Name] = e
 		p.members = append(p.members, e)
@@ -200,7 +200,7 @@
 			p.excluded++
 			continue
 		}
-		if m.Zone == p.Zone {
+		if m.local {
 			p.local = append(p.local, m)
 		} else {
 			p.remote = append(p.remote, m)
--- a/placer/stats.go
+++ b/placer/stats.go
@@ -45,7 +45,7 @@
 		class++
 	}
 	p.stats.ByAge[class]++
-	if m.Zone != p.Zone {
+	if !m.local {
 		p.stats.OtherZone++
 	}
 	if p.excluded > 0 {
