--- a/placer/even_test.go
+++ b/placer/even_test.go
@@ -68,13 +68,12 @@
 	maxWronglyRefused = 0.01
 	// remoteTolerance is by how much the share of sends to other zones may rise.
 	remoteTolerance = 0.02
-	// overloadTolerance is by how much waits and refusals may rise while no placement can help: two runs of the same rule
-	// with different draws differ by as much.
+	// overloadTolerance is by how much waits, refusals and sends may rise in an overload, in which no placement helps.
 	overloadTolerance = 1.06
 )
 
 // TestEven guards against calls that crowd at a few upstreams while others have free slots, against waits or traffic
-// between zones that grow with even placement, also with 300 senders.
+// between zones that grow with it, also with 300 senders.
 func TestEven(t *testing.T) {
 	for _, s := range modelScenarios {
 		for _, utilization := range []float64{0.6, 0.8} {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -75,7 +75,7 @@
 	hornbeamcroft.Member
 	// linked is true while a link with the member is open, local if the member is in the node's zone.
 	linked, local bool
-	load   hornbeamcroft.Load
+	load          hornbeamcroft.Load
 	// reportedAt is when load arrived; zero if no load has arrived.
 	reportedAt time.Duration
 	// sent counts the calls sent since load arrived, outstanding those without an answer.
