--- a/placer/explain.go
+++ b/placer/explain.go
@@ -17,18 +17,18 @@
 // Explain returns the members of the service with their costs for a call: those that Pick may return, the cheapest first, and then
 // the others with the reason why they are left out. It changes nothing.
 func (p *Placer) Explain(now time.Duration, r Requirements) []hornbeamcroft.PlacementCandidate {
-	allow := p.preference(now, r)
+	condition := p.preference(now, r)
 	r.Slack = max(r.Slack, minSlack)
 	list := make([]explained, 0, len(p.members))
 	for _, m := range p.members {
-		e := explained{m.explain(now), m.costOf(now, r)}
-		if m.Zone != p.Zone {
-			zoneCost := crossZoneTime + time.Duration(crossZoneShare*float64(r.Slack))
+		e := explained{m.explain(now), p.cost(now, m, r)}
+		if !m.local {
+			zoneCost := p.zoneCost(now, m, r)
 			e.cost.time += zoneCost
 			e.ZoneCostUs = zoneCost.Microseconds()
 		}
 		e.CostUs = e.cost.time.Microseconds()
-		e.LeftOut = m.leftOut(now, r, allow)
+		e.LeftOut = m.leftOut(now, r, condition)
 		list = append(list, e)
 	}
 	slices.SortStableFunc(list, func(a, b explained) int { return compareExplained(p.Zone, a, b) })
@@ -57,11 +57,27 @@
 	)
 }
 
+// cost returns the cost of sending a call to the member, without that of leaving the zone.
+func (p *Placer) cost(now time.Duration, m *member, r Requirements) candidateCost {
+	if p.Even {
+		return m.evenCost(now, r)
+	}
+	return m.costOf(now, r)
+}
+
+// zoneCost returns the time that a call must save to go to the member of another zone.
+func (p *Placer) zoneCost(now time.Duration, m *member, r Requirements) time.Duration {
+	if p.Even {
+		return m.evenZoneCost(now, r)
+	}
+	return crossZoneTime + time.Duration(crossZoneShare*float64(r.Slack))
+}
+
 // preference returns the first of the preferences that a usable member meets.
-func (p *Placer) preference(now time.Duration, r Requirements) func(*member) bool {
-	for _, allow := range preferences {
-		if slices.ContainsFunc(p.members, func(m *member) bool { return m.unusable(now, r) == "" && allow(m) }) {
-			return allow
+func (p *Placer) preference(now time.Duration, r Requirements) preference {
+	for _, condition := range preferences {
+		if slices.ContainsFunc(p.members, func(m *member) bool { return m.unusable(now, r) == "" && condition.allows(m) }) {
+			return condition
 		}
 	}
 	return preferences[len(preferences)-1]
@@ -80,14 +96,14 @@
 	return ""
 }
 
-// leftOut returns why the member does not get the call; empty if it may. allow is the preference in use.
-func (m *member) leftOut(now time.Duration, r Requirements, allow func(*member) bool) string {
-	if reason := m.unusable(now, r); reason != "" || allow(m) {
+// leftOut returns why the member does not get the call; empty if it may.
+func (m *member) leftOut(now time.Duration, r Requirements, condition preference) string {
+	if reason := m.unusable(now, r); reason != "" || condition.allows(m) {
 		return reason
 	}
 	linked := *m
 	linked.linked = true
-	if allow(&linked) {
+	if condition.allows(&linked) {
 		return "not linked"
 	}
 	return "stopping"
