quotas: permits of requests that did not run are given back

A request that took a permit and was then refused for overload, or whose time was over, used up the quota: of a tenant above its quota with half of its requests refused, only half of the quota ran. A permit is given back while its use has not been reported to the home and its life has not passed; the home still counts it as lent then, so that the bound holds as before. Giving back reported permits was ruled out: the home may have lent others in their place.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -9,6 +9,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/attester"
+	"hornbeamcroft/borrower"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/deduper"
 	"hornbeamcroft/framer"
@@ -71,10 +72,12 @@
 		return answer
 	}
 	var age time.Duration
+	var permit borrower.Decision
 	if !isChild {
-		if answer, refused := a.refuseByQuota(ctx, &call); refused {
-			a.recordRejected(in.Attempt, answer, nil)
-			return answer
+		var refusal *hornbeamcroft.Answer
+		if permit, refusal = a.refuseByQuota(ctx, &call); refusal != nil {
+			a.recordRejected(in.Attempt, *refusal, nil)
+			return *refusal
 		}
 		a.callerRequests.Add(1)
 		defer a.callerRequests.Add(-1)
@@ -85,6 +88,7 @@
 		}
 	}
 	if call.Remaining <= 0 {
+		a.giveBackPermit(call.Tenant, permit)
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}
 	}
 	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
@@ -95,6 +99,9 @@
 		a.runner.ChildEnded(in.Attempt, service, answer.ServiceCalls)
 		return answer
 	}
+	if answer.Code.Claim() == hornbeamcroft.ClaimNotRun {
+		a.giveBackPermit(call.Tenant, permit)
+	}
 	now := a.clock.Now()
 	a.callers.record(now, call, now-begin, answer)
 	return answer
@@ -102,16 +109,16 @@
 
 // refuseByQuota takes a permit of the tenant's quota, which calls of running requests and requests refused before do not need. It returns
 // the refusal if there is none. The time spent waiting is taken from that of the call.
-func (a *Agent) refuseByQuota(ctx context.Context, call *hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+func (a *Agent) refuseByQuota(ctx context.Context, call *hornbeamcroft.Call) (borrower.Decision, *hornbeamcroft.Answer) {
 	begin := a.clock.Now()
-	code, retryAfter := a.takePermit(ctx, call.Tenant)
+	code, d := a.takePermit(ctx, call.Tenant)
 	if code != 0 {
-		return hornbeamcroft.Answer{Code: code, RetryAfter: retryAfter}, true
+		return d, &hornbeamcroft.Answer{Code: code, RetryAfter: d.RetryAfter}
 	}
 	waited := a.clock.Now() - begin
 	call.Remaining -= waited
 	call.Objective -= waited
-	return hornbeamcroft.Answer{}, false
+	return d, nil
 }
 
 // takesAtStop reports whether the stopping node takes a request that entered the system here. A child call is one of a running request.
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -55,19 +55,19 @@
 	return q
 }
 
-// takePermit takes a permit of the tenant's quota for one request of a caller. It returns 0 if the request may run, and otherwise the
-// code of the rejection and when to try again.
-func (a *Agent) takePermit(ctx context.Context, tenant string) (hornbeamcroft.Code, time.Duration) {
+// takePermit takes a permit of the tenant's quota for one request of a caller. It returns code 0 and the decision with the permit if the
+// request may run, and otherwise the code of the rejection and the decision with the time until it is useful to try again.
+func (a *Agent) takePermit(ctx context.Context, tenant string) (hornbeamcroft.Code, borrower.Decision) {
 	q := a.quotas
 	if tenant == "" || !q.active.Load() {
-		return 0, 0
+		return 0, borrower.Decision{}
 	}
 	now := a.quotaNow()
 	q.mu.Lock()
 	d := q.borrower.Take(now, tenant)
 	if d.Verdict != borrower.Waiting {
 		q.mu.Unlock()
-		return a.quotaCode(tenant, d)
+		return a.quotaCode(tenant, d), d
 	}
 	decided := make(chan borrower.Decision, 1)
 	q.waits[d.ID] = decided
@@ -84,20 +84,31 @@
 		d = borrower.Decision{Verdict: borrower.Undecided}
 	}
 	a.metrics.latency("quotas/wait-us", a.quotaNow()-now)
-	return a.quotaCode(tenant, d)
+	return a.quotaCode(tenant, d), d
+}
+
+// giveBackPermit makes the permit of a request that did not run available to others of the tenant.
+func (a *Agent) giveBackPermit(tenant string, d borrower.Decision) {
+	q := a.quotas
+	if d.PermitEpoch == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.decide(q.borrower.GiveBack(a.quotaNow(), tenant, d.PermitEpoch))
 }
 
 // quotaCode returns the code for a decision, and counts a rejection.
-func (a *Agent) quotaCode(tenant string, d borrower.Decision) (hornbeamcroft.Code, time.Duration) {
+func (a *Agent) quotaCode(tenant string, d borrower.Decision) hornbeamcroft.Code {
 	code := hornbeamcroft.CodeQuotaUndecided
 	switch d.Verdict {
 	case borrower.Admitted:
-		return 0, 0
+		return 0
 	case borrower.Exceeded:
 		code = hornbeamcroft.CodeQuotaExceeded
 	}
 	a.metrics.count("quotas/rejected/" + tenant + "/" + strconv.Itoa(int(code)))
-	return code, d.RetryAfter
+	return code
 }
 
 // quotaBorrower identifies this process to the homes of tenants.
--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -70,8 +70,8 @@
 	sent := 0
 	for end := time.Now().Add(d); time.Now().Before(end); sent++ {
 		go func(a *Agent) {
-			code, after := a.takePermit(t.Context(), "gold")
-			if code != 0 && after <= 0 {
+			code, d := a.takePermit(t.Context(), "gold")
+			if code != 0 && d.RetryAfter <= 0 {
 				t.Error("no Retry-After")
 			}
 			codes <- code
@@ -96,9 +96,9 @@
 	agents := startQuotaAgents(t, 4)
 	code, _ := agents[0].takePermit(t.Context(), "free")
 	is.Equal(code, hornbeamcroft.Code(0))
-	code, after := agents[0].takePermit(t.Context(), "gold") // the home does not lend yet
+	code, d := agents[0].takePermit(t.Context(), "gold") // the home does not lend yet
 	is.Equal(code, hornbeamcroft.CodeQuotaUndecided)
-	is.True(after > 0)
+	is.True(d.RetryAfter > 0)
 	time.Sleep(4 * time.Second)
 	admitted, undecided := admit(t, agents, 2*time.Second)
 	t.Logf("%d admitted in 2 s, %d undecided", admitted, undecided)
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -247,6 +247,7 @@
 	m.gauge("quotas/not-lending", lent.Undecided)
 	m.gauge("quotas/taken-over", lent.Taken)
 	m.gauge("quotas/admitted", b.Admitted)
+	m.gauge("quotas/given-back", b.GivenBack)
 	m.gauge("quotas/exceeded", b.Exceeded)
 	m.gauge("quotas/undecided", b.Undecided)
 	m.gauge("quotas/waited", b.Waited)
--- a/borrower/account.go
+++ b/borrower/account.go
@@ -34,6 +34,9 @@
 	// askedAt is the time of the last request, grantedAt that of the request that the last accepted grant answered, and floor that of
 	// the last request that gave permits back. Grants that answer earlier requests are void.
 	askedAt, grantedAt, floor time.Duration
+	// reportedAt is the time of the last request, which reported what was used until then. It differs from that of every earlier account
+	// of the tenant. It is zero while no permit can be given back.
+	reportedAt time.Duration
 	// answeredAt is when the home last answered, short whether it granted too little, and over whether the quota is exceeded.
 	answeredAt  time.Duration
 	short, over bool
@@ -139,7 +142,7 @@
 		a.limit, a.floor = a.used+uint64(want), asked
 		d.Limit = a.limit
 	}
-	a.askedAt = asked
+	a.askedAt, a.reportedAt = asked, asked
 	return d
 }
 
@@ -153,6 +156,9 @@
 		a.short, a.over, a.silentUntil = false, false, now+min(p.Retry, maxSilent)
 		return true
 	}
+	if p.Limit < a.used {
+		a.reportedAt = 0 // what was used since is of an earlier grant, and cannot be given back under this one
+	}
 	a.limit, a.expires = max(p.Limit, a.used), asked+p.Life
 	a.short, a.over = p.Retry > 0, p.Retry >= hornbeamcroft.MinOverQuota
 	a.share, a.shortUntil, a.silentUntil = p.Share, 0, 0
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -39,6 +39,8 @@
 	Verdict Verdict
 	// RetryAfter is set if the request may not run.
 	RetryAfter time.Duration
+	// PermitEpoch identifies the report of used permits before the one that this request took, for GiveBack; zero without a permit.
+	PermitEpoch time.Duration
 }
 
 // Message is a request to the home of tenants.
@@ -70,6 +72,8 @@
 type Counts struct {
 	// Admitted, Exceeded and Undecided count the decided requests. Waited counts those that had to wait for a permit.
 	Admitted, Exceeded, Undecided, Waited int64
+	// GivenBack counts the permits of admitted requests that did not run.
+	GivenBack int64
 	// Messages counts the requests for permits, Resent those of them whose predecessor was not answered.
 	Messages, Resent int64
 }
@@ -96,6 +100,7 @@
 	var decided []Decision
 	for _, a := range b.ordered {
 		if !limited[a.tenant] {
+			a.reportedAt = 0 // no permit is taken
 			decided = append(decided, b.admit(a, len(a.waiting))...)
 			delete(b.accounts, a.tenant)
 		}
@@ -133,7 +138,7 @@
 	a.count(now)
 	if a.use(now) {
 		b.counts.Admitted++
-		return Decision{Verdict: Admitted}
+		return Decision{Verdict: Admitted, PermitEpoch: a.reportedAt}
 	}
 	if a.over && now < a.shortUntil {
 		b.counts.Exceeded++
@@ -150,6 +155,22 @@
 	return Decision{ID: b.lastID, Verdict: Waiting}
 }
 
+// GiveBack makes the permit of a request that was admitted, but did not run, available again. It returns the waiting requests that are
+// decided by it. The permit is lost if its use was reported to the home or its life has passed: the home counts it as used then, and
+// may have lent another one in its place.
+func (b *Borrower) GiveBack(now time.Duration, tenant string, epoch time.Duration) []Decision {
+	a := b.accounts[tenant]
+	if a == nil || epoch == 0 || epoch != a.reportedAt || now >= a.expires {
+		return nil
+	}
+	a.used--
+	b.counts.GivenBack++
+	if len(a.waiting) > 0 && a.use(now) {
+		return b.admit(a, 1)
+	}
+	return nil
+}
+
 // Cancel ends the wait of a request whose caller has gone. It reports whether the request was still waiting.
 func (b *Borrower) Cancel(tenant string, id uint64) bool {
 	a := b.accounts[tenant]
@@ -218,7 +239,7 @@
 func (b *Borrower) admit(a *account, n int) []Decision {
 	decided := make([]Decision, 0, n)
 	for _, w := range a.waiting[:n] {
-		decided = append(decided, Decision{ID: w.id, Verdict: Admitted})
+		decided = append(decided, Decision{ID: w.id, Verdict: Admitted, PermitEpoch: a.reportedAt})
 	}
 	b.counts.Admitted += int64(n)
 	b.drop(a, n)
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -20,6 +20,8 @@
 	b   Borrower
 	// asked holds the times of asking, the last one at the end.
 	asked []time.Duration
+	// epoch is that of the last permit.
+	epoch time.Duration
 }
 
 // TestScenarios guards against requests that are decided too late, on permits that have ended or were given back, or with the wrong
@@ -66,8 +68,11 @@
 		return ""
 	case "take":
 		d := s.take(t, words[1])
+		s.keepEpoch([]Decision{d})
 		d.ID = 0
 		return show([]Decision{d})
+	case "giveback": // the last permit
+		return show(s.b.GiveBack(s.now, words[1], s.epoch))
 	case "takes": // TENANT INTERVAL END: requests with an interval until END, of which none may wait
 		n := 0
 		for end := duration(t, words[3]); s.now < end; s.now += duration(t, words[2]) {
@@ -98,12 +103,23 @@
 				p.Retry = duration(t, value)
 			}
 		}
-		return show(s.b.Receive(s.now, "home", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{p}}))
+		decided := s.b.Receive(s.now, "home", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{p}})
+		s.keepEpoch(decided)
+		return show(decided)
 	}
 	t.Fatal(words)
 	return ""
 }
 
+// keepEpoch keeps the epoch of the last permit among the decisions.
+func (s *scenario) keepEpoch(decided []Decision) {
+	for _, d := range decided {
+		if d.Verdict == Admitted {
+			s.epoch = d.PermitEpoch
+		}
+	}
+}
+
 func (s *scenario) due() string {
 	var text []string
 	for _, m := range s.b.Due(s.now) {
--- a/borrower/fleet_test.go
+++ b/borrower/fleet_test.go
@@ -59,7 +59,9 @@
 	nodes           []*node
 	loads           []*load
 	loss, duplicate float64
-	messages        int
+	// shed is the part of the admitted requests that do not run because of overload; their permits are given back within 20 ms.
+	shed     float64
+	messages int
 }
 
 func (f *fleet) at(d time.Duration, run func()) {
--- a/borrower/model_test.go
+++ b/borrower/model_test.go
@@ -246,3 +246,32 @@
 	f.run(f.now + 20*time.Second)
 	checkBound(t, f, ownQuota)
 }
+
+// TestShedRequests guards against a tenant above its quota that is not served up to it because half of its admitted requests are refused
+// for overload, and against permits that are given back and used twice, also while homes change.
+func TestShedRequests(t *testing.T) {
+	for seed := range uint64(3) {
+		f := newFleet(seed, 20, 5, 400)
+		for _, l := range f.loads {
+			l.factor = 5
+		}
+		f.shed = 0.5
+		f.run(8 * time.Second)
+		from := f.now
+		f.run(f.now + 10*time.Second)
+		for _, l := range f.loads {
+			i, _ := slices.BinarySearch(l.admitted, from)
+			if ran := float64(len(l.admitted) - i); ran < 0.9*l.Quota.Rate*10 {
+				t.Errorf("%s: %g requests ran in 10 s, the quota is %g", l.Name, ran, 10*l.Quota.Rate)
+			}
+		}
+		f.loss, f.duplicate = 0.02, 0.02
+		for i := range 4 {
+			f.kill(f.nodes[i*5], 2*time.Second)
+			f.nodes[i*5+2].frozenUntil = f.now + f.between(time.Second, 4*time.Second)
+		}
+		f.cutOff(f.third(f.loads[0]), 9*time.Second, 0)
+		f.run(f.now + 16*time.Second)
+		checkBound(t, f, ownQuota)
+	}
+}
--- a/borrower/node_test.go
+++ b/borrower/node_test.go
@@ -145,6 +145,10 @@
 func (n *node) count(t *load, d borrower.Decision) {
 	switch d.Verdict {
 	case borrower.Admitted:
+		if n.shed > 0 && n.rnd.Float64() < n.shed {
+			n.giveBack(t, d)
+			return
+		}
 		t.admitted = append(t.admitted, n.now)
 	case borrower.Exceeded:
 		t.exceeded++
@@ -153,6 +157,15 @@
 	}
 }
 
+func (n *node) giveBack(t *load, d borrower.Decision) {
+	incarnation := n.incarnation
+	n.at(n.between(0, 20*time.Millisecond), func() {
+		if n.alive && n.incarnation == incarnation {
+			n.decide(n.b.GiveBack(n.now, t.Name, d.PermitEpoch))
+		}
+	})
+}
+
 func (n *node) decide(decisions []borrower.Decision) {
 	for _, d := range decisions {
 		n.count(n.waits[d.ID], d)
