agent: a request with an API key is no call of a running request

A caller whose attempt id extends that of a request running at the local upstream was taken for a child call: it took no permit of its quota, was scheduled as the other request's tenant, and reached the upstream without Tenant-Id. Calls of upstreams carry no key, so a known key decides. TestCallerIsNoChild; it failed before.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -62,7 +62,8 @@
 	}
 	service := r.selectService(route)
 	call := a.newCall(in, route, tenant, service)
-	isChild := a.runner.Inherit(&call)
+	// Calls of upstreams have no key. A caller's attempt id may extend that of a running request by chance or on purpose.
+	isChild := tenant.Name == "" && a.runner.Inherit(&call)
 	if now := a.clock.Now(); a.stopping.Load() && !a.takesAtStop(now, call, isChild) {
 		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
 		a.recordRejected(in.Attempt, answer, nil)
--- /dev/null
+++ b/agent/serve_test.go
@@ -0,0 +1,51 @@
+package agent
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/authenticator"
+	"hornbeamcroft/exchanger"
+	"hornbeamcroft/observer"
+	"hornbeamcroft/router"
+)
+
+// silentUpstream never answers.
+type silentUpstream struct{}
+
+func (silentUpstream) Alive(context.Context) bool { return true }
+
+func (silentUpstream) Exchange(ctx context.Context, _ exchanger.Request) exchanger.Result {
+	<-ctx.Done()
+	return exchanger.Result{Outcome: exchanger.OutcomeContextEnded}
+}
+
+// TestCallerIsNoChild guards against a request with an API key that is taken for a call of a running request, because its attempt id
+// extends that of the request: it would need no permit and reach the upstream without Tenant-Id. A call without a key needs no permit.
+func TestCallerIsNoChild(t *testing.T) {
+	is := is.New(t)
+	a := newPlaceAgent()
+	table := a.routes.Load().table
+	table.Tenants = []hornbeamcroft.Tenant{{Name: "gold", Quota: table.Tenants[1].Quota, Keys: []hornbeamcroft.KeyHash{hornbeamcroft.HashKey("k")}}}
+	a.routes.Store(&activeRoutes{table: table, router: router.New(table), authenticator: authenticator.New(table)})
+	a.runner.Exchanger = silentUpstream{}
+	a.runner.SetUpstream(observer.Upstream{Instance: "i-1", Slots: 4, State: hornbeamcroft.MemberServing})
+	go a.runner.Run(t.Context(), hornbeamcroft.Call{
+		Attempt: "a", Type: "pay", Tenant: "gold", Depth: 1, Remaining: time.Minute, Objective: time.Minute, Message: &hornbeamcroft.Message{},
+	})
+	for a.runner.Running() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	serve := func(target string, credentials ...string) hornbeamcroft.Code {
+		return a.serve(t.Context(), hornbeamcroft.Incoming{
+			Attempt: "a.1", Credentials: credentials, Remaining: 50 * time.Millisecond,
+			Message: hornbeamcroft.Message{Method: "GET", Host: "shop", Target: target},
+		}).Code
+	}
+	is.Equal(serve("/pay/1", "Bearer k"), hornbeamcroft.CodeQuotaUndecided) // the home of gold is not known
+	is.True(serve("/open/1") != hornbeamcroft.CodeQuotaUndecided)
+}
