quotas: a new home remembers the last other home of a tenant

Each new choice of homes replaced the node to claim from by the home itself if the home stayed the same, so that a second member that stopped, or an applied configuration, within the round trip of a claim left the tenant with 503 until the home had settled (3.2 s). The last other home is kept; what is handed over is still decided by the node that hands over.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -43,7 +43,7 @@
 	waits map[uint64]chan borrower.Decision
 }
 
-// quotaHome names the home of a tenant, the member next in line, and the home before.
+// quotaHome names the home of a tenant, the member next in line, and the last other home.
 type quotaHome struct{ home, next, previous string }
 
 func (a *Agent) newQuotas() *quotas {
--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -121,3 +122,28 @@
 	stopping.collectQuotas()
 	is.True(stopping.metrics.registry.Get("quotas/lent") != nil)
 }
+
+// TestPreviousHome guards against a home that forgets from which node it has to claim a tenant, because other members have changed or
+// the configuration was applied again meanwhile.
+func TestPreviousHome(t *testing.T) {
+	is := is.New(t)
+	a := newPlaceAgent()
+	q := a.quotas
+	assign := func(names ...string) quotaHome {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.members = nil
+		for _, name := range names {
+			q.members = append(q.members, hornbeamcroft.Member{Name: name})
+		}
+		a.assignQuotas()
+		return q.homes["gold"]
+	}
+	first := assign("node-0", "node-1", "node-2").home
+	rest := slices.DeleteFunc([]string{"node-0", "node-1", "node-2"}, func(name string) bool { return name == first })
+	second := assign(rest...)
+	is.Equal(second.previous, first)
+	is.Equal(assign(rest...).previous, first)
+	is.Equal(assign(second.home).previous, first)
+	is.Equal(assign(append(rest, first)...).previous, second.home)
+}
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -109,7 +109,11 @@
 	var own []hornbeamcroft.Tenant
 	for _, t := range q.tenants {
 		home, next := assigner.Assigner{}.Home(t.Name, q.members)
-		homes[t.Name] = quotaHome{home: home, next: next, previous: q.homes[t.Name].home}
+		previous := q.homes[t.Name].home
+		if previous == home {
+			previous = q.homes[t.Name].previous // it may not have handed over yet
+		}
+		homes[t.Name] = quotaHome{home: home, next: next, previous: previous}
 		if home == a.Settings.Agent.Name {
 			own = append(own, t)
 		}
--- a/borrower/node_test.go
+++ b/borrower/node_test.go
@@ -22,7 +22,7 @@
 	stopping    bool
 	provenAt    time.Duration
 	view        map[string]bool
-	// homes holds the home and the node next in line of each tenant, and previous the home before.
+	// homes holds the home and the node next in line of each tenant, and previous the last other home.
 	homes    map[string][2]string
 	previous map[string]string
 	b        *borrower.Borrower
@@ -34,7 +34,7 @@
 func (n *node) start() {
 	n.incarnation++
 	n.alive, n.provenAt = true, n.now
-	n.view, n.homes, n.waits = make(map[string]bool), nil, make(map[uint64]*load)
+	n.view, n.homes, n.previous, n.waits = make(map[string]bool), nil, make(map[string]string), make(map[uint64]*load)
 	for _, m := range n.nodes {
 		n.view[m.name] = true
 	}
@@ -64,15 +64,15 @@
 			members = append(members, hornbeamcroft.Member{Name: m.name, Stopping: m == n && n.stopping})
 		}
 	}
-	n.previous = make(map[string]string)
-	for tenant, h := range n.homes {
-		n.previous[tenant] = h[0]
-	}
+	old := n.homes
 	n.homes = make(map[string][2]string)
 	var own []hornbeamcroft.Tenant
 	for _, t := range n.loads {
 		home, next := assigner.Assigner{}.Home(t.Name, members)
 		n.homes[t.Name] = [2]string{home, next}
+		if was := old[t.Name][0]; was != home {
+			n.previous[t.Name] = was
+		}
 		if home == n.name {
 			own = append(own, t.Tenant)
 		}
