quotas: the time of a decision is read under the lock

The time was read before the lock was taken. A process that was frozen, or waited for the lock, in between used permits whose life had passed, and updated the rates with times that go back. The age of the proof was read before the time that it counts from, which made the proof seem younger by a freeze. TestPermitAfterWait failed before.

--- a/agent/quota.go
+++ b/agent/quota.go
@@ -62,8 +62,8 @@
 	if tenant == "" || !q.active.Load() {
 		return 0, borrower.Decision{}
 	}
-	now := a.quotaNow()
 	q.mu.Lock()
+	now := a.quotaNow() // a process that is frozen until it has the lock must not use permits that have ended
 	d := q.borrower.Take(now, tenant)
 	if d.Verdict != borrower.Waiting {
 		q.mu.Unlock()
@@ -178,8 +178,9 @@
 
 // tickQuotas decides the requests that have waited too long and sends the requests for permits that are due.
 func (a *Agent) tickQuotas() {
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	q.decide(q.borrower.Tick(now))
 	out := q.exchange(now, a.Settings.Agent.Name, a.quotaBorrower())
 	q.mu.Unlock()
@@ -188,10 +189,11 @@
 
 // updateQuotaProof tells the lender the age of the proof of the configuration.
 func (a *Agent) updateQuotaProof() {
-	age, proven := a.configurationAge()
 	a.quotas.mu.Lock()
-	a.quotas.lender.SetProof(a.quotaNow(), age, proven)
-	a.quotas.mu.Unlock()
+	defer a.quotas.mu.Unlock()
+	now := a.quotaNow() // before the age is read: the proof must not seem younger if the process is frozen in between
+	age, proven := a.configurationAge()
+	a.quotas.lender.SetProof(now, age, proven)
 }
 
 // dialName opens a link to a member in the background.
--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -1,6 +1,7 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -147,3 +148,29 @@
 	is.Equal(assign(second.home).previous, first)
 	is.Equal(assign(append(rest, first)...).previous, second.home)
 }
+
+// TestPermitAfterWait guards against a permit that is used after its life because the request was held up before it took it, as in a
+// process that was frozen.
+func TestPermitAfterWait(t *testing.T) {
+	is := is.New(t)
+	a := newPlaceAgent()
+	q := a.quotas
+	q.mu.Lock()
+	q.homes = map[string]quotaHome{"gold": {home: "node-1"}}
+	q.borrower.UpdateHomes()
+	q.borrower.Take(a.quotaNow(), "gold")
+	asked := q.borrower.Due(a.quotaNow())[0].Request.Asked
+	q.borrower.Receive(a.quotaNow(), "node-1", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{
+		{Tenant: "gold", Limit: 10, Life: 50 * time.Millisecond},
+	}})
+	code := make(chan hornbeamcroft.Code)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	go func() {
+		c, _ := a.takePermit(ctx, "gold")
+		code <- c
+	}()
+	time.Sleep(100 * time.Millisecond)
+	q.mu.Unlock()
+	is.Equal(<-code, hornbeamcroft.CodeQuotaUndecided)
+}
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -161,8 +161,9 @@
 
 // onPermitRequest answers a request of another node for permits, and hands over tenants that it claims.
 func (a *Agent) onPermitRequest(l *connector.Link, r hornbeamcroft.PermitRequest) {
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	g := q.lender.Request(now, quotaBorrowerName(l.Peer.Name, l.Peer.Incarnation), r)
 	g.Homes = a.otherHomes(g.Permits)
 	for _, tenant := range r.Claims {
@@ -208,8 +209,9 @@
 	if len(g.Handovers) > 0 {
 		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(g.Handovers)).Msg("quotas: taken over")
 	}
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	for _, h := range g.Handovers {
 		q.lender.TakeOver(now, g.Asked, l.Peer.Name, h)
 	}
