agent: a planned stop counts requests that wait for a permit

They were not counted as requests in flight, so that the node could close for calls while one of them was about to be delivered: up to 150 ms after it had been taken. TestStopWithWaitingCaller failed before.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -75,13 +75,13 @@
 	var age time.Duration
 	var permit borrower.Decision
 	if !isChild {
+		a.callerRequests.Add(1) // a planned stop waits for those that wait for a permit too
+		defer a.callerRequests.Add(-1)
 		var refusal *hornbeamcroft.Answer
 		if permit, refusal = a.refuseByQuota(ctx, &call); refusal != nil {
 			a.recordRejected(in.Attempt, *refusal, nil)
 			return *refusal
 		}
-		a.callerRequests.Add(1)
-		defer a.callerRequests.Add(-1)
 		age = a.courier.Age(route.Name, in.Remaining)
 		call.Objective -= age
 		if a.stopping.Load() {
--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -24,14 +24,20 @@
 	return exchanger.Result{Outcome: exchanger.OutcomeContextEnded}
 }
 
-// TestCallerIsNoChild guards against a request with an API key that is taken for a call of a running request, because its attempt id
-// extends that of the request: it would need no permit and reach the upstream without Tenant-Id. A call without a key needs no permit.
-func TestCallerIsNoChild(t *testing.T) {
-	is := is.New(t)
+// newServeAgent returns the agent of newPlaceAgent with the key k for the tenant gold.
+func newServeAgent() *Agent {
 	a := newPlaceAgent()
 	table := a.routes.Load().table
 	table.Tenants = []hornbeamcroft.Tenant{{Name: "gold", Quota: table.Tenants[1].Quota, Keys: []hornbeamcroft.KeyHash{hornbeamcroft.HashKey("k")}}}
 	a.routes.Store(&activeRoutes{table: table, router: router.New(table), authenticator: authenticator.New(table)})
+	return a
+}
+
+// TestCallerIsNoChild guards against a request with an API key that is taken for a call of a running request, because its attempt id
+// extends that of the request: it would need no permit and reach the upstream without Tenant-Id. A call without a key needs no permit.
+func TestCallerIsNoChild(t *testing.T) {
+	is := is.New(t)
+	a := newServeAgent()
 	a.runner.Exchanger = silentUpstream{}
 	a.runner.SetUpstream(observer.Upstream{Instance: "i-1", Slots: 4, State: hornbeamcroft.MemberServing})
 	go a.runner.Run(t.Context(), hornbeamcroft.Call{
@@ -49,3 +55,26 @@
 	is.Equal(serve("/pay/1", "Bearer k"), hornbeamcroft.CodeQuotaUndecided) // the home of gold is not known
 	is.True(serve("/open/1") != hornbeamcroft.CodeQuotaUndecided)
 }
+
+// TestStopWithWaitingCaller guards against a planned stop that takes nothing any more although a request that was taken before waits for
+// a permit.
+func TestStopWithWaitingCaller(t *testing.T) {
+	is := is.New(t)
+	a := newServeAgent()
+	a.quotas.mu.Lock()
+	a.quotas.homes = map[string]quotaHome{"gold": {home: "node-1"}}
+	a.quotas.borrower.UpdateHomes()
+	a.quotas.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	answered := make(chan hornbeamcroft.Answer)
+	go func() {
+		answered <- a.serve(ctx, hornbeamcroft.Incoming{
+			Attempt: "a", Credentials: []string{"Bearer k"}, Message: hornbeamcroft.Message{Method: "GET", Host: "shop", Target: "/pay/1"},
+		})
+	}()
+	time.Sleep(50 * time.Millisecond)
+	is.Equal(a.callerRequests.Load(), int64(1))
+	cancel()
+	is.Equal((<-answered).Code, hornbeamcroft.CodeQuotaUndecided)
+	is.Equal(a.callerRequests.Load(), int64(0))
+}
