--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -149,6 +149,18 @@
 	is.Equal(assign(append(rest, first)...).previous, second.home)
 }
 
+// grantGold makes the agent hold permits of the tenant gold that the home node-1 granted. The lock of the quotas is held.
+func grantGold(a *Agent, limit uint64, life time.Duration) {
+	q := a.quotas
+	q.homes = map[string]quotaHome{"gold": {home: "node-1"}}
+	q.borrower.UpdateHomes()
+	q.borrower.Take(a.quotaNow(), "gold")
+	asked := q.borrower.Due(a.quotaNow())[0].Request.Asked
+	q.decide(q.borrower.Receive(a.quotaNow(), "node-1", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{
+		{Tenant: "gold", Limit: limit, Life: life},
+	}}))
+}
+
 // TestPermitAfterWait guards against a permit that is used after its life because the request was held up before it took it, as in a
 // process that was frozen.
 func TestPermitAfterWait(t *testing.T) {
@@ -156,13 +168,7 @@
 	a := newPlaceAgent()
 	q := a.quotas
 	q.mu.Lock()
-	q.homes = map[string]quotaHome{"gold": {home: "node-1"}}
-	q.borrower.UpdateHomes()
-	q.borrower.Take(a.quotaNow(), "gold")
-	asked := q.borrower.Due(a.quotaNow())[0].Request.Asked
-	q.borrower.Receive(a.quotaNow(), "node-1", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{
-		{Tenant: "gold", Limit: 10, Life: 50 * time.Millisecond},
-	}})
+	grantGold(a, 10, 50*time.Millisecond)
 	code := make(chan hornbeamcroft.Code)
 	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
 	defer cancel()
--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -78,3 +78,18 @@
 	is.Equal((<-answered).Code, hornbeamcroft.CodeQuotaUndecided)
 	is.Equal(a.callerRequests.Load(), int64(0))
 }
+
+// TestPermitOfRefused guards against a permit that is lost with a request that no upstream could run.
+func TestPermitOfRefused(t *testing.T) {
+	is := is.New(t)
+	a := newServeAgent()
+	a.quotas.mu.Lock()
+	grantGold(a, 10, time.Second)
+	a.quotas.mu.Unlock()
+	answer := a.serve(t.Context(), hornbeamcroft.Incoming{
+		Attempt: "a", Credentials: []string{"Bearer k"}, Remaining: 100 * time.Millisecond,
+		Message: hornbeamcroft.Message{Method: "GET", Host: "shop", Target: "/pay/1"},
+	})
+	is.Equal(answer.Code.Claim(), hornbeamcroft.ClaimNotRun)
+	is.Equal(a.quotas.borrower.Counts().GivenBack, int64(1))
+}
