--- a/agent/quota.go
+++ b/agent/quota.go
@@ -77,16 +77,27 @@
 	select {
 	case d = <-decided:
 	case <-ctx.Done():
-		q.mu.Lock()
-		q.borrower.Cancel(tenant, d.ID)
-		delete(q.waits, d.ID)
-		q.mu.Unlock()
+		a.stopWait(tenant, d.ID, decided)
 		d = borrower.Decision{Verdict: borrower.Undecided}
 	}
 	a.metrics.latency("quotas/wait-us", a.quotaNow()-now)
 	return a.quotaCode(tenant, d), d
 }
 
+// stopWait ends the wait of a request whose caller has gone. A permit that came meanwhile is given back.
+func (a *Agent) stopWait(tenant string, id uint64, decided <-chan borrower.Decision) {
+	q := a.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.borrower.Cancel(tenant, id)
+	delete(q.waits, id)
+	select {
+	case d := <-decided:
+		q.decide(q.borrower.GiveBack(a.quotaNow(), tenant, d.PermitEpoch))
+	default:
+	}
+}
+
 // giveBackPermit makes the permit of a request that did not run available to others of the tenant.
 func (a *Agent) giveBackPermit(tenant string, d borrower.Decision) {
 	q := a.quotas
--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -93,3 +93,28 @@
 	is.Equal(answer.Code.Claim(), hornbeamcroft.ClaimNotRun)
 	is.Equal(a.quotas.borrower.Counts().GivenBack, int64(1))
 }
+
+// TestPermitOfGoneCaller guards against a permit that is lost because it comes while the request ends its wait.
+func TestPermitOfGoneCaller(t *testing.T) {
+	is := is.New(t)
+	a := newServeAgent()
+	q := a.quotas
+	q.mu.Lock()
+	q.homes = map[string]quotaHome{"gold": {home: "node-1"}}
+	q.borrower.UpdateHomes()
+	q.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	code := make(chan hornbeamcroft.Code)
+	go func() {
+		c, _ := a.takePermit(ctx, "gold")
+		code <- c
+	}()
+	time.Sleep(50 * time.Millisecond) // it waits, and may ask again
+	q.mu.Lock()
+	cancel()
+	time.Sleep(20 * time.Millisecond) // it ends the wait and needs the lock
+	grantGold(a, 2, time.Second)
+	q.mu.Unlock()
+	is.Equal(<-code, hornbeamcroft.CodeQuotaUndecided)
+	is.Equal(q.borrower.Counts().GivenBack, int64(1))
+}
