quotas: a home waits for the node that is next in line now

A node that had written its record but read no list of members took itself for the only one, and for the home of all tenants, and lent to its own callers after 3.2 s beside the true homes, if the store answered the calls for proofs but not the lists. A node next in line also counted as informed if an earlier one had been. Without a list that holds the node's own record, or with another node next in line, a home that does not lend yet waits as for one that is not informed: 4 s more. TestHomeWithoutMembers failed before in both cases.

--- a/agent/members.go
+++ b/agent/members.go
@@ -59,6 +59,9 @@
 	}
 	a.members.Update()
 	a.setQuotaListed(ownListed, revision)
+	if ownListed {
+		a.quotas.ownRead.Store(true)
+	}
 }
 
 // decodeRecord returns the member in a store entry. An entry that cannot be read, or is stored under another name than its own,
--- a/agent/quota.go
+++ b/agent/quota.go
@@ -39,6 +39,8 @@
 	// listed is true while the store has a record of this node, as known from listedRevision.
 	listed         bool
 	listedRevision int64
+	// ownRead is set when a list of members has been read that holds this node, and with it those that were members before.
+	ownRead atomic.Bool
 	// waits holds the requests that wait for a permit.
 	waits map[uint64]chan borrower.Decision
 }
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -105,7 +105,7 @@
 // assignQuotas chooses the homes of all tenants, and returns how many are here. The lock of the quotas is held.
 func (a *Agent) assignQuotas() (here int) {
 	q := a.quotas
-	homes := make(map[string]quotaHome, len(q.tenants))
+	now, homes := a.quotaNow(), make(map[string]quotaHome, len(q.tenants))
 	var own []hornbeamcroft.Tenant
 	for _, t := range q.tenants {
 		home, next := assigner.Assigner{}.Home(t.Name, q.members)
@@ -114,12 +114,15 @@
 			previous = q.homes[t.Name].previous // it may not have handed over yet
 		}
 		homes[t.Name] = quotaHome{home: home, next: next, previous: previous}
+		if next != q.homes[t.Name].next {
+			q.lender.Unacknowledge(now, t.Name)
+		}
 		if home == a.Settings.Agent.Name {
 			own = append(own, t)
 		}
 	}
 	q.homes = homes
-	q.lender.SetTenants(a.quotaNow(), own)
+	q.lender.SetTenants(now, own)
 	return len(own)
 }
 
@@ -132,7 +135,7 @@
 	q.mu.Lock()
 	for _, tenant := range q.lender.Unsettled(now) {
 		h := q.homes[tenant]
-		if h.next == "" || a.links.LinkTo(h.next) != nil {
+		if h.next == "" && q.ownRead.Load() || h.next != "" && a.links.LinkTo(h.next) != nil {
 			q.lender.Acknowledge(tenant)
 		}
 		claims[h.next] = append(claims[h.next], tenant)
--- a/agent/serve_test.go
+++ b/agent/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -118,3 +119,40 @@
 	is.Equal(<-code, hornbeamcroft.CodeQuotaUndecided)
 	is.Equal(q.borrower.Counts().GivenBack, int64(1))
 }
+
+// TestHomeWithoutMembers guards against a home that lends beside the node next in line: because it has written its record, but read no
+// list of members yet, or because an earlier node next in line knew it.
+func TestHomeWithoutMembers(t *testing.T) {
+	is := is.New(t)
+	lends := func(a *Agent, after time.Duration) bool {
+		q, asked := a.quotas, a.quotaNow()+after
+		a.settleQuotas()
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.lender.SetProof(asked-2*time.Second, 0, true)
+		q.lender.SetProof(asked, 0, true)
+		g := q.lender.Request(asked, "a", hornbeamcroft.PermitRequest{Asked: asked, Demands: []hornbeamcroft.PermitDemand{{Tenant: "gold", Want: 1}}})
+		return !g.Permits[0].Undecided
+	}
+	start := func() *Agent {
+		a := newPlaceAgent()
+		a.quotas.lender.SetProof(a.quotaNow(), 0, true)
+		a.setQuotaListed(true, 5)
+		is.Equal(a.quotas.homes["gold"], quotaHome{home: "node-0"})
+		return a
+	}
+	is.True(!lends(start(), 3500*time.Millisecond))
+	a := start()
+	a.quotas.ownRead.Store(true) // the list holds no other member
+	is.True(lends(a, 3500*time.Millisecond))
+	a = start()
+	a.quotas.ownRead.Store(true)
+	a.settleQuotas()
+	a.quotas.mu.Lock()
+	for i := 0; a.quotas.homes["gold"].next == "" || a.quotas.homes["gold"].home != "node-0"; i++ {
+		a.quotas.members = []hornbeamcroft.Member{{Name: "node-0"}, {Name: fmt.Sprintf("other-%d", i)}}
+		a.assignQuotas()
+	}
+	a.quotas.mu.Unlock()
+	is.True(!lends(a, 3500*time.Millisecond))
+}
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -149,6 +149,13 @@
 	}
 }
 
+// Unacknowledge records that another node is next in line for the tenant now. It changes nothing for a tenant that is lent already.
+func (l *Lender) Unacknowledge(now time.Duration, tenant string) {
+	if b := l.buckets[tenant]; b != nil && !b.lends(now) {
+		b.acknowledged = false
+	}
+}
+
 // Unsettled returns the tenants that are not lent yet, or whose next node in line has not acknowledged this home.
 func (l *Lender) Unsettled(now time.Duration) []string {
 	var names []string
