--- a/borrower/account.go
+++ b/borrower/account.go
@@ -37,7 +37,8 @@
 	// reportedAt is the time of the last request, which reported what was used until then. It differs from that of every earlier account
 	// of the tenant. It is zero while no permit can be given back.
 	reportedAt time.Duration
-	// answeredAt is when the home last answered, short whether it granted too little, and over whether the quota is exceeded.
+	// answeredAt is when the home last answered, short whether it granted too little, and over whether the demand of all nodes is above
+	// the quota; a tenant within its quota may be short for some milliseconds by chance.
 	answeredAt  time.Duration
 	short, over bool
 	// shortUntil is when it is useful to ask for more. silentUntil is when the home starts lending.
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -40,12 +40,17 @@
 
 // loan is what one borrower holds: limit - used permits until expires. The counts are the borrower's.
 type loan struct {
-	borrower                string
-	used, limit             uint64
-	expires, asked, granted time.Duration
-	seen                    time.Duration
-	want                    uint32
-	rate                    float64
+	borrower    string
+	used, limit uint64
+	expires     time.Duration
+	// asked is the time of asking of the last request, on the borrower's clock, and seen when it came, on this node's.
+	asked, seen time.Duration
+	// granted is the time up to which the borrower has received its share of the refill while the quota is exceeded. It is not later
+	// than now.
+	granted time.Duration
+	// want and rate are those of the last demand.
+	want uint32
+	rate float64
 }
 
 // reset empties the bucket and lets it settle.
