--- a/agent/quota.go
+++ b/agent/quota.go
@@ -39,11 +39,13 @@
 	// listed is true while the store has a record of this node, as known from listedRevision.
 	listed         bool
 	listedRevision int64
+	// ownRead is set when a list of members has been read that holds this node, and with it those that were members before.
+	ownRead atomic.Bool
 	// waits holds the requests that wait for a permit.
 	waits map[uint64]chan borrower.Decision
 }
 
-// quotaHome names the home of a tenant, the member next in line, and the home before.
+// quotaHome names the home of a tenant, the member next in line, and the last other home.
 type quotaHome struct{ home, next, previous string }
 
 func (a *Agent) newQuotas() *quotas {
@@ -55,19 +57,19 @@
 	return q
 }
 
-// takePermit takes a permit of the tenant's quota for one request of a caller. It returns 0 if the request may run, and otherwise the
-// code of the rejection and when to try again.
-func (a *Agent) takePermit(ctx context.Context, tenant string) (hornbeamcroft.Code, time.Duration) {
+// takePermit takes a permit of the tenant's quota for one request of a caller. It returns code 0 and the decision with the permit if the
+// request may run, and otherwise the code of the rejection and the decision with the time until it is useful to try again.
+func (a *Agent) takePermit(ctx context.Context, tenant string) (hornbeamcroft.Code, borrower.Decision) {
 	q := a.quotas
 	if tenant == "" || !q.active.Load() {
-		return 0, 0
+		return 0, borrower.Decision{}
 	}
-	now := a.quotaNow()
 	q.mu.Lock()
+	now := a.quotaNow() // a process that is frozen until it has the lock must not use permits that have ended
 	d := q.borrower.Take(now, tenant)
 	if d.Verdict != borrower.Waiting {
 		q.mu.Unlock()
-		return a.quotaCode(tenant, d)
+		return a.quotaCode(tenant, d), d
 	}
 	decided := make(chan borrower.Decision, 1)
 	q.waits[d.ID] = decided
@@ -77,27 +79,49 @@
 	select {
 	case d = <-decided:
 	case <-ctx.Done():
-		q.mu.Lock()
-		q.borrower.Cancel(tenant, d.ID)
-		delete(q.waits, d.ID)
-		q.mu.Unlock()
+		a.stopWait(tenant, d.ID, decided)
 		d = borrower.Decision{Verdict: borrower.Undecided}
 	}
 	a.metrics.latency("quotas/wait-us", a.quotaNow()-now)
-	return a.quotaCode(tenant, d)
+	return a.quotaCode(tenant, d), d
+}
+
+// stopWait ends the wait of a request whose caller has gone. A permit that came meanwhile is given back.
+func (a *Agent) stopWait(tenant string, id uint64, decided <-chan borrower.Decision) {
+	q := a.quotas
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.borrower.Cancel(tenant, id)
+	delete(q.waits, id)
+	select {
+	case d := <-decided:
+		q.decide(q.borrower.GiveBack(a.quotaNow(), tenant, d.PermitEpoch))
+	default:
+	}
+}
+
+// giveBackPermit makes the permit of a request that did not run available to others of the tenant.
+func (a *Agent) giveBackPermit(tenant string, d borrower.Decision) {
+	q := a.quotas
+	if d.PermitEpoch == 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.decide(q.borrower.GiveBack(a.quotaNow(), tenant, d.PermitEpoch))
 }
 
 // quotaCode returns the code for a decision, and counts a rejection.
-func (a *Agent) quotaCode(tenant string, d borrower.Decision) (hornbeamcroft.Code, time.Duration) {
+func (a *Agent) quotaCode(tenant string, d borrower.Decision) hornbeamcroft.Code {
 	code := hornbeamcroft.CodeQuotaUndecided
 	switch d.Verdict {
 	case borrower.Admitted:
-		return 0, 0
+		return 0
 	case borrower.Exceeded:
 		code = hornbeamcroft.CodeQuotaExceeded
 	}
 	a.metrics.count("quotas/rejected/" + tenant + "/" + strconv.Itoa(int(code)))
-	return code, d.RetryAfter
+	return code
 }
 
 // quotaBorrower identifies this process to the homes of tenants.
@@ -167,8 +191,9 @@
 
 // tickQuotas decides the requests that have waited too long and sends the requests for permits that are due.
 func (a *Agent) tickQuotas() {
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	q.decide(q.borrower.Tick(now))
 	out := q.exchange(now, a.Settings.Agent.Name, a.quotaBorrower())
 	q.mu.Unlock()
@@ -177,10 +202,11 @@
 
 // updateQuotaProof tells the lender the age of the proof of the configuration.
 func (a *Agent) updateQuotaProof() {
-	age, proven := a.configurationAge()
 	a.quotas.mu.Lock()
-	a.quotas.lender.SetProof(a.quotaNow(), age, proven)
-	a.quotas.mu.Unlock()
+	defer a.quotas.mu.Unlock()
+	now := a.quotaNow() // before the age is read: the proof must not seem younger if the process is frozen in between
+	age, proven := a.configurationAge()
+	a.quotas.lender.SetProof(now, age, proven)
 }
 
 // dialName opens a link to a member in the background.
--- a/agent/quota_test.go
+++ b/agent/quota_test.go
@@ -1,10 +1,12 @@
 package agent
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"testing"
 	"time"
 
@@ -70,8 +72,8 @@
 	sent := 0
 	for end := time.Now().Add(d); time.Now().Before(end); sent++ {
 		go func(a *Agent) {
-			code, after := a.takePermit(t.Context(), "gold")
-			if code != 0 && after <= 0 {
+			code, d := a.takePermit(t.Context(), "gold")
+			if code != 0 && d.RetryAfter <= 0 {
 				t.Error("no Retry-After")
 			}
 			codes <- code
@@ -96,9 +98,9 @@
 	agents := startQuotaAgents(t, 4)
 	code, _ := agents[0].takePermit(t.Context(), "free")
 	is.Equal(code, hornbeamcroft.Code(0))
-	code, after := agents[0].takePermit(t.Context(), "gold") // the home does not lend yet
+	code, d := agents[0].takePermit(t.Context(), "gold") // the home does not lend yet
 	is.Equal(code, hornbeamcroft.CodeQuotaUndecided)
-	is.True(after > 0)
+	is.True(d.RetryAfter > 0)
 	time.Sleep(4 * time.Second)
 	admitted, undecided := admit(t, agents, 2*time.Second)
 	t.Logf("%d admitted in 2 s, %d undecided", admitted, undecided)
@@ -121,3 +123,60 @@
 	stopping.collectQuotas()
 	is.True(stopping.metrics.registry.Get("quotas/lent") != nil)
 }
+
+// TestPreviousHome guards against a home that forgets from which node it has to claim a tenant, because other members have changed or
+// the configuration was applied again meanwhile.
+func TestPreviousHome(t *testing.T) {
+	is := is.New(t)
+	a := newPlaceAgent()
+	q := a.quotas
+	assign := func(names ...string) quotaHome {
+		q.mu.Lock()
+		defer q.mu.Unlock()
+		q.members = nil
+		for _, name := range names {
+			q.members = append(q.members, hornbeamcroft.Member{Name: name})
+		}
+		a.assignQuotas()
+		return q.homes["gold"]
+	}
+	first := assign("node-0", "node-1", "node-2").home
+	rest := slices.DeleteFunc([]string{"node-0", "node-1", "node-2"}, func(name string) bool { return name == first })
+	second := assign(rest...)
+	is.Equal(second.previous, first)
+	is.Equal(assign(rest...).previous, first)
+	is.Equal(assign(second.home).previous, first)
+	is.Equal(assign(append(rest, first)...).previous, second.home)
+}
+
+// grantGold makes the agent hold permits of the tenant gold that the home node-1 granted. The lock of the quotas is held.
+func grantGold(a *Agent, limit uint64, life time.Duration) {
+	q := a.quotas
+	q.homes = map[string]quotaHome{"gold": {home: "node-1"}}
+	q.borrower.UpdateHomes()
+	q.borrower.Take(a.quotaNow(), "gold")
+	asked := q.borrower.Due(a.quotaNow())[0].Request.Asked
+	q.decide(q.borrower.Receive(a.quotaNow(), "node-1", hornbeamcroft.PermitGrant{Asked: asked, Permits: []hornbeamcroft.Permits{
+		{Tenant: "gold", Limit: limit, Life: life},
+	}}))
+}
+
+// TestPermitAfterWait guards against a permit that is used after its life because the request was held up before it took it, as in a
+// process that was frozen.
+func TestPermitAfterWait(t *testing.T) {
+	is := is.New(t)
+	a := newPlaceAgent()
+	q := a.quotas
+	q.mu.Lock()
+	grantGold(a, 10, 50*time.Millisecond)
+	code := make(chan hornbeamcroft.Code)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	go func() {
+		c, _ := a.takePermit(ctx, "gold")
+		code <- c
+	}()
+	time.Sleep(100 * time.Millisecond)
+	q.mu.Unlock()
+	is.Equal(<-code, hornbeamcroft.CodeQuotaUndecided)
+}
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -105,17 +105,24 @@
 // assignQuotas chooses the homes of all tenants, and returns how many are here. The lock of the quotas is held.
 func (a *Agent) assignQuotas() (here int) {
 	q := a.quotas
-	homes := make(map[string]quotaHome, len(q.tenants))
+	now, homes := a.quotaNow(), make(map[string]quotaHome, len(q.tenants))
 	var own []hornbeamcroft.Tenant
 	for _, t := range q.tenants {
 		home, next := assigner.Assigner{}.Home(t.Name, q.members)
-		homes[t.Name] = quotaHome{home: home, next: next, previous: q.homes[t.Name].home}
+		previous := q.homes[t.Name].home
+		if previous == home {
+			previous = q.homes[t.Name].previous // it may not have handed over yet
+		}
+		homes[t.Name] = quotaHome{home: home, next: next, previous: previous}
+		if next != q.homes[t.Name].next {
+			q.lender.Unacknowledge(now, t.Name)
+		}
 		if home == a.Settings.Agent.Name {
 			own = append(own, t)
 		}
 	}
 	q.homes = homes
-	q.lender.SetTenants(a.quotaNow(), own)
+	q.lender.SetTenants(now, own)
 	return len(own)
 }
 
@@ -128,7 +135,7 @@
 	q.mu.Lock()
 	for _, tenant := range q.lender.Unsettled(now) {
 		h := q.homes[tenant]
-		if h.next == "" || a.links.LinkTo(h.next) != nil {
+		if h.next == "" && q.ownRead.Load() || h.next != "" && a.links.LinkTo(h.next) != nil {
 			q.lender.Acknowledge(tenant)
 		}
 		claims[h.next] = append(claims[h.next], tenant)
@@ -157,8 +164,9 @@
 
 // onPermitRequest answers a request of another node for permits, and hands over tenants that it claims.
 func (a *Agent) onPermitRequest(l *connector.Link, r hornbeamcroft.PermitRequest) {
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	g := q.lender.Request(now, quotaBorrowerName(l.Peer.Name, l.Peer.Incarnation), r)
 	g.Homes = a.otherHomes(g.Permits)
 	for _, tenant := range r.Claims {
@@ -204,8 +212,9 @@
 	if len(g.Handovers) > 0 {
 		a.Log.Info().Str("peer", l.Peer.Name).Int("tenants", len(g.Handovers)).Msg("quotas: taken over")
 	}
-	q, now := a.quotas, a.quotaNow()
+	q := a.quotas
 	q.mu.Lock()
+	now := a.quotaNow()
 	for _, h := range g.Handovers {
 		q.lender.TakeOver(now, g.Asked, l.Peer.Name, h)
 	}
@@ -247,6 +256,7 @@
 	m.gauge("quotas/not-lending", lent.Undecided)
 	m.gauge("quotas/taken-over", lent.Taken)
 	m.gauge("quotas/admitted", b.Admitted)
+	m.gauge("quotas/given-back", b.GivenBack)
 	m.gauge("quotas/exceeded", b.Exceeded)
 	m.gauge("quotas/undecided", b.Undecided)
 	m.gauge("quotas/waited", b.Waited)
--- a/borrower/account.go
+++ b/borrower/account.go
@@ -34,7 +34,11 @@
 	// askedAt is the time of the last request, grantedAt that of the request that the last accepted grant answered, and floor that of
 	// the last request that gave permits back. Grants that answer earlier requests are void.
 	askedAt, grantedAt, floor time.Duration
-	// answeredAt is when the home last answered, short whether it granted too little, and over whether the quota is exceeded.
+	// reportedAt is the time of the last request, which reported what was used until then. It differs from that of every earlier account
+	// of the tenant. It is zero while no permit can be given back.
+	reportedAt time.Duration
+	// answeredAt is when the home last answered, short whether it granted too little, and over whether the demand of all nodes is above
+	// the quota; a tenant within its quota may be short for some milliseconds by chance.
 	answeredAt  time.Duration
 	short, over bool
 	// shortUntil is when it is useful to ask for more. silentUntil is when the home starts lending.
@@ -139,7 +143,7 @@
 		a.limit, a.floor = a.used+uint64(want), asked
 		d.Limit = a.limit
 	}
-	a.askedAt = asked
+	a.askedAt, a.reportedAt = asked, asked
 	return d
 }
 
@@ -153,6 +157,9 @@
 		a.short, a.over, a.silentUntil = false, false, now+min(p.Retry, maxSilent)
 		return true
 	}
+	if p.Limit < a.used {
+		a.reportedAt = 0 // what was used since is of an earlier grant, and cannot be given back under this one
+	}
 	a.limit, a.expires = max(p.Limit, a.used), asked+p.Life
 	a.short, a.over = p.Retry > 0, p.Retry >= hornbeamcroft.MinOverQuota
 	a.share, a.shortUntil, a.silentUntil = p.Share, 0, 0
--- a/borrower/node_test.go
+++ b/borrower/node_test.go
@@ -22,7 +22,7 @@
 	stopping    bool
 	provenAt    time.Duration
 	view        map[string]bool
-	// homes holds the home and the node next in line of each tenant, and previous the home before.
+	// homes holds the home and the node next in line of each tenant, and previous the last other home.
 	homes    map[string][2]string
 	previous map[string]string
 	b        *borrower.Borrower
@@ -34,7 +34,7 @@
 func (n *node) start() {
 	n.incarnation++
 	n.alive, n.provenAt = true, n.now
-	n.view, n.homes, n.waits = make(map[string]bool), nil, make(map[uint64]*load)
+	n.view, n.homes, n.previous, n.waits = make(map[string]bool), nil, make(map[string]string), make(map[uint64]*load)
 	for _, m := range n.nodes {
 		n.view[m.name] = true
 	}
@@ -64,15 +64,15 @@
 			members = append(members, hornbeamcroft.Member{Name: m.name, Stopping: m == n && n.stopping})
 		}
 	}
-	n.previous = make(map[string]string)
-	for tenant, h := range n.homes {
-		n.previous[tenant] = h[0]
-	}
+	old := n.homes
 	n.homes = make(map[string][2]string)
 	var own []hornbeamcroft.Tenant
 	for _, t := range n.loads {
 		home, next := assigner.Assigner{}.Home(t.Name, members)
 		n.homes[t.Name] = [2]string{home, next}
+		if was := old[t.Name][0]; was != home {
+			n.previous[t.Name] = was
+		}
 		if home == n.name {
 			own = append(own, t.Tenant)
 		}
@@ -145,6 +145,10 @@
 func (n *node) count(t *load, d borrower.Decision) {
 	switch d.Verdict {
 	case borrower.Admitted:
+		if n.shed > 0 && n.rnd.Float64() < n.shed {
+			n.giveBack(t, d)
+			return
+		}
 		t.admitted = append(t.admitted, n.now)
 	case borrower.Exceeded:
 		t.exceeded++
@@ -153,6 +157,15 @@
 	}
 }
 
+func (n *node) giveBack(t *load, d borrower.Decision) {
+	incarnation := n.incarnation
+	n.at(n.between(0, 20*time.Millisecond), func() {
+		if n.alive && n.incarnation == incarnation {
+			n.decide(n.b.GiveBack(n.now, t.Name, d.PermitEpoch))
+		}
+	})
+}
+
 func (n *node) decide(decisions []borrower.Decision) {
 	for _, d := range decisions {
 		n.count(n.waits[d.ID], d)
