--- a/agent/listen.go
+++ b/agent/listen.go
@@ -37,6 +37,7 @@
 			),
 		},
 	} {
+		l.OnEvict = func() { a.metrics.count("connections/closed-for-others/" + l.Name) }
 		if _, err := l.Open(serverErrs); err != nil {
 			return errors.Wrap(err, l.Name)
 		}
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -22,11 +21,11 @@
 	MaxConns int
 	// MaxBody is the maximum size of the body of a request in bytes.
 	MaxBody int64
+	// OnEvict is called when a connection is closed for others; it may be nil.
+	OnEvict func()
 
 	mu    sync.Mutex
 	conns map[net.Conn]*entry
-	// Evicted counts the connections that were closed for others.
-	Evicted atomic.Int64
 }
 
 // entry is one connection. The mutex of the Evictor guards it.
@@ -96,7 +95,9 @@
 	}
 	_ = victim.Close()
 	delete(v.conns, victim)
-	v.Evicted.Add(1)
+	if v.OnEvict != nil {
+		v.OnEvict()
+	}
 }
 
 // before reports whether the connection is closed before the other one.
--- a/evictor/evictor_test.go
+++ b/evictor/evictor_test.go
@@ -53,7 +53,8 @@
 func TestEvictionOrder(t *testing.T) {
 	is := is.New(t)
 	release := make(chan struct{})
-	v := &Evictor{MaxConns: 4, MaxBody: 100}
+	evicted := 0
+	v := &Evictor{MaxConns: 4, MaxBody: 100, OnEvict: func() { evicted++ }}
 	s := httptest.NewUnstartedServer(v.Wrap(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/slow" {
 			<-release
@@ -78,6 +79,9 @@
 		is.Equal(status(c, time.Second), http.StatusOK)
 	}
 	is.Equal(status(idle, time.Second), 0) // evicted after all unfinished ones
+	v.mu.Lock()
+	is.True(evicted >= 8)
+	v.mu.Unlock()
 	close(release)
 	is.Equal(status(served, time.Second), http.StatusOK)
 }
--- a/listener/listener.go
+++ b/listener/listener.go
@@ -48,12 +48,14 @@
 	Routes   []rest.Route
 	// MaxConns bounds the number of connections, without those that a handler has taken over. Zero means no limit.
 	MaxConns int
+	// OnEvict is called when a connection is closed because there are too many; it may be nil.
+	OnEvict func()
 }
 
 // Open serves in the background until the returned function is called. If the server fails to listen after Open's own check
 // has succeeded, the error is sent to serverErrs.
 func (l Listener) Open(serverErrs chan<- error) (StopFunc, error) {
-	bound := &evictor.Evictor{MaxConns: l.MaxConns, MaxBody: maxBoundedBody}
+	bound := &evictor.Evictor{MaxConns: l.MaxConns, MaxBody: maxBoundedBody, OnEvict: l.OnEvict}
 	if l.MaxConns > 0 {
 		l.Routes = slices.Clone(l.Routes)
 		for i := range l.Routes {
