--- a/acceptor/acceptor_test.go
+++ b/acceptor/acceptor_test.go
@@ -42,6 +42,8 @@
 			switch r.URL.Path {
 			case "/slow":
 				<-s.release
+			case "/body":
+				_, _ = io.ReadAll(r.Body)
 			case "/large":
 				_, _ = w.Write(make([]byte, 32<<20))
 			}
@@ -117,13 +119,16 @@
 	is.True(answers(served))
 }
 
-// TestEvictedWithoutReading guards against callers that do not read their answers and keep others out.
+// TestEvictedWithoutReading guards against callers that do not read their answers, or do not end their bodies, and keep others out.
 func TestEvictedWithoutReading(t *testing.T) {
 	is := is.New(t)
-	s := start(t, 2)
+	s := start(t, 3)
+	unsent := s.dial(t, "POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
 	served, unread := s.dial(t, get("/slow")), s.dial(t, get("/large"))
 	is.True(!answers(s.dial(t, get("/")))) // not at once
 	time.Sleep(stallTime + 500*time.Millisecond)
+	s.dial(t, get("/slow"))
+	is.True(!isOpen(unsent))
 	is.True(answers(s.dial(t, get("/"))))
 	_ = unread.SetReadDeadline(time.Now().Add(time.Second))
 	resp, err := http.ReadResponse(bufio.NewReader(unread), nil)
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -21,7 +21,8 @@
 	recentTime = 50 * time.Millisecond
 )
 
-// stallTime is the time after which a caller that takes no part of an answer counts as not reading it.
+// stallTime is the time after which a caller that takes no part of an answer counts as not reading it, and the time that the body of a
+// request may take while there are too many connections.
 const stallTime = 2 * time.Second
 
 // victim is a connection that may be closed for another, and its state when it was found.
@@ -35,6 +36,8 @@
 	switch s.Phase {
 	case pipeliner.Serving:
 		return !s.Writing.IsZero() && now.Sub(s.Writing) > stallTime
+	case pipeliner.Receiving:
+		return now.Sub(s.Since) > stallTime
 	case pipeliner.Idle:
 		return now.Sub(s.Since) > recentTime
 	}
@@ -140,7 +143,8 @@
 }
 
 // order returns the order in which connections are closed: those with a last answer that the caller may still be reading are
-// closed after those without a complete head, then idle ones, and last those whose caller does not read its answer.
+// closed after those without a complete head, then idle ones, those with an unfinished body, and last those whose caller does not read
+// its answer.
 func order(s pipeliner.State) int {
 	switch s.Phase {
 	case pipeliner.Unfinished:
@@ -149,8 +153,10 @@
 		return 1
 	case pipeliner.Idle:
 		return 2
+	case pipeliner.Receiving:
+		return 3
 	}
-	return 3
+	return 4
 }
 
 // makeRoom closes the connection that has held memory for an unfinished head longest. It returns false if that is p.
--- a/acceptor/sweep.go
+++ b/acceptor/sweep.go
@@ -73,7 +73,7 @@
 		return age > l.IdleTime
 	case pipeliner.Lingering:
 		return age > lingerTime
-	case pipeliner.Serving:
+	case pipeliner.Serving, pipeliner.Receiving:
 		return !s.Writing.IsZero() && now.Sub(s.Writing) > writeTime
 	}
 	return false
--- a/pipeliner/pass.go
+++ b/pipeliner/pass.go
@@ -89,7 +89,7 @@
 	p.served, p.serving, p.inHead, p.waiting = true, true, false, false
 	p.buffered = p.head.Buffered()
 	if e.body {
-		p.bodyOwner = e
+		p.bodyOwner, p.bodySince = e, time.Now()
 	}
 	if e.head.Request.Close {
 		p.closing = true
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -66,8 +66,9 @@
 	sideBySide bool
 	// closing is set once no further request is passed on: an answer says so, or the client or the node has ended the connection.
 	closing, failed, lingering bool
-	// bodyOwner is the request whose body is being read.
+	// bodyOwner is the request whose body is being read, bodySince when its head was complete.
 	bodyOwner *exchange
+	bodySince time.Time
 	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that must wait, paused while
 	// its buffer is full. woken is true if its read was ended by a deadline.
 	reading, waiting, paused, woken, deadlineSet bool
--- a/pipeliner/state.go
+++ b/pipeliner/state.go
@@ -13,6 +13,8 @@
 	Idle
 	// Serving: a request runs or is being answered.
 	Serving
+	// Receiving: the body of a request arrives.
+	Receiving
 	// Lingering: the last answer is sent, and the client is given time to read it.
 	Lingering
 )
@@ -47,6 +49,8 @@
 	switch {
 	case p.lingering:
 		s.Phase = Lingering
+	case p.bodyOwner != nil:
+		s.Phase, s.Since = Receiving, p.bodySince
 	case p.serving:
 		s.Phase = Serving
 	case p.served && !p.inHead:
