placer: even placement draws members by slots, not by rate

Cause: members were drawn in proportion to limit / service time. The service time depends on which calls a member gets: one with the calls of 30 ms looks six times faster than one with those of 410 ms, and gets still more of them.

--- a/placer/even.go
+++ b/placer/even.go
@@ -42,13 +42,13 @@
 	return p.place(now, remote), true
 }
 
-// selectEven draws members in proportion to the rates at which they finish calls and returns the cheapest, and its cost.
-// If members were drawn evenly, a fast one would get too few calls and a slow one more than it can finish.
+// selectEven draws members in proportion to their slots and returns the cheapest, and its cost. The service time must not count in
+// the draw: it depends on which calls a member gets. A member that gets more short calls would look faster and get still more of them.
 func (p *Placer) selectEven(now time.Duration, rnd hornbeamcroft.Rand, candidates []*member, r Requirements,
 ) (*member, candidateCost) {
 	total := 0.0
 	for _, m := range candidates {
-		total += m.rate
+		total += m.weight
 	}
 	var cheapestMember *member
 	var minCost candidateCost
@@ -56,7 +56,7 @@
 		i := k + drawIndex(candidates[k:], rnd.Float64()*total)
 		candidates[k], candidates[i] = candidates[i], candidates[k]
 		m := candidates[k]
-		total -= m.rate
+		total -= m.weight
 		if c := m.evenCost(now, r); cheapestMember == nil || c.less(minCost) {
 			cheapestMember, minCost = m, c
 		}
@@ -64,11 +64,11 @@
 	return cheapestMember, minCost
 }
 
-// drawIndex returns the index of the candidate in whose part of the sum of all rates x lies.
+// drawIndex returns the index of the candidate in whose part of the sum of all weights x lies.
 func drawIndex(candidates []*member, x float64) int {
 	last := len(candidates) - 1
 	for i, m := range candidates[:last] {
-		if x -= m.rate; x < 0 {
+		if x -= m.weight; x < 0 {
 			return i
 		}
 	}
@@ -118,11 +118,11 @@
 	return busy, m.load.Limit
 }
 
-// updateRate sets the rate at which the member finishes calls if it is full, in calls a second.
-func (m *member) updateRate() {
+// updateWeight sets the weight with which the member is drawn.
+func (m *member) updateWeight() {
 	limit := m.Slots
 	if m.reportedAt > 0 {
 		limit = m.load.Limit
 	}
-	m.rate = float64(max(limit, 1)) / m.serviceTime().Seconds()
+	m.weight = float64(max(limit, 1))
 }
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -57,7 +57,7 @@
 type Placer struct {
 	// Zone is the availability zone of the node.
 	Zone string
-	// Even selects even placement: members are drawn in proportion to their rates, and old reports count until they are
+	// Even selects even placement: members are drawn in proportion to their slots, and old reports count until they are
 	// renewed. Otherwise Pick compares two random members.
 	Even bool
 
@@ -82,8 +82,8 @@
 	sent, outstanding int
 	// unreachableUntil is the end of the time in which the member is avoided because it could not be reached.
 	unreachableUntil time.Duration
-	// rate is the number of calls that the member can finish in a second.
-	rate float64
+	// weight is the number of calls that the member may run at once, in proportion to which it is drawn.
+	weight float64
 }
 
 // Update replaces the members of the service. It keeps the load of a member unless its incarnation has changed.
@@ -97,7 +97,7 @@
 			e = &member{linked: e != nil && e.linked}
 		}
 		e.Member, e.local = m, m.Zone == p.Zone
-		e.updateRate()
+		e.updateWeight()
 		p.byName[m.Name] = e
 		p.members = append(p.members, e)
 	}
@@ -125,7 +125,7 @@
 func (p *Placer) Report(now time.Duration, name string, l hornbeamcroft.Load) {
 	if m := p.byName[name]; m != nil {
 		m.load, m.reportedAt, m.sent = l, max(now, 1), 0
-		m.updateRate()
+		m.updateWeight()
 	}
 }
 
