pipeliner: requests of HTTP/1.0 do not run ahead

An answer to a request of HTTP/1.0 whose length is not known ends with the connection. If the next request had been passed on already, its answer followed on the same connection and the client took it for a part of the first body. net/http serves these requests one by one. Announcing the length of all answers was ruled out: it would need the whole body in memory. The script old-ahead failed before (both requests ran) and passes now.

--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -26,7 +26,8 @@
 	// MaxHeadBytes returns the maximum size of a head in bytes; MaxFields bounds the number of its fields.
 	MaxHeadBytes func() int
 	MaxFields    int
-	// RunsAhead reports whether a request without a body may run before those ahead of it are answered; nil if none may.
+	// RunsAhead reports whether a request without a body may run before those ahead of it are answered; nil if none may. It is not
+	// asked about requests of HTTP/1.0: the end of the connection may be that of an answer to one.
 	RunsAhead func(r *http.Request) bool
 	// MaxAhead bounds the number of requests of one connection that run at the same time, MaxAheadBytes the size of their heads.
 	MaxAhead, MaxAheadBytes int
@@ -236,7 +237,7 @@
 		p.fault, p.pending = err, head
 		p.noteHead(head == nil && err == nil && p.head.Began(), head != nil || err != nil)
 		if head != nil {
-			p.ahead = !head.HasBody() && p.RunsAhead != nil && p.RunsAhead(head.Request)
+			p.ahead = !head.HasBody() && head.Request.ProtoAtLeast(1, 1) && p.RunsAhead != nil && p.RunsAhead(head.Request)
 		}
 		return
 	}
