pipeliner: short parts at the end of a body without chunks are sent

To a client of HTTP/1.0, a part of up to 4 KiB that a handler wrote after the head had been sent was put into the buffer for short bodies, which is sent only with the head: the part was lost, and the client saw a whole answer. The buffer is now used only before the head is sent. TestShortEnd failed before and passes now.

--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -81,7 +81,7 @@
 	}
 	e.written += int64(len(b))
 	switch {
-	case e.length < 0 && !e.chunked && len(e.small)+len(b) <= bufferBytes/2:
+	case e.length < 0 && e.out == nil && len(e.small)+len(b) <= bufferBytes/2:
 		e.small = append(e.small, b...)
 		return len(b), nil
 	case e.length < 0:
