pipeliner: a failed handler does not cut off the answers before its own

If a handler of a request that ran ahead panicked, the connection was closed at once: the requests before it were cancelled although they were within all limits. The connection now ends after their answers, and no further request is passed on. Waiting is bounded, as the turn comes or the connection ends. The script panic-ahead failed before and passes now.

--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -51,7 +51,7 @@
 	defer e.end()
 	defer func() {
 		if v := recover(); v != nil {
-			e.broken = true
+			e.abort()
 			if v != http.ErrAbortHandler && e.p.OnPanic != nil {
 				e.p.OnPanic(v)
 			}
@@ -61,6 +61,16 @@
 	e.finish()
 }
 
+// abort marks the answer as incomplete, which ends the connection, once the requests before this one are answered. No further request
+// is passed on meanwhile.
+func (e *exchange) abort() {
+	e.p.mu.Lock()
+	e.p.closing = true
+	e.p.mu.Unlock()
+	_ = e.await()
+	e.broken = true
+}
+
 // end removes the request from those that run.
 func (e *exchange) end() {
 	e.release()
