pipeliner: one length in the head of an answer, and only that of its body

The field Content-Length of the handler was sent as it was: with text that is no number beside Transfer-Encoding, twice if there were two values, and with status 204, where RFC 9110 forbids it. A client or proxy that believes it takes bytes behind the body for the next answer. net/http drops such fields. The length is now written from the parsed number only.

--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -57,10 +57,8 @@
 	}
 	e.status = status
 	e.bodiless = e.head.Request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	if text := e.header.Get("Content-Length"); text != "" {
-		if n, err := strconv.ParseInt(text, 10, 64); err == nil && n >= 0 {
-			e.length = n
-		}
+	if n, err := strconv.ParseUint(e.header.Get("Content-Length"), 10, 63); err == nil && status != http.StatusNoContent {
+		e.length = int64(n)
 	}
 	if e.await() == nil && (e.bodiless || e.length >= 0) {
 		e.writeHead()
@@ -141,7 +139,7 @@
 	last := e.decideClose(want)
 	b := appendStatus((*e.out)[:0], e.status)
 	for name, values := range e.header {
-		if name == "Connection" || name == "Transfer-Encoding" {
+		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" {
 			continue
 		}
 		for _, value := range values {
@@ -154,7 +152,7 @@
 	switch {
 	case e.chunked:
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-	case !e.bodiless && e.length >= 0 && e.header.Get("Content-Length") == "":
+	case e.length >= 0:
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), e.length, 10), "\r\n"...)
 	}
 	switch {
--- a/pipeliner/response_test.go
+++ b/pipeliner/response_test.go
@@ -1,6 +1,7 @@
 package pipeliner
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -32,3 +33,42 @@
 	_, body, _ := strings.Cut(answer, "\r\n\r\n")
 	is.True(body == large+"a"+large+"b")
 }
+
+// TestLengthField guards against a length in the head that the body does not have: the client would take the bytes behind the body for
+// the next answer, or wait for more.
+func TestLengthField(t *testing.T) {
+	for _, c := range []struct {
+		method string
+		status int
+		length []string
+		want   string
+	}{
+		{"GET", 200, []string{"2"}, "2"},
+		{"GET", 200, []string{"many"}, "2"},
+		{"GET", 200, []string{"2", "3"}, "2"},
+		{"GET", 200, nil, "2"},
+		{"GET", 204, []string{"2"}, ""},
+		{"GET", 304, []string{"2"}, "2"},
+		{"HEAD", 200, []string{"7"}, "7"},
+		{"HEAD", 200, []string{"-1"}, ""},
+	} {
+		t.Run(fmt.Sprint(c.method, c.status, c.length), func(t *testing.T) {
+			is := is.New(t)
+			text := c.method + " / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+			answer := exchangeOnce(t, text, func(w http.ResponseWriter, _ *http.Request) {
+				if c.length != nil {
+					w.Header()["Content-Length"] = c.length
+				}
+				w.WriteHeader(c.status)
+				_, _ = io.WriteString(w, "ok")
+			})
+			var got []string
+			for line := range strings.Lines(answer) {
+				if value, ok := strings.CutPrefix(line, "Content-Length: "); ok {
+					got = append(got, strings.TrimSpace(value))
+				}
+			}
+			is.Equal(strings.Join(got, ","), c.want)
+		})
+	}
+}
