pipeliner: status 101 is passed on

An upstream may answer with status 101 although it was not asked to change the protocol; exchanger takes that for its answer. The connection dropped the status like that of an interim answer and then sent 200 with an empty body: a success that no upstream gave. 101 is now sent as it is, without a body, and ends the connection, as what follows is of no known protocol. net/http sends it, too. TestLengthField has a case for it that failed before, and checks the status in all cases.

--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -52,12 +52,12 @@
 // WriteHeader sets the status. It waits until the requests before this one are answered, so that an answer is held by its handler,
 // in the memory that the handler accounts for, until it can be sent.
 func (e *exchange) WriteHeader(status int) {
-	if e.status != 0 || status < 200 {
+	if e.status != 0 || status < 200 && status != http.StatusSwitchingProtocols {
 		return
 	}
 	e.status = status
-	e.bodiless = e.head.Request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	if n, err := strconv.ParseUint(e.header.Get("Content-Length"), 10, 63); err == nil && status != http.StatusNoContent {
+	e.bodiless = e.head.Request.Method == http.MethodHead || status < 200 || status == http.StatusNoContent || status == http.StatusNotModified
+	if n, err := strconv.ParseUint(e.header.Get("Content-Length"), 10, 63); err == nil && status >= 200 && status != http.StatusNoContent {
 		e.length = int64(n)
 	}
 	if e.await() == nil && (e.bodiless || e.length >= 0) {
@@ -135,7 +135,8 @@
 	e.out = buffers.Get().(*[]byte)
 	r := e.head.Request
 	undeclared := !e.bodiless && e.length < 0 && !e.chunked
-	want := r.Close || undeclared || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
+	// Behind status 101, the client speaks the other protocol.
+	want := r.Close || undeclared || e.status < 200 || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
 	last := e.decideClose(want)
 	b := appendStatus((*e.out)[:0], e.status)
 	for name, values := range e.header {
--- a/pipeliner/response_test.go
+++ b/pipeliner/response_test.go
@@ -48,6 +48,7 @@
 		{"GET", 200, []string{"2", "3"}, "2"},
 		{"GET", 200, nil, "2"},
 		{"GET", 204, []string{"2"}, ""},
+		{"GET", 101, []string{"2"}, ""},
 		{"GET", 304, []string{"2"}, "2"},
 		{"HEAD", 200, []string{"7"}, "7"},
 		{"HEAD", 200, []string{"-1"}, ""},
@@ -62,6 +63,7 @@
 				w.WriteHeader(c.status)
 				_, _ = io.WriteString(w, "ok")
 			})
+			is.True(strings.HasPrefix(answer, fmt.Sprintf("HTTP/1.1 %d ", c.status)))
 			var got []string
 			for line := range strings.Lines(answer) {
 				if value, ok := strings.CutPrefix(line, "Content-Length: "); ok {
