pipeliner: handlers see trailers

The body puts the trailers into the request that it was read with, but handlers got a copy of that. A handler that needs them would have taken them for missing. The context is now set in place. TestTrailer failed before and passes now.

--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -34,9 +34,9 @@
 
 // open prepares the request for the handler.
 func (e *exchange) open() {
-	r := e.head.Request.WithContext(e.p.ctx)
+	r := e.head.Request
+	*r = *r.WithContext(e.p.ctx) // in place: the body puts the trailers into the request that it was read with
 	r.RemoteAddr = e.p.remote
-	e.head.Request = r
 	if !e.body {
 		r.Body = http.NoBody
 		return
--- a/pipeliner/response_test.go
+++ b/pipeliner/response_test.go
@@ -74,3 +74,13 @@
 		})
 	}
 }
+
+// TestTrailer guards against trailers that the handler does not see.
+func TestTrailer(t *testing.T) {
+	const request = "POST / HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nTotal: 2\r\n\r\n"
+	answer := exchangeOnce(t, request, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		_, _ = io.WriteString(w, string(body)+r.Trailer.Get("Total"))
+	})
+	is.New(t).True(strings.HasSuffix(answer, "\r\n\r\nhi2"))
+}
