pipeliner: a request that has arrived counts as held until it is passed on

If the request before it ended after a head was read and before it was passed on, the connection was idle for that time, and all its bytes counted as served: a planned stop, which looks each millisecond, closed it and the request got no answer. The head is now held from when it is complete, as a request that must wait.

--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -69,7 +69,7 @@
 	closing, failed, lingering bool
 	// bodyOwner is the request whose body is being read.
 	bodyOwner *exchange
-	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that must wait, paused while
+	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that is to be passed on or answered, paused while
 	// its buffer is full. woken is true if its read was ended by a deadline.
 	reading, waiting, paused, woken, deadlineSet bool
 	// served is true once a head was complete, inHead while bytes of one have arrived. since is when the connection entered
@@ -257,6 +257,6 @@
 	if began && !p.inHead {
 		p.since = time.Now()
 	}
-	p.inHead, p.waiting, p.serving = began, false, p.count > 0 || complete
+	p.inHead, p.waiting, p.serving = began, complete, p.count > 0 || complete
 	p.buffered = p.head.Buffered()
 }
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -28,6 +28,7 @@
 // /i/ may run ahead.
 type world struct {
 	client       net.Conn
+	conn         *Pipeliner
 	reader       *bufio.Reader
 	heads, ahead *reserver.Reserver
 	ended        chan struct{}
@@ -94,7 +95,9 @@
 		rules.Handler = w
 	}
 	rules.MaxHeadBytes, rules.MaxFields = func() int { return 4000 }, 100
-	rules.RunsAhead = func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/i/") }
+	if rules.RunsAhead == nil {
+		rules.RunsAhead = func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/i/") }
+	}
 	rules.MaxAhead, rules.MaxAheadBytes = 4, 32<<10
 	rules.MakeRoom = func(*Pipeliner) bool { return false }
 	heads, ahead := w.heads.Open(), w.ahead.Open()
@@ -117,9 +120,9 @@
 	}
 	t.Cleanup(func() { _ = w.client.Close() })
 	w.reader = bufio.NewReader(w.client)
-	p := &Pipeliner{Rules: &rules, Conn: c, Memory: heads, Ahead: ahead}
-	p.Init()
-	go p.Serve()
+	w.conn = &Pipeliner{Rules: &rules, Conn: c, Memory: heads, Ahead: ahead}
+	w.conn.Init()
+	go w.conn.Serve()
 	return w
 }
 
