acceptor: a planned stop closes connections with an answer that says so

The ingress sets Connection: close when a request begins. The answer to one that had begun before the stop did not say that the connection closes, and 1 ms later the connection was closed as idle: the next request of the caller was lost on its way. Keeping such connections open for a while was ruled out, as a stop has 300 ms. Shutdown now lets the next answer of each connection be the last, which is decided when its head is written. TestStopDuringRequest failed before and passes now.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -205,6 +205,7 @@
 	case <-a.ended:
 	case <-ctx.Done():
 	}
+	a.each((*pipeliner.Pipeliner).CloseSoon) // the handler may have set the header of an answer before the stop
 	t := time.NewTicker(stopPollInterval)
 	defer t.Stop()
 	for a.each(closeQuiet) > 0 {
