acceptor: the first request of a new connection is not lost to the idle limit

Before an idle connection is closed, the socket is asked for bytes that were not read yet. A new connection was closed without that, so that a first request that came just at the limit, or while the goroutine of the connection did not run, got no answer. Both are now treated alike. Connections closed for others stay as they are: with that check, a crowd could keep its place by sending bytes. TestLateRequest failed before and passes now.

--- a/acceptor/sweep.go
+++ b/acceptor/sweep.go
@@ -52,7 +52,8 @@
 		closed := p.CloseIf(func(s pipeliner.State) bool {
 			found = s
 			// A request that has just arrived is served.
-			return isLate(s, l, now) && (s.Phase != pipeliner.Idle || finisher.IsQuiet(p.Conn, s.Received, false, 0))
+			waits := s.Phase == pipeliner.Idle || s.Phase == pipeliner.Unfinished && !s.Began
+			return isLate(s, l, now) && (!waits || finisher.IsQuiet(p.Conn, s.Received, false, 0))
 		})
 		switch {
 		case closed && found.Phase != pipeliner.Lingering:
