acceptor: heads behind running requests leave half of the memory for others

A connection with a running request is not closed for others, and the head timeout does not apply to it. With unfinished or waiting heads behind slow requests, a few callers could hold all memory for heads, and all other callers got 503 for as long as the requests ran. Closing such connections was ruled out, as it cancels requests within the limits. Once half of the memory is reserved, connections read no further head until their requests have ended; then the usual limits apply.

--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -29,6 +29,8 @@
 	fieldCost = 5
 	// maxAheadBytes is the memory of the heads of the requests of a connection that run at the same time.
 	maxAheadBytes = 64 << 10
+	// readAheadDivisor divides the memory for heads: beyond that part, none is read behind a request that runs.
+	readAheadDivisor = 2
 )
 
 // Limits are the configured limits of connections. Zero means that the configuration gives no limit.
@@ -95,7 +97,7 @@
 	a.rules = pipeliner.Rules{
 		Handler: http.HandlerFunc(a.serve), MaxHeadBytes: a.maxHeadBytes, MaxFields: (maxHeadBytes + headSlack) / fieldCost,
 		RunsAhead: a.RunsAhead, MaxAhead: a.MaxAhead, MaxAheadBytes: maxAheadBytes,
-		MakeRoom: a.makeRoom, OnEnd: a.remove, OnPanic: a.OnPanic,
+		MakeRoom: a.makeRoom, MayReadAhead: a.mayReadAhead, OnEnd: a.remove, OnPanic: a.OnPanic,
 	}
 	go func() {
 		defer close(a.ended)
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -191,3 +191,8 @@
 	a.holders = sortVictims(found)
 	return len(a.holders) > 0
 }
+
+// mayReadAhead reports whether heads may be read behind requests that run. Their connections are not closed for others.
+func (a *Acceptor) mayReadAhead() bool {
+	return a.Heads.Limit <= 0 || a.Heads.Reserved() < a.Heads.Limit/readAheadDivisor
+}
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -34,6 +34,9 @@
 	// MakeRoom closes another connection that holds memory for an unfinished head. It returns false if none holds it for longer
 	// than p.
 	MakeRoom func(p *Pipeliner) bool
+	// MayReadAhead reports whether there is memory for heads behind requests that run; nil if there always is. Connections with
+	// such heads are not closed for others, so that the heads must leave memory for others.
+	MayReadAhead func() bool
 	// OnEnd is called when the connection is closed and none of its requests runs; OnPanic with what a handler has panicked with.
 	OnEnd   func(p *Pipeliner)
 	OnPanic func(v any)
@@ -151,7 +154,7 @@
 func (p *Pipeliner) space() ([]byte, bool) {
 	if p.isLingering() {
 		p.head.Discard()
-	} else if p.isStuck() && p.head.Full() {
+	} else if p.head.Full() && (p.isStuck() || p.mustWait()) {
 		return nil, false
 	}
 	for {
@@ -193,6 +196,11 @@
 	return p.count > 0
 }
 
+// mustWait lets Serve wait for a request to end if there is no memory for heads behind those that run.
+func (p *Pipeliner) mustWait() bool {
+	return p.MayReadAhead != nil && !p.MayReadAhead() && p.holds()
+}
+
 // pause waits until a request has ended. It returns false when the connection has ended.
 func (p *Pipeliner) pause() bool {
 	p.mu.Lock()
@@ -221,7 +229,7 @@
 
 // next reads the next head if there is none yet.
 func (p *Pipeliner) next() {
-	if p.pending != nil || p.fault != nil || p.isClosing() {
+	if p.pending != nil || p.fault != nil || p.isClosing() || p.mustWait() {
 		return
 	}
 	for {
