--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -41,7 +41,7 @@
 	return true
 }
 
-// since returns since when the connection has held its share for nothing.
+// since returns since when the connection has made no progress.
 func (v victim) since() time.Time {
 	if v.state.Phase == pipeliner.Serving {
 		return v.state.Writing
@@ -79,7 +79,7 @@
 	var since time.Time
 	for p := range a.conns {
 		s := p.State()
-		if s.Phase == pipeliner.Serving && !s.Soon && (busy == nil || s.BusySince.Before(since)) {
+		if s.Phase == pipeliner.Serving && !s.ClosingSoon && (busy == nil || s.BusySince.Before(since)) {
 			busy, since = p, s.BusySince
 		}
 	}
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -22,8 +22,8 @@
 	next *exchange
 	// turn is closed when the requests before this one are answered; nil if there was none.
 	turn chan struct{}
-	// ahead is what was reserved to run ahead.
-	ahead int
+	// aheadReserved is what was reserved to run ahead.
+	aheadReserved int
 	// body is true if the request has a body. expects is true until the client was told to send it.
 	body, expects bool
 	// closed and done belong to the mutex of the connection: whether turn is closed, and whether the request has ended.
@@ -95,8 +95,8 @@
 	p.noteAnswer(e.status)
 	p.headBytes -= e.head.Cost
 	p.Memory.Release(e.head.Cost)
-	if e.ahead > 0 {
-		p.Ahead.Release(e.ahead)
+	if e.aheadReserved > 0 {
+		p.Ahead.Release(e.aheadReserved)
 	}
 	if p.count == 0 {
 		p.serving, p.since = p.waiting && !p.closing, time.Now() // a request that waits is next
@@ -135,7 +135,7 @@
 	p := e.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closing = p.closing || want || p.soon
+	p.closing = p.closing || want || p.closeSoon
 	return p.closing && e.next == nil
 }
 
--- a/pipeliner/pass.go
+++ b/pipeliner/pass.go
@@ -64,10 +64,10 @@
 
 // mayRunAhead reports whether the pending request may run beside those before it, and reserves what that takes.
 func (p *Pipeliner) mayRunAhead(e *exchange) bool {
-	if !p.ahead || !p.sideBySide || p.rejected || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
+	if !p.pendingAhead || !p.concurrent || p.rejected || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
 		return false
 	}
-	e.ahead = aheadBytes
+	e.aheadReserved = aheadBytes
 	return true
 }
 
@@ -77,11 +77,11 @@
 		p.busySince = time.Now()
 	}
 	if p.last == nil {
-		p.first, p.sideBySide = e, p.ahead
+		p.first, p.concurrent = e, p.pendingAhead
 	} else {
 		p.last.next = e
 		e.turn = make(chan struct{})
-		p.sideBySide = p.sideBySide && p.ahead
+		p.concurrent = p.concurrent && p.pendingAhead
 	}
 	p.last = e
 	p.count++
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -56,8 +56,9 @@
 	// request that waits for those before it, fault the error that is answered after them.
 	head    headreader.HeadReader
 	pending *headreader.Head
-	ahead   bool
-	fault   error
+	// pendingAhead is whether pending may run before those ahead of it are answered.
+	pendingAhead bool
+	fault        error
 
 	mu sync.Mutex
 	// changed wakes Serve when a request or a body has ended.
@@ -66,23 +67,23 @@
 	first, last *exchange
 	count       int
 	headBytes   int
-	// sideBySide is true while all of them may run ahead.
-	sideBySide bool
+	// concurrent is true while all of them may run at the same time.
+	concurrent bool
 	// closing is set once no further request is passed on: an answer says so, or the client or the node has ended the connection.
 	closing, failed, lingering bool
 	// bodyOwner is the request whose body is being read.
 	bodyOwner *exchange
-	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that is to be passed on or answered, paused while
-	// its buffer is full. woken is true if its read was ended by a deadline.
+	// reading is true while Serve waits for bytes, waiting while it holds a request that is to be passed on or a fault that is to
+	// be answered, or has no memory to read on. paused is true while its buffer is full, woken if its read was ended by a deadline.
 	reading, waiting, paused, woken, deadlineSet bool
 	// served is true once a head was complete, inHead while bytes of one have arrived. since is when the connection entered
 	// its state, writing when the present write began.
 	served, inHead, serving bool
 	since, writing          time.Time
-	// busySince is since when the connection has always had a request; zero if it has none. soon is true if it is to be closed
-	// with the next answer.
+	// busySince is since when the connection has always had a request; zero if it has none. closeSoon is true if it is to
+	// be closed with the next answer.
 	busySince time.Time
-	soon      bool
+	closeSoon bool
 	received  uint64
 	buffered  int
 	// rejected is true while the last answer was a rejection: then requests are passed on one by one, not before resumeAt.
@@ -113,106 +114,6 @@
 	}
 }
 
-// fill waits until bytes have arrived or requests have ended. It returns false when the connection has ended.
-func (p *Pipeliner) fill() bool {
-	p.head.MaxBytes = p.MaxHeadBytes()
-	space, ok := p.space()
-	if !ok {
-		return p.pause()
-	}
-	p.mu.Lock()
-	if p.failed {
-		p.mu.Unlock()
-		return false
-	}
-	if p.waiting && (p.count == 0 || p.ends != p.seen) && !p.closing {
-		p.mu.Unlock()
-		return true // what it waits for has ended before the read
-	}
-	p.reading = true
-	p.mu.Unlock()
-	n, err := p.Conn.Read(space)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reading = false
-	p.head.Received(n)
-	p.received += uint64(n)
-	p.buffered = p.head.Buffered()
-	if p.woken {
-		p.woken = false
-		_ = p.Conn.SetReadDeadline(time.Time{})
-		return true
-	}
-	if err != nil {
-		p.leave()
-		return false
-	}
-	return true
-}
-
-// space returns where to put the next bytes, or false if Serve must wait for requests to end.
-func (p *Pipeliner) space() ([]byte, bool) {
-	if p.isLingering() {
-		p.head.Discard()
-	} else if p.head.Full() && (p.isStuck() || p.mustWait()) {
-		return nil, false
-	}
-	for {
-		space, err := p.head.Space()
-		if err == nil {
-			return space, true
-		}
-		if p.holds() {
-			return nil, false
-		}
-		if !errors.Is(err, headreader.ErrNoMemory) || !p.MakeRoom(p) {
-			p.fault = err
-			return nil, false
-		}
-	}
-}
-
-// isStuck reports whether Serve reads only to notice that the client leaves.
-func (p *Pipeliner) isStuck() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waiting || p.closing
-}
-
-// isLingering reports whether the last answer is sent.
-func (p *Pipeliner) isLingering() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lingering
-}
-
-// holds lets Serve wait for a request to end. It returns false if none runs.
-func (p *Pipeliner) holds() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.count > 0 {
-		p.hold()
-	}
-	return p.count > 0
-}
-
-// mustWait lets Serve wait for a request to end if there is no memory for heads behind those that run.
-func (p *Pipeliner) mustWait() bool {
-	return p.MayReadAhead != nil && !p.MayReadAhead() && p.holds()
-}
-
-// pause waits until a request has ended. It returns false when the connection has ended.
-func (p *Pipeliner) pause() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.paused = true
-	for p.count > 0 && (p.ends == p.seen || p.closing) && !p.failed {
-		p.changed.Wait()
-	}
-	p.paused = false
-	return !p.failed
-}
-
 // advance passes on the requests that have arrived and may run.
 func (p *Pipeliner) advance() {
 	for {
@@ -245,7 +146,7 @@
 		p.fault, p.pending = err, head
 		p.noteHead(head == nil && err == nil && p.head.Began(), head != nil || err != nil)
 		if head != nil {
-			p.ahead = !head.HasBody() && head.Request.ProtoAtLeast(1, 1) && p.RunsAhead != nil && p.RunsAhead(head.Request)
+			p.pendingAhead = !head.HasBody() && head.Request.ProtoAtLeast(1, 1) && p.RunsAhead != nil && p.RunsAhead(head.Request)
 		}
 		return
 	}
--- a/pipeliner/pipeliner_test.go
+++ b/pipeliner/pipeliner_test.go
@@ -23,9 +23,9 @@
 	settleTime = 30 * time.Millisecond
 )
 
-// world is one connection whose handler answers when the script says so. Requests are named by the last part of their path; those below
+// harness is one connection whose handler answers when the script says so. Requests are named by the last part of their path; those below
 // /i/ may run ahead.
-type world struct {
+type harness struct {
 	client       net.Conn
 	conn         *Pipeliner
 	reader       *bufio.Reader
@@ -38,7 +38,7 @@
 	gone    []string
 }
 
-func (w *world) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+func (w *harness) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
 	name := filepath.Base(r.URL.Path)
 	body, err := io.ReadAll(r.Body)
 	if err != nil {
@@ -85,8 +85,8 @@
 }
 
 // open opens the connection.
-func open(t testing.TB, rules Rules) *world {
-	w := &world{
+func open(t testing.TB, rules Rules) *harness {
+	w := &harness{
 		heads: &reserver.Reserver{Limit: 200 << 10}, ahead: &reserver.Reserver{Limit: 1 << 20}, ended: make(chan struct{}),
 		running: make(map[string]chan string),
 	}
@@ -126,7 +126,7 @@
 }
 
 // until waits for a condition.
-func (w *world) until(condition func() bool) bool {
+func (w *harness) until(condition func() bool) bool {
 	for end := time.Now().Add(waitTime); time.Now().Before(end); time.Sleep(time.Millisecond) {
 		w.mu.Lock()
 		ok := condition()
@@ -139,7 +139,7 @@
 }
 
 // do carries out one line of a script and returns what is wrong; empty if nothing is.
-func (w *world) do(command string, args []string) string {
+func (w *harness) do(command string, args []string) string {
 	switch command {
 	case "send":
 		text := strings.NewReplacer(`\n`, "\r\n", `\x`, strings.Repeat("x", 500)).Replace(strings.Join(args, " "))
@@ -182,7 +182,7 @@
 }
 
 // runs checks which requests run.
-func (w *world) runs(names []string) string {
+func (w *harness) runs(names []string) string {
 	slices.Sort(names)
 	is := func() bool {
 		if len(w.running) != len(names) {
@@ -201,7 +201,7 @@
 }
 
 // read reads one answer: its status, the start of its body, and whether it closes the connection.
-func (w *world) read(args []string) string {
+func (w *harness) read(args []string) string {
 	_ = w.client.SetReadDeadline(time.Now().Add(waitTime))
 	method := http.MethodGet
 	if len(args) > 0 && args[0] == "HEAD" {
--- a/pipeliner/state.go
+++ b/pipeliner/state.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// allBytes is more than the account of a connection can hold. Release takes no more than the account holds.
+const allBytes = 1 << 30
+
 // Phase is what a connection does.
 type Phase int
 
@@ -25,9 +28,10 @@
 	Began bool
 	// Writing is when the present write of an answer began; zero if none is being written.
 	Writing time.Time
-	// BusySince is since when a connection in the phase Serving has always had a request. Soon is true after CloseSoon.
-	BusySince time.Time
-	Soon      bool
+	// BusySince is since when a connection in the phase Serving has always had a request. ClosingSoon is true after
+	// CloseSoon.
+	BusySince   time.Time
+	ClosingSoon bool
 	// Received is the number of bytes read from the connection that belong to requests that were passed on.
 	Received uint64
 	// Paused is true while the connection is not read because its buffer is full.
@@ -43,7 +47,7 @@
 
 func (p *Pipeliner) state() State {
 	s := State{Since: p.since, Writing: p.writing, Received: p.received - uint64(p.buffered), Began: p.inHead, Paused: p.paused}
-	s.BusySince, s.Soon = p.busySince, p.soon
+	s.BusySince, s.ClosingSoon = p.busySince, p.closeSoon
 	switch {
 	case p.lingering:
 		s.Phase = Lingering
@@ -59,7 +63,7 @@
 func (p *Pipeliner) CloseSoon() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.soon = true
+	p.closeSoon = true
 }
 
 // CloseIf closes the connection if due returns true for its state. No request is passed on in between.
@@ -83,7 +87,7 @@
 	_ = p.Conn.Close()
 	if p.count == 0 && !p.serving {
 		// Released here, so that the memory is free before the goroutine of the connection has ended.
-		p.Memory.Release(p.held())
+		p.Memory.Release(allBytes)
 	}
 	p.changed.Broadcast()
 }
@@ -106,9 +110,6 @@
 	p.leave()
 }
 
-// held is more than a connection can hold.
-func (*Pipeliner) held() int { return 1 << 30 }
-
 // endReading ends the connection for Serve.
 func (p *Pipeliner) endReading() {
 	p.mu.Lock()
