pipeliner: the body of a request must not be read after its handler has returned

The buffer of the body is used again for another connection then. The handler of the ingress reads bodies before it serves, so that only the comment was missing.

--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -22,6 +22,7 @@
 
 // Rules are the settings that all connections of a server share. Set them before the first connection.
 type Rules struct {
+	// Handler must not read the body of a request after it has returned: another request may then be read through the same buffer.
 	Handler http.Handler
 	// MaxHeadBytes returns the maximum size of a head in bytes; MaxFields bounds the number of its fields.
 	MaxHeadBytes func() int
