headreader: other expectations beside 100-continue are ignored

A request with "Expect: 100-continue, x" got 417, while net/http, which served callers before, told the client to send the body. It was found by sending 63 unusual requests to both; the others that differ are harmless (400 instead of 501 for two transfer encodings, OPTIONS * reaches the handler, Host is not checked for a target with a host).

--- a/headreader/check.go
+++ b/headreader/check.go
@@ -18,7 +18,7 @@
 		return errors.Wrap(ErrMalformed, "line of spaces")
 	case r.ProtoAtLeast(1, 1) && !hasHost && r.Method != http.MethodConnect:
 		return errors.Wrap(ErrMalformed, "Host is missing")
-	case r.Header.Get("Expect") != "" && !strings.EqualFold(r.Header.Get("Expect"), "100-continue"):
+	case r.Header.Get("Expect") != "" && !expectsContinue(r.Header.Get("Expect")):
 		return ErrExpectation
 	case !hostChars.hasOnly(r.Host):
 		return errors.Wrap(ErrMalformed, "Host has characters that are not allowed")
@@ -31,6 +31,16 @@
 	return nil
 }
 
+// expectsContinue reports whether a list of expectations has 100-continue. As in net/http, others beside it are ignored.
+func expectsContinue(list string) bool {
+	for expectation := range strings.SplitSeq(list, ",") {
+		if strings.EqualFold(strings.TrimSpace(expectation), "100-continue") {
+			return true
+		}
+	}
+	return false
+}
+
 // charSet is a set of bytes.
 type charSet [256]bool
 
