--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -18,6 +18,8 @@
 )
 
 const (
+	// maxRejections is the number of rejections in a row on one connection after which it is slowed down.
+	maxRejections = 32
 	// maxHeadBytes is the maximum size of a request head in bytes, independent of the configuration.
 	maxHeadBytes = 256 << 10
 	// unconfiguredHeadBytes is the maximum size of a head while there is no configuration.
@@ -29,6 +31,8 @@
 	fieldCost = 5
 	// maxAheadBytes is the memory of the heads of the requests of a connection that run at the same time.
 	maxAheadBytes = 64 << 10
+	// readAheadDivisor divides the memory for heads: beyond that part, none is read behind a request that runs.
+	readAheadDivisor = 2
 )
 
 // Limits are the configured limits of connections. Zero means that the configuration gives no limit.
@@ -94,8 +98,8 @@
 	a.conns = make(map[*pipeliner.Pipeliner]*accounts)
 	a.rules = pipeliner.Rules{
 		Handler: http.HandlerFunc(a.serve), MaxHeadBytes: a.maxHeadBytes, MaxFields: (maxHeadBytes + headSlack) / fieldCost,
-		RunsAhead: a.RunsAhead, MaxAhead: a.MaxAhead, MaxAheadBytes: maxAheadBytes,
-		MakeRoom: a.makeRoom, OnEnd: a.remove, OnPanic: a.OnPanic,
+		RunsAhead: a.RunsAhead, MaxAhead: a.MaxAhead, MaxAheadBytes: maxAheadBytes, MaxRejections: maxRejections,
+		MakeRoom: a.makeRoom, MayReadAhead: a.mayReadAhead, OnEnd: a.remove, OnPanic: a.OnPanic,
 	}
 	go func() {
 		defer close(a.ended)
@@ -205,6 +209,7 @@
 	case <-a.ended:
 	case <-ctx.Done():
 	}
+	a.each((*pipeliner.Pipeliner).CloseSoon) // the handler may have set the header of an answer before the stop
 	t := time.NewTicker(stopPollInterval)
 	defer t.Stop()
 	for a.each(closeQuiet) > 0 {
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -44,7 +44,7 @@
 	return true
 }
 
-// since returns since when the connection has held its share for nothing.
+// since returns since when the connection has made no progress.
 func (v victim) since() time.Time {
 	if v.state.Phase == pipeliner.Serving {
 		return v.state.Writing
@@ -82,7 +82,7 @@
 	var since time.Time
 	for p := range a.conns {
 		s := p.State()
-		if s.Phase == pipeliner.Serving && !s.Soon && (busy == nil || s.BusySince.Before(since)) {
+		if s.Phase == pipeliner.Serving && !s.ClosingSoon && (busy == nil || s.BusySince.Before(since)) {
 			busy, since = p, s.BusySince
 		}
 	}
@@ -197,3 +197,8 @@
 	a.holders = sortVictims(found)
 	return len(a.holders) > 0
 }
+
+// mayReadAhead reports whether heads may be read behind requests that run. Their connections are not closed for others.
+func (a *Acceptor) mayReadAhead() bool {
+	return a.Heads.Limit <= 0 || a.Heads.Reserved() < a.Heads.Limit/readAheadDivisor
+}
--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -22,8 +22,8 @@
 	next *exchange
 	// turn is closed when the requests before this one are answered; nil if there was none.
 	turn chan struct{}
-	// ahead is what was reserved to run ahead.
-	ahead int
+	// aheadReserved is what was reserved to run ahead.
+	aheadReserved int
 	// body is true if the request has a body. expects is true until the client was told to send it.
 	body, expects bool
 	// closed and done belong to the mutex of the connection: whether turn is closed, and whether the request has ended.
@@ -34,9 +34,9 @@
 
 // open prepares the request for the handler.
 func (e *exchange) open() {
-	r := e.head.Request.WithContext(e.p.ctx)
+	r := e.head.Request
+	*r = *r.WithContext(e.p.ctx) // in place: the body puts the trailers into the request that it was read with
 	r.RemoteAddr = e.p.remote
-	e.head.Request = r
 	if !e.body {
 		r.Body = http.NoBody
 		return
@@ -51,7 +51,7 @@
 	defer e.end()
 	defer func() {
 		if v := recover(); v != nil {
-			e.broken = true
+			e.abort()
 			if v != http.ErrAbortHandler && e.p.OnPanic != nil {
 				e.p.OnPanic(v)
 			}
@@ -61,6 +61,16 @@
 	e.finish()
 }
 
+// abort marks the answer as incomplete, which ends the connection, once the requests before this one are answered. No further request
+// is passed on meanwhile.
+func (e *exchange) abort() {
+	e.p.mu.Lock()
+	e.p.closing = true
+	e.p.mu.Unlock()
+	_ = e.await()
+	e.broken = true
+}
+
 // end removes the request from those that run.
 func (e *exchange) end() {
 	e.release()
@@ -85,8 +95,8 @@
 	p.noteAnswer(e.status)
 	p.headBytes -= e.head.Cost
 	p.Memory.Release(e.head.Cost)
-	if e.ahead > 0 {
-		p.Ahead.Release(e.ahead)
+	if e.aheadReserved > 0 {
+		p.Ahead.Release(e.aheadReserved)
 	}
 	if p.count == 0 {
 		p.serving, p.since = p.waiting && !p.closing, time.Now() // a request that waits is next
@@ -125,7 +135,7 @@
 	p := e.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closing = p.closing || want || p.soon
+	p.closing = p.closing || want || p.closeSoon
 	return p.closing && e.next == nil
 }
 
--- a/pipeliner/pass.go
+++ b/pipeliner/pass.go
@@ -9,8 +9,9 @@
 	// aheadBytes is what a request that runs beside an earlier one takes besides its head: the stack of its goroutine and the
 	// records of its call.
 	aheadBytes = 16 << 10
-	// rejectDelay is the time from an answer with status 503 to the next request that the client had sent already. Without it, 250
-	// clients that pipelined requests got 45,000 rejections a second, and an ordinary caller was rejected for up to 15 s.
+	// rejectDelay is the time from an answer with status 503 to the next request that the client had sent already, once
+	// Rules.MaxRejections answers in a row were such. Without it, 250 clients that pipelined requests got 45,000 rejections a second,
+	// and an ordinary caller was rejected for up to 15 s.
 	rejectDelay = 50 * time.Millisecond
 )
 
@@ -56,18 +57,23 @@
 
 // noteAnswer records whether the answer to a request was a rejection, and delays those that the client has sent already.
 func (p *Pipeliner) noteAnswer(status int) {
-	p.rejected, p.resumeAt = status == http.StatusServiceUnavailable, time.Time{}
-	if p.rejected && (p.waiting || p.buffered > 0) {
+	p.resumeAt = time.Time{}
+	if status != http.StatusServiceUnavailable {
+		p.rejections = 0
+		return
+	}
+	p.rejections++
+	if p.rejections >= p.MaxRejections && (p.waiting || p.buffered > 0) {
 		p.resumeAt = time.Now().Add(rejectDelay)
 	}
 }
 
 // mayRunAhead reports whether the pending request may run beside those before it, and reserves what that takes.
 func (p *Pipeliner) mayRunAhead(e *exchange) bool {
-	if !p.ahead || !p.sideBySide || p.rejected || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
+	if !p.pendingAhead || !p.concurrent || p.rejections >= p.MaxRejections || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
 		return false
 	}
-	e.ahead = aheadBytes
+	e.aheadReserved = aheadBytes
 	return true
 }
 
@@ -77,11 +83,11 @@
 		p.busySince = time.Now()
 	}
 	if p.last == nil {
-		p.first, p.sideBySide = e, p.ahead
+		p.first, p.concurrent = e, p.pendingAhead
 	} else {
 		p.last.next = e
 		e.turn = make(chan struct{})
-		p.sideBySide = p.sideBySide && p.ahead
+		p.concurrent = p.concurrent && p.pendingAhead
 	}
 	p.last = e
 	p.count++
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -22,17 +22,25 @@
 
 // Rules are the settings that all connections of a server share. Set them before the first connection.
 type Rules struct {
+	// Handler must not read the body of a request after it has returned: another request may then be read through the same buffer.
 	Handler http.Handler
 	// MaxHeadBytes returns the maximum size of a head in bytes; MaxFields bounds the number of its fields.
 	MaxHeadBytes func() int
 	MaxFields    int
-	// RunsAhead reports whether a request without a body may run before those ahead of it are answered; nil if none may.
+	// RunsAhead reports whether a request without a body may run before those ahead of it are answered; nil if none may. It is not
+	// asked about requests of HTTP/1.0: the end of the connection may be that of an answer to one.
 	RunsAhead func(r *http.Request) bool
 	// MaxAhead bounds the number of requests of one connection that run at the same time, MaxAheadBytes the size of their heads.
 	MaxAhead, MaxAheadBytes int
+	// MaxRejections is the number of answers with status 503 in a row after which requests that the client has sent already are
+	// passed on slowly; at least 1. Clients that keep to the limits have fewer requests under way: rejections must reach them at once.
+	MaxRejections int
 	// MakeRoom closes another connection that holds memory for an unfinished head. It returns false if none holds it for longer
 	// than p.
 	MakeRoom func(p *Pipeliner) bool
+	// MayReadAhead reports whether there is memory for heads behind requests that run; nil if there always is. Connections with
+	// such heads are not closed for others, so that the heads must leave memory for others.
+	MayReadAhead func() bool
 	// OnEnd is called when the connection is closed and none of its requests runs; OnPanic with what a handler has panicked with.
 	OnEnd   func(p *Pipeliner)
 	OnPanic func(v any)
@@ -52,8 +60,9 @@
 	// request that waits for those before it, fault the error that is answered after them.
 	head    headreader.HeadReader
 	pending *headreader.Head
-	ahead   bool
-	fault   error
+	// pendingAhead is whether pending may run before those ahead of it are answered.
+	pendingAhead bool
+	fault        error
 
 	mu sync.Mutex
 	// changed wakes Serve when a request or a body has ended.
@@ -62,29 +71,30 @@
 	first, last *exchange
 	count       int
 	headBytes   int
-	// sideBySide is true while all of them may run ahead.
-	sideBySide bool
+	// concurrent is true while all of them may run at the same time.
+	concurrent bool
 	// closing is set once no further request is passed on: an answer says so, or the client or the node has ended the connection.
 	closing, failed, lingering bool
 	// bodyOwner is the request whose body is being read, bodySince when its head was complete.
 	bodyOwner *exchange
 	bodySince time.Time
-	// reading is true while Serve waits for bytes, waiting while it holds a request or a fault that must wait, paused while
-	// its buffer is full. woken is true if its read was ended by a deadline.
+	// reading is true while Serve waits for bytes, waiting while it holds a request that is to be passed on or a fault that is to
+	// be answered, or has no memory to read on. paused is true while its buffer is full, woken if its read was ended by a deadline.
 	reading, waiting, paused, woken, deadlineSet bool
 	// served is true once a head was complete, inHead while bytes of one have arrived. since is when the connection entered
 	// its state, writing when the present write began.
 	served, inHead, serving bool
 	since, writing          time.Time
-	// busySince is since when the connection has always had a request; zero if it has none. soon is true if it is to be closed
-	// with the next answer.
+	// busySince is since when the connection has always had a request; zero if it has none. closeSoon is true if it is to
+	// be closed with the next answer.
 	busySince time.Time
-	soon      bool
+	closeSoon bool
 	received  uint64
 	buffered  int
-	// rejected is true while the last answer was a rejection: then requests are passed on one by one, not before resumeAt.
-	rejected bool
-	resumeAt time.Time
+	// rejections is the number of last answers in a row that were rejections. From MaxRejections on, requests are passed on one by
+	// one, not before resumeAt.
+	rejections int
+	resumeAt   time.Time
 	// ends counts the requests that have ended, seen is its value when Serve last decided to wait.
 	ends, seen int
 	// done is true once Serve has ended.
@@ -110,101 +120,6 @@
 	}
 }
 
-// fill waits until bytes have arrived or requests have ended. It returns false when the connection has ended.
-func (p *Pipeliner) fill() bool {
-	p.head.MaxBytes = p.MaxHeadBytes()
-	space, ok := p.space()
-	if !ok {
-		return p.pause()
-	}
-	p.mu.Lock()
-	if p.failed {
-		p.mu.Unlock()
-		return false
-	}
-	if p.waiting && (p.count == 0 || p.ends != p.seen) && !p.closing {
-		p.mu.Unlock()
-		return true // what it waits for has ended before the read
-	}
-	p.reading = true
-	p.mu.Unlock()
-	n, err := p.Conn.Read(space)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reading = false
-	p.head.Received(n)
-	p.received += uint64(n)
-	p.buffered = p.head.Buffered()
-	if p.woken {
-		p.woken = false
-		_ = p.Conn.SetReadDeadline(time.Time{})
-		return true
-	}
-	if err != nil {
-		p.leave()
-		return false
-	}
-	return true
-}
-
-// space returns where to put the next bytes, or false if Serve must wait for requests to end.
-func (p *Pipeliner) space() ([]byte, bool) {
-	if p.isLingering() {
-		p.head.Discard()
-	} else if p.isStuck() && p.head.Full() {
-		return nil, false
-	}
-	for {
-		space, err := p.head.Space()
-		if err == nil {
-			return space, true
-		}
-		if p.holds() {
-			return nil, false
-		}
-		if !errors.Is(err, headreader.ErrNoMemory) || !p.MakeRoom(p) {
-			p.fault = err
-			return nil, false
-		}
-	}
-}
-
-// isStuck reports whether Serve reads only to notice that the client leaves.
-func (p *Pipeliner) isStuck() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waiting || p.closing
-}
-
-// isLingering reports whether the last answer is sent.
-func (p *Pipeliner) isLingering() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.lingering
-}
-
-// holds lets Serve wait for a request to end. It returns false if none runs.
-func (p *Pipeliner) holds() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.count > 0 {
-		p.hold()
-	}
-	return p.count > 0
-}
-
-// pause waits until a request has ended. It returns false when the connection has ended.
-func (p *Pipeliner) pause() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.paused = true
-	for p.count > 0 && (p.ends == p.seen || p.closing) && !p.failed {
-		p.changed.Wait()
-	}
-	p.paused = false
-	return !p.failed
-}
-
 // advance passes on the requests that have arrived and may run.
 func (p *Pipeliner) advance() {
 	for {
@@ -221,7 +136,7 @@
 
 // next reads the next head if there is none yet.
 func (p *Pipeliner) next() {
-	if p.pending != nil || p.fault != nil || p.isClosing() {
+	if p.pending != nil || p.fault != nil || p.isClosing() || p.mustWait() {
 		return
 	}
 	for {
@@ -237,7 +152,7 @@
 		p.fault, p.pending = err, head
 		p.noteHead(head == nil && err == nil && p.head.Began(), head != nil || err != nil)
 		if head != nil {
-			p.ahead = !head.HasBody() && p.RunsAhead != nil && p.RunsAhead(head.Request)
+			p.pendingAhead = !head.HasBody() && head.Request.ProtoAtLeast(1, 1) && p.RunsAhead != nil && p.RunsAhead(head.Request)
 		}
 		return
 	}
@@ -257,6 +172,6 @@
 	if began && !p.inHead {
 		p.since = time.Now()
 	}
-	p.inHead, p.waiting, p.serving = began, false, p.count > 0 || complete
+	p.inHead, p.waiting, p.serving = began, complete, p.count > 0 || complete
 	p.buffered = p.head.Buffered()
 }
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -52,15 +52,13 @@
 // WriteHeader sets the status. It waits until the requests before this one are answered, so that an answer is held by its handler,
 // in the memory that the handler accounts for, until it can be sent.
 func (e *exchange) WriteHeader(status int) {
-	if e.status != 0 || status < 200 {
+	if e.status != 0 || status < 200 && status != http.StatusSwitchingProtocols {
 		return
 	}
 	e.status = status
-	e.bodiless = e.head.Request.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified
-	if text := e.header.Get("Content-Length"); text != "" {
-		if n, err := strconv.ParseInt(text, 10, 64); err == nil && n >= 0 {
-			e.length = n
-		}
+	e.bodiless = e.head.Request.Method == http.MethodHead || status < 200 || status == http.StatusNoContent || status == http.StatusNotModified
+	if n, err := strconv.ParseUint(e.header.Get("Content-Length"), 10, 63); err == nil && status >= 200 && status != http.StatusNoContent {
+		e.length = int64(n)
 	}
 	if e.await() == nil && (e.bodiless || e.length >= 0) {
 		e.writeHead()
@@ -81,7 +79,7 @@
 	}
 	e.written += int64(len(b))
 	switch {
-	case e.length < 0 && !e.chunked && len(e.small)+len(b) <= bufferBytes/2:
+	case e.length < 0 && e.out == nil && len(e.small)+len(b) <= bufferBytes/2:
 		e.small = append(e.small, b...)
 		return len(b), nil
 	case e.length < 0:
@@ -137,11 +135,12 @@
 	e.out = buffers.Get().(*[]byte)
 	r := e.head.Request
 	undeclared := !e.bodiless && e.length < 0 && !e.chunked
-	want := r.Close || undeclared || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
+	// Behind status 101, the client speaks the other protocol.
+	want := r.Close || undeclared || e.status < 200 || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
 	last := e.decideClose(want)
 	b := appendStatus((*e.out)[:0], e.status)
 	for name, values := range e.header {
-		if name == "Connection" || name == "Transfer-Encoding" {
+		if name == "Connection" || name == "Transfer-Encoding" || name == "Content-Length" {
 			continue
 		}
 		for _, value := range values {
@@ -154,7 +153,7 @@
 	switch {
 	case e.chunked:
 		b = append(b, "Transfer-Encoding: chunked\r\n"...)
-	case !e.bodiless && e.length >= 0 && e.header.Get("Content-Length") == "":
+	case e.length >= 0:
 		b = append(strconv.AppendInt(append(b, "Content-Length: "...), e.length, 10), "\r\n"...)
 	}
 	switch {
