--- a/verifier/verifier_test.go
+++ b/verifier/verifier_test.go
@@ -34,7 +34,7 @@
 	store := &platform.Store{Address: strings.TrimPrefix(server.URL, "http://")}
 	store.Open()
 	f.Verifier = verifier.Verifier{
-		Store: store, Key: "op/config", Clock: timekeeper.New(),
+		Store: store, Key: "configuration", Clock: timekeeper.New(),
 		OnValue: func(value []byte) { f.values = append(f.values, string(value)) },
 	}
 	return f
@@ -65,26 +65,26 @@
 func TestVerify(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.store.Put("op/config-other", []byte("x"))
+	f.store.Put("configuration-other", []byte("x"))
 	f.verify(t, "", 1, 1)
-	f.store.Put("op/config", []byte("1"))
+	f.store.Put("configuration", []byte("1"))
 	f.verify(t, "1", 1, 1)
 	f.verify(t, "1", 1, 1)
 	time.Sleep(120 * time.Millisecond)
 	f.store.Items("") // takes a snapshot
-	f.store.Put("op/config", []byte("2"))
-	f.store.Put("op/config", []byte("3"))
-	f.store.Put("op/config-other", []byte("y"))
+	f.store.Put("configuration", []byte("2"))
+	f.store.Put("configuration", []byte("3"))
+	f.store.Put("configuration-other", []byte("y"))
 	f.verify(t, "3", 1, 1)
 	time.Sleep(60 * time.Millisecond)
 	f.store.Restore(50 * time.Millisecond)
 	f.verify(t, "1", 2, 2)
-	f.store.Put("op/config", []byte("4"))
+	f.store.Put("configuration", []byte("4"))
 	f.verify(t, "4", 2, 1)
-	f.store.Put("op/config", []byte("5"))
+	f.store.Put("configuration", []byte("5"))
 	f.store.Compact()
 	f.verify(t, "5", 2, 2)
-	f.store.Remove("op/config")
+	f.store.Remove("configuration")
 	f.verify(t, "", 2, 1)
 	is.Equal(f.values, []string{"1", "2", "3", "1", "4", "5"})
 }
@@ -93,7 +93,7 @@
 func TestRefused(t *testing.T) {
 	is := is.New(t)
 	f := newFixture(t)
-	f.store.Put("op/config", []byte("1"))
+	f.store.Put("configuration", []byte("1"))
 	f.verify(t, "1", 1, 1)
 	f.store.SetFaults(storeserver.Faults{Busy: true})
 	_, err := f.Verify(t.Context())
