--- a/pipeliner/benchmark_test.go
+++ b/pipeliner/benchmark_test.go
@@ -37,7 +37,7 @@
 
 // request sends requests on the connection and waits for each answer.
 func request(b *testing.B, c net.Conn) {
-	text := []byte("GET /i/a?b=c HTTP/1.1\r\nHost: test.example\r\nAttempt-Id: abc\r\nDeadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n")
+	text := []byte("GET /i/a?b=c HTTP/1.1\r\nHost: test.example\r\nX-Attempt: abc\r\nX-Remaining: 5000\r\nContent-Length: 0\r\n\r\n")
 	buf := make([]byte, 4096)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/verifier/verifier_test.go
+++ b/verifier/verifier_test.go
@@ -17,7 +17,7 @@
 	"hornbeamcroft/verifier"
 )
 
-// fixture is a Verifier of the key op/config of a stand-in store.
+// fixture is a Verifier of one key of a stand-in store.
 type fixture struct {
 	verifier.Verifier
 	store  *storeserver.StoreServer
