agent: serve and onMessage are shorter

The matching of the route and the refusal at a planned stop are functions of their own, and one generic function decodes the messages of links. obtainPermit was refuseByQuota, which names only one of its results. No change of behaviour: go test ./agent passes.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -41,16 +41,9 @@
 func (a *Agent) serve(ctx context.Context, in hornbeamcroft.Incoming) hornbeamcroft.Answer {
 	proof := a.latestProof()
 	r := a.routes.Load()
-	route, ok := r.router.Match(in.Message.Host, path(in.Message.Target))
-	if !ok {
-		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoRoute}
-		a.recordUnrouted(in, r, answer)
-		return answer
-	}
-	if route.Unreadable {
-		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeRouteUnreadable, RetryAfter: unreadableRetryAfter}
-		a.recordRejected(in.Attempt, answer, nil)
-		return answer
+	route, unrouted := a.matchRoute(r, in)
+	if unrouted != nil {
+		return *unrouted
 	}
 	tenant, refusal := a.identify(r, proof, route, in)
 	if refusal != nil {
@@ -65,12 +58,7 @@
 	// Calls of upstreams have no key. A caller's attempt id may extend that of a running request by chance or on purpose.
 	isChild := tenant.Name == "" && a.runner.Inherit(&call)
 	if now := a.clock.Now(); a.stopping.Load() && !a.takesAtStop(now, call, isChild) {
-		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
-		a.recordRejected(in.Attempt, answer, nil)
-		if isChild && call.Remaining > 0 {
-			a.runner.ChildEnded(in.Attempt, service, nil)
-		}
-		return answer
+		return a.refuseAtStop(now, call, isChild)
 	}
 	var age time.Duration
 	var permit borrower.Decision
@@ -78,7 +66,7 @@
 		a.callerRequests.Add(1) // a planned stop waits for those that wait for a permit too
 		defer a.callerRequests.Add(-1)
 		var refusal *hornbeamcroft.Answer
-		if permit, refusal = a.refuseByQuota(ctx, &call); refusal != nil {
+		if permit, refusal = a.obtainPermit(ctx, &call); refusal != nil {
 			a.recordRejected(in.Attempt, *refusal, nil)
 			return *refusal
 		}
@@ -108,9 +96,35 @@
 	return answer
 }
 
-// refuseByQuota takes a permit of the tenant's quota, which calls of running requests and requests refused before do not need. It returns
-// the refusal if there is none. The time spent waiting is taken from that of the call.
-func (a *Agent) refuseByQuota(ctx context.Context, call *hornbeamcroft.Call) (borrower.Decision, *hornbeamcroft.Answer) {
+// matchRoute returns the route of a request, or records and returns the refusal of a request that has no readable route.
+func (a *Agent) matchRoute(r *activeRoutes, in hornbeamcroft.Incoming) (hornbeamcroft.Route, *hornbeamcroft.Answer) {
+	route, ok := r.router.Match(in.Message.Host, path(in.Message.Target))
+	switch {
+	case !ok:
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoRoute}
+		a.recordUnrouted(in, r, answer)
+		return route, &answer
+	case route.Unreadable:
+		answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeRouteUnreadable, RetryAfter: unreadableRetryAfter}
+		a.recordRejected(in.Attempt, answer, nil)
+		return route, &answer
+	}
+	return route, nil
+}
+
+// refuseAtStop records and returns the refusal of a request that the stopping node does not take.
+func (a *Agent) refuseAtStop(now time.Duration, call hornbeamcroft.Call, isChild bool) hornbeamcroft.Answer {
+	answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
+	a.recordRejected(call.Attempt, answer, nil)
+	if isChild && call.Remaining > 0 {
+		a.runner.ChildEnded(call.Attempt, call.Service, nil)
+	}
+	return answer
+}
+
+// obtainPermit takes a permit of the tenant's quota. It returns the refusal if it obtains none. The time spent waiting is subtracted from
+// the remaining time and the objective of the call.
+func (a *Agent) obtainPermit(ctx context.Context, call *hornbeamcroft.Call) (borrower.Decision, *hornbeamcroft.Answer) {
 	begin := a.clock.Now()
 	code, d := a.takePermit(ctx, call.Tenant)
 	if code != 0 {
@@ -211,66 +225,39 @@
 func (a *Agent) onMessage(l *connector.Link, t framer.Type, payload []byte) error {
 	switch t {
 	case framer.TypeNodeState:
-		var n nodeState
-		if err := framer.Decode(payload, &n); err != nil {
-			return err
-		}
-		a.onNodeState(l, n)
+		return decodeMessage(payload, func(n nodeState) { a.onNodeState(l, n) })
 	case framer.TypeRoutesQuery:
-		var q routesQuery
-		if err := framer.Decode(payload, &q); err != nil {
-			return err
-		}
-		go a.answerRoutes(l, q)
+		return decodeMessage(payload, func(q routesQuery) { go a.answerRoutes(l, q) })
 	case framer.TypeRoutes:
-		var c routesCopy
-		if err := framer.Decode(payload, &c); err != nil {
-			return err
-		}
-		a.applyRoutesCopy(l, c)
+		return decodeMessage(payload, func(c routesCopy) { a.applyRoutesCopy(l, c) })
 	case framer.TypeChildCalls:
-		var m childCalls
-		if err := framer.Decode(payload, &m); err != nil {
-			return err
-		}
-		a.courier.MergeRoutes(m.Routes)
+		return decodeMessage(payload, func(m childCalls) { a.courier.MergeRoutes(m.Routes) })
 	case framer.TypeCrash:
-		var r suspecter.Report
-		if err := framer.Decode(payload, &r); err != nil {
-			return err
-		}
-		a.applyCrashReport(r)
+		return decodeMessage(payload, func(r suspecter.Report) { a.applyCrashReport(r) })
 	case framer.TypeRecordHeld:
-		var h recordHeld
-		if err := framer.Decode(payload, &h); err != nil {
-			return err
-		}
-		a.onRecordHeld(l, h)
+		return decodeMessage(payload, func(h recordHeld) { a.onRecordHeld(l, h) })
 	case framer.TypeEarlierRecord:
-		var r earlierRecord
-		if err := framer.Decode(payload, &r); err != nil {
-			return err
-		}
-		a.onEarlierRecord(l, r)
+		return decodeMessage(payload, func(r earlierRecord) { a.onEarlierRecord(l, r) })
 	case framer.TypeConfigurationProof:
-		var m attester.Message
-		if err := framer.Decode(payload, &m); err != nil {
-			return err
-		}
-		a.onProof(l, m)
+		return decodeMessage(payload, func(m attester.Message) { a.onProof(l, m) })
 	case framer.TypeQuotaRequest:
-		var r hornbeamcroft.PermitRequest
-		if err := framer.Decode(payload, &r); err != nil {
-			return err
-		}
-		a.onPermitRequest(l, r)
+		return decodeMessage(payload, func(r hornbeamcroft.PermitRequest) { a.onPermitRequest(l, r) })
 	case framer.TypeQuotaGrant:
-		var g hornbeamcroft.PermitGrant
-		if err := framer.Decode(payload, &g); err != nil {
-			return err
-		}
-		a.onPermitGrant(l, g)
+		return decodeMessage(payload, func(g hornbeamcroft.PermitGrant) { a.onPermitGrant(l, g) })
+	}
+	return nil
+}
+
+// decodeMessage decodes and checks the payload of a message and calls apply with it.
+func decodeMessage[M any, P interface {
+	*M
+	framer.Checker
+}](payload []byte, apply func(M)) error {
+	var m M
+	if err := framer.Decode(payload, P(&m)); err != nil {
+		return err
 	}
+	apply(m)
 	return nil
 }
 
