loader, borrower, sharer, pipeliner: names for constants, a condition in parts

way-in-connections was bounded by the maximum of memory-mb; the maximum of way-in-ahead, the credit of a limited tenant and the part of the permits at which more are requested were bare numbers. The condition to run ahead was one line of 180 characters. No change of behaviour: the tests of the four packages pass.

--- a/borrower/account.go
+++ b/borrower/account.go
@@ -23,6 +23,8 @@
 	maxSilent = undecidedRetry
 	// maxWant is the maximum number of permits asked for.
 	maxWant = 1 << 16
+	// renewDivisor divides the number of permits to hold: more are asked for when only that part is left.
+	renewDivisor = 3
 )
 
 // account holds the permits of one tenant.
@@ -43,10 +45,10 @@
 	short, over bool
 	// shortUntil is when it is useful to ask for more. silentUntil is when the home starts lending.
 	shortUntil, silentUntil time.Duration
-	// share is the number of permits per second to expect. refused is the time promised to the last refused caller.
-	share   float64
-	refused time.Duration
-	waiting []waiter
+	// share is the number of permits per second to expect. promisedRetry is when the last refused caller may try again.
+	share         float64
+	promisedRetry time.Duration
+	waiting       []waiter
 	// slow and fast are estimates of the requests per second at the time countedAt.
 	slow, fast float64
 	countedAt  time.Duration
@@ -78,7 +80,8 @@
 	a.countedAt = now
 }
 
-// rate returns the estimated requests per second: the slow estimate, unless the fast one is above it by more than chance.
+// rate returns the estimated requests per second: the slow estimate, or the fast one less a margin for chance if that
+// is higher.
 func (a *account) rate(now time.Duration) float64 {
 	a.decay(now)
 	return max(a.slow, a.fast-2*math.Sqrt(a.fast/fastTime.Seconds()))
@@ -101,7 +104,8 @@
 	}
 }
 
-// want returns how many permits to hold: those of the waiting requests, and the need until the next renewal with a margin for chance.
+// want returns how many permits to hold: those of the waiting requests, and the need until the next renewal plus about the standard
+// deviation of the number of requests in that time.
 func (a *account) want(rate float64) int {
 	ahead := 0.0
 	if rate >= minRate {
@@ -131,7 +135,7 @@
 	case since >= renewTime:
 		return true
 	}
-	return since >= aheadTime && held <= want/3
+	return since >= aheadTime && held <= want/renewDivisor
 }
 
 // demand returns what to ask for. Permits above what is wanted are given back.
@@ -166,7 +170,7 @@
 	if a.short {
 		a.shortUntil = now + p.Retry
 	} else {
-		a.refused = 0
+		a.promisedRetry = 0
 	}
 	a.expire(now)
 	return true
@@ -179,6 +183,6 @@
 	if a.share > 0 {
 		step = time.Duration(min(1/a.share, maxRetryAfter.Seconds()) * float64(time.Second))
 	}
-	a.refused = min(max(a.refused, a.shortUntil, now+minRetryAfter)+step, now+maxRetryAfter)
-	return a.refused - now
+	a.promisedRetry = min(max(a.promisedRetry, a.shortUntil, now+minRetryAfter)+step, now+maxRetryAfter)
+	return a.promisedRetry - now
 }
--- a/borrower/asking.go
+++ b/borrower/asking.go
@@ -64,7 +64,7 @@
 	return h
 }
 
-// SetLinked records that a home that was not reachable is. What was sent to it before is lost.
+// SetLinked records that a link to a home was opened. Requests sent to it before are lost.
 func (b *Borrower) SetLinked(name string) {
 	if h := b.homes[name]; h != nil {
 		h.inFlight = false
--- a/loader/agent.go
+++ b/loader/agent.go
@@ -97,8 +97,13 @@
 	maxMemoryMB = 1 << 20
 )
 
-// defaultAhead is the default of way-in-ahead.
-const defaultAhead = 16
+const (
+	// maxConnections is the maximum of way-in-connections.
+	maxConnections = 1 << 20
+	// defaultAhead and maxAhead are the default and the maximum of way-in-ahead.
+	defaultAhead = 16
+	maxAhead     = 1024
+)
 
 // LoadAgent parses and checks the text of an agent's settings file. If any value is not allowed, the error is a
 // parser.Problems that lists every problem.
@@ -124,9 +129,9 @@
 			Introducers:    c.commaAddresses("agent", "introducers"),
 			ClusterKey:     c.optionalKey("agent", "cluster-key"),
 			MemoryMB:       c.number("agent", "memory-mb", minMemoryMB, maxMemoryMB),
-			Connections:    c.optionalNumber("agent", "way-in-connections", 0, maxMemoryMB, 0),
+			Connections:    c.optionalNumber("agent", "way-in-connections", 0, maxConnections, 0),
 			HeadsMB:        c.optionalNumber("agent", "way-in-heads-mb", 0, maxMemoryMB, 0),
-			Ahead:          c.optionalNumber("agent", "way-in-ahead", 1, 1024, defaultAhead),
+			Ahead:          c.optionalNumber("agent", "way-in-ahead", 1, maxAhead, defaultAhead),
 			Placement:      c.oneOf("agent", "placement", PlacementTwoChoices, PlacementTwoChoices, PlacementEven),
 			Bounds:         c.file.Section("agent").Key("bounds").String(),
 		},
--- a/pipeliner/pass.go
+++ b/pipeliner/pass.go
@@ -70,7 +70,12 @@
 
 // mayRunAhead reports whether the pending request may run beside those before it, and reserves what that takes.
 func (p *Pipeliner) mayRunAhead(e *exchange) bool {
-	if !p.pendingAhead || !p.concurrent || p.rejections >= p.MaxRejections || p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes || !p.Ahead.Reserve(aheadBytes) {
+	switch {
+	case !p.pendingAhead || !p.concurrent || p.rejections >= p.MaxRejections:
+		return false
+	case p.count >= p.MaxAhead || p.headBytes+e.head.Cost > p.MaxAheadBytes:
+		return false
+	case !p.Ahead.Reserve(aheadBytes):
 		return false
 	}
 	e.aheadReserved = aheadBytes
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -1,7 +1,7 @@
 // Package sharer finds the tenants that demand more than their fair share of one upstream. Where the capacity does not suffice for all
 // requests of an importance, it is divided by weighted max-min fairness over slot time: tenants below their share are served in full, and
-// the rest is divided in proportion to the weights. It answers a load in which one tenant sends many times its usual requests, and
-// would take the capacity of all others.
+// the rest is divided in proportion to the weights. This keeps one tenant that sends many times its usual requests from
+// taking the capacity of all others.
 package sharer
 
 import (
@@ -24,6 +24,8 @@
 	// minExcess is the share of the capacity by which a tenant must exceed its own share before it is limited. What lies below it is
 	// within the variation of the demand.
 	minExcess = 0.03
+	// maxCredit bounds the credit of a limited tenant, in requests.
+	maxCredit = 2
 )
 
 // Sharer keeps the demand of tenants for one upstream. The zero value is ready for use; it is not safe for concurrent use.
@@ -101,7 +103,7 @@
 }
 
 // limit sets the shares of the importance at which the capacity does not suffice. Higher levels are served in full, lower ones get
-// nothing whoever sends them.
+// no capacity, whatever their tenant.
 func (s *Sharer) limit(w Window) {
 	remaining := w.Capacity
 	for i := int(hornbeamcroft.ImportanceLevels) - 1; i >= 0; i-- {
@@ -203,7 +205,7 @@
 		s.credit = make(map[key]float64)
 	}
 	k := key{name, importance}
-	s.credit[k] = math.Min(s.credit[k]+keep*math.Max(1, requests), 2)
+	s.credit[k] = math.Min(s.credit[k]+keep*math.Max(1, requests), maxCredit)
 	if s.credit[k] >= 1 {
 		s.credit[k]--
 		return false
