--- a/acceptor/acceptor.go
+++ b/acceptor/acceptor.go
@@ -76,8 +76,8 @@
 	conns map[*pipeliner.Pipeliner]*accounts
 	// victims are the connections to close next when there are too many, the first at the end.
 	victims []victim
-	// searched is when they were searched last.
-	searched time.Time
+	// searchedAt is when a search last found no connection to close.
+	searchedAt time.Time
 	// holders are the connections to close next when there is no memory for a head, the first at the end.
 	holders []victim
 }
@@ -189,7 +189,7 @@
 	acc.ahead.Close()
 }
 
-// each calls fn with all connections.
+// each calls fn with every open connection and returns their number.
 func (a *Acceptor) each(fn func(p *pipeliner.Pipeliner)) int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -205,7 +205,7 @@
 func (a *Acceptor) Shutdown(ctx context.Context) error {
 	a.stopping.Store(true)
 	finisher.CloseListener(ctx, a.listener)
-	select { // the last accepted connection is known before this
+	select { // conns holds every accepted connection once accept has returned
 	case <-a.ended:
 	case <-ctx.Done():
 	}
--- a/acceptor/evict.go
+++ b/acceptor/evict.go
@@ -44,8 +44,8 @@
 	return true
 }
 
-// since returns since when the connection has made no progress.
-func (v victim) since() time.Time {
+// stalledSince returns since when the connection has made no progress.
+func (v victim) stalledSince() time.Time {
 	if v.state.Phase == pipeliner.Serving {
 		return v.state.Writing
 	}
@@ -100,10 +100,10 @@
 	if a.evictFound() {
 		return true
 	}
-	if time.Since(a.searched) < searchInterval {
+	if time.Since(a.searchedAt) < searchInterval {
 		return false
 	}
-	return a.find() && a.evictFound()
+	return a.findVictims() && a.evictFound()
 }
 
 // evictFound closes the first connection found whose state has not changed.
@@ -119,8 +119,8 @@
 	return false
 }
 
-// find searches the connections to close.
-func (a *Acceptor) find() bool {
+// findVictims collects the connections to close next. It returns false if there are none.
+func (a *Acceptor) findVictims() bool {
 	found, now := a.victims[:0], time.Now()
 	for p := range a.conns {
 		if s := p.State(); isVictim(s, now) {
@@ -130,22 +130,22 @@
 	if a.victims = sortVictims(found); len(a.victims) > 0 {
 		return true
 	}
-	a.searched = now
+	a.searchedAt = now
 	return false
 }
 
 // sortVictims returns the connections to close next, the first at the end.
 func sortVictims(found []victim) []victim {
 	slices.SortFunc(found, func(v, w victim) int {
-		return cmp.Or(cmp.Compare(order(w.state), order(v.state)), w.since().Compare(v.since()))
+		return cmp.Or(cmp.Compare(evictionRank(w.state), evictionRank(v.state)), w.stalledSince().Compare(v.stalledSince()))
 	})
 	return found[max(0, len(found)-maxVictims):]
 }
 
-// order returns the order in which connections are closed: those with a last answer that the caller may still be reading are
-// closed after those without a complete head, then idle ones, those with an unfinished body, and last those whose caller does not read
-// its answer.
-func order(s pipeliner.State) int {
+// evictionRank returns the position of a phase in the order in which connections are closed: first those without a complete head, then
+// those whose last answer the caller may still be reading, idle ones, those with an unfinished body, and last those whose caller does not
+// read its answer.
+func evictionRank(s pipeliner.State) int {
 	switch s.Phase {
 	case pipeliner.Unfinished:
 		return 0
@@ -183,7 +183,7 @@
 	return false
 }
 
-// findHolders searches the connections that hold memory for an unfinished head.
+// findHolders collects the connections that hold memory for an unfinished head.
 func (a *Acceptor) findHolders() bool {
 	found := a.holders[:0]
 	for p, acc := range a.conns {
--- a/attester/passing.go
+++ b/attester/passing.go
@@ -28,7 +28,7 @@
 	queryRetention = 2 * time.Second
 )
 
-// maxPassedAge is the maximum age of a proof that is passed on. An older one is of no use to anybody.
+// maxPassedAge is the maximum age of a proof that is passed on. With the default bounds, no decision uses an older one.
 const maxPassedAge = 10 * time.Second
 
 // Peer is a node to which a link is open.
@@ -57,7 +57,7 @@
 	at    time.Duration
 }
 
-// Offer returns an offer of the best proof and those of the peers to send it to; none if no offer is due. The node calls it after
+// Offer returns an offer of the best proof and the peers to send it to; none if no offer is due. The node calls it after
 // each proof.
 func (a *Attester) Offer(now time.Duration, peers func() []Peer) (Message, []Peer) {
 	p := a.current.proof
@@ -109,7 +109,7 @@
 	return a.query(now, peer), true, false
 }
 
-// Pull returns queries to send to peers because no proof has come for too long; none if that is not so.
+// Pull returns the queries to send, and the peers to send them to, when the best proof is older than pullAge.
 func (a *Attester) Pull(now time.Duration, peers func() []Peer) ([]Message, []Peer) {
 	if !a.active || a.current.proven && a.age(now) < pullAge || now-a.lastPull < pullInterval {
 		return nil, nil
--- a/evictor/evictor.go
+++ b/evictor/evictor.go
@@ -55,15 +55,15 @@
 		return ctx
 	}
 	s.ConnState = func(c net.Conn, state http.ConnState) {
-		v.note(c, state)
+		v.recordState(c, state)
 		if connState != nil {
 			connState(c, state)
 		}
 	}
 }
 
-// note records a change of a connection's state.
-func (v *Evictor) note(c net.Conn, state http.ConnState) {
+// recordState records a change of a connection's state.
+func (v *Evictor) recordState(c net.Conn, state http.ConnState) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	e, ok := v.conns[c]
--- a/finisher/shared.go
+++ b/finisher/shared.go
@@ -26,13 +26,14 @@
 	_ = l.Close()
 }
 
-// IsQuiet reports whether a connection may be closed by a planned stop: no more bytes have arrived on it than the number received,
-// which were read and belong to requests that were answered. A new connection, on which none have arrived, must be open for long enough to send its first request.
+// IsQuiet reports whether a connection may be closed by a planned stop: no bytes have arrived on it beyond the given number, which were
+// read and belong to answered requests. A new connection, on which none have arrived, must have been open for long enough to send its
+// first request.
 func IsQuiet(c net.Conn, received uint64, isNew bool, age time.Duration) bool {
 	return (!isNew || age > firstRequestTime) && bytesReceived(c) <= received && !hasData(c)
 }
 
-// HasLeft reports whether the other side has closed the connection, which may have bytes that were not read.
+// HasLeft reports whether the other side has closed the connection, even if bytes are left to read.
 func HasLeft(c net.Conn) bool {
 	state := uint8(0)
 	control(c, func(fd int) {
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -64,7 +64,7 @@
 	if b.acknowledged {
 		return b.startsAt
 	}
-	return b.startsAt + listTime
+	return b.startsAt + memberListTime
 }
 
 func (b *bucket) lends(now time.Duration) bool { return now >= b.start() }
@@ -87,7 +87,7 @@
 	b.clamp()
 }
 
-// clamp bounds the tokens by what is not lent of the capacity.
+// clamp limits the tokens to the part of the capacity that is not lent.
 func (b *bucket) clamp() { b.tokens = max(0, min(b.tokens, b.capacity-b.lent())) }
 
 // lent returns the number of permits that may still be used.
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -19,15 +19,15 @@
 	// lapseAge is the age of a proof from which on another node may have become home meanwhile. A node's record in the store outlives
 	// its last contact by more than 6 s, and others use the record until then.
 	lapseAge = 4 * time.Second
-	// listTime is added to settleTime unless the node next in line is known to have heard of this home. Nodes learn of each other from
+	// memberListTime is added to settleTime unless the node next in line is known to have heard of this home. Nodes learn of each other from
 	// lists that they read every 2.5 to 3 s and that may be a second old.
-	listTime = 4 * time.Second
+	memberListTime = 4 * time.Second
 	// tolerancePart is the part of the tolerance that is lent. The rest is for requests that wait between their permit and their run.
 	tolerancePart = 0.5
 	// maxBorrowers is the maximum number of borrowers of a tenant.
 	maxBorrowers = 1024
-	// releaseTime is how long a home that has stopped to lend a tenant can hand it over, and claimTime the age of a claim from which on
-	// its answer is not used: a node that was frozen may find it in its socket late. Together they are below settleTime, after which the
+	// releaseTime is the time within which a home that no longer lends a tenant can hand it over, and claimTime the age of a claim from
+	// which on its answer is not used: a node that was frozen may read it from its socket late. Together they are below settleTime, after which the
 	// previous home could lend again.
 	releaseTime = 2 * time.Second
 	claimTime   = 500 * time.Millisecond
@@ -52,7 +52,7 @@
 	counts   Counts
 }
 
-// release is a tenant that this node has stopped to lend.
+// release is a tenant that this node no longer lends.
 type release struct {
 	hornbeamcroft.PermitHandover
 	at time.Duration
--- a/permit.go
+++ b/permit.go
@@ -45,7 +45,7 @@
 	Rate float64 `cbor:"5,keyasint"`
 }
 
-// PermitHandover passes the right to lend the permits of a tenant to its new home. The sender has stopped to lend.
+// PermitHandover passes the right to lend the permits of a tenant to its new home. The sender no longer lends them.
 type PermitHandover struct {
 	Tenant string `cbor:"1,keyasint"`
 	// Available is the number of permits that may be lent at once. Lent ones end within MaxPermitLife.
--- a/pipeliner/fault.go
+++ b/pipeliner/fault.go
@@ -50,4 +50,4 @@
 }
 
 // hold records that Serve holds a request or a fault until a request ends.
-func (p *Pipeliner) hold() { p.waiting, p.seen = true, p.ends }
+func (p *Pipeliner) hold() { p.waiting, p.seenEnds = true, p.ends }
--- a/pipeliner/fill.go
+++ b/pipeliner/fill.go
@@ -20,7 +20,7 @@
 		p.mu.Unlock()
 		return false
 	}
-	if p.waiting && (p.count == 0 || p.ends != p.seen) && !p.closing {
+	if p.waiting && (p.count == 0 || p.ends != p.seenEnds) && !p.closing {
 		p.mu.Unlock()
 		return true // what it waits for has ended before the read
 	}
@@ -57,7 +57,7 @@
 		if err == nil {
 			return space, true
 		}
-		if p.holds() {
+		if p.holdWhileBusy() {
 			return nil, false
 		}
 		if !errors.Is(err, headreader.ErrNoMemory) || !p.MakeRoom(p) {
@@ -81,8 +81,8 @@
 	return p.lingering
 }
 
-// holds lets Serve wait for a request to end. It returns false if none runs.
-func (p *Pipeliner) holds() bool {
+// holdWhileBusy lets Serve wait for a request to end. It returns false if none runs.
+func (p *Pipeliner) holdWhileBusy() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.count > 0 {
@@ -93,7 +93,7 @@
 
 // mustWait lets Serve wait for a request to end if there is no memory for heads behind those that run.
 func (p *Pipeliner) mustWait() bool {
-	return p.MayReadAhead != nil && !p.MayReadAhead() && p.holds()
+	return p.MayReadAhead != nil && !p.MayReadAhead() && p.holdWhileBusy()
 }
 
 // pause waits until a request has ended. It returns false when the connection has ended.
@@ -101,7 +101,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.paused = true
-	for p.count > 0 && (p.ends == p.seen || p.closing) && !p.failed {
+	for p.count > 0 && (p.ends == p.seenEnds || p.closing) && !p.failed {
 		p.changed.Wait()
 	}
 	p.paused = false
--- a/pipeliner/pipeliner.go
+++ b/pipeliner/pipeliner.go
@@ -95,8 +95,8 @@
 	// one, not before resumeAt.
 	rejections int
 	resumeAt   time.Time
-	// ends counts the requests that have ended, seen is its value when Serve last decided to wait.
-	ends, seen int
+	// ends counts the requests that have ended, seenEnds is its value when Serve last decided to wait.
+	ends, seenEnds int
 	// done is true once Serve has ended.
 	done bool
 }
@@ -142,7 +142,7 @@
 	for {
 		head, err := p.head.Next()
 		if errors.Is(err, headreader.ErrNoMemory) {
-			if p.holds() {
+			if p.holdWhileBusy() {
 				return
 			}
 			if p.MakeRoom(p) {
