--- a/agent/place.go
+++ b/agent/place.go
@@ -211,7 +211,8 @@
 		p.Targets[i] = e
 		usable := func(c hornbeamcroft.PlacementCandidate) bool { return c.LeftOut == "" }
 		if e.Next && !slices.ContainsFunc(e.Candidates, usable) {
-			refusePlacement(p, "candidates", hornbeamcroft.CodeNoUpstream, "no host of the service can be used; the request waits for one for a while")
+			refusePlacement(p, "candidates", hornbeamcroft.CodeNoUpstream,
+				"no host of the service can be used; the request waits for one for a while")
 		}
 	}
 }
--- a/share.go
+++ b/share.go
@@ -23,7 +23,8 @@
 // Check returns an error if the share is malformed.
 func (s TenantShare) Check() error {
 	if s.Tenant == "" || len(s.Tenant) > maxNameLength || s.Keep < 0 || s.Keep > FullShare {
-		return errors.Errorf("tenant share: name of %d bytes, keep %d: must be 1 to %d and 0 to %d", len(s.Tenant), s.Keep, maxNameLength, FullShare)
+		return errors.Errorf("tenant share: name of %d bytes, keep %d: must be 1 to %d and 0 to %d",
+			len(s.Tenant), s.Keep, maxNameLength, FullShare)
 	}
 	return s.Importance.Check()
 }
