--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"golang.org/x/sys/unix"
-
 	"hornbeamcroft"
 	"hornbeamcroft/assigner"
 	"hornbeamcroft/connector"
@@ -14,13 +12,7 @@
 
 // quotaNow returns the time for quotas. Unlike the monotonic clock of the runtime it goes on while the machine is suspended, so that
 // permits end meanwhile.
-func (a *Agent) quotaNow() time.Duration {
-	var t unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
-		return a.clock.Now()
-	}
-	return time.Duration(t.Nano())
-}
+func (a *Agent) quotaNow() time.Duration { return a.proof.clock.Now() }
 
 // updateQuotas applies the tenants of the configuration in force.
 func (a *Agent) updateQuotas() {
--- a/agent/stopgate.go
+++ b/agent/stopgate.go
@@ -66,7 +66,8 @@
 }
 
 // takesChild reports whether a call made by a running request is taken. It is taken as long as requests are, whatever its type
-// needs, and until the end if its deadline, which is at most that of the running request, ends it before the process.
+// needs, and until the end if its deadline, which is at most that of the running request, ends it before the process. That the gate is
+// closed does not matter: the process does not end before the running request.
 func (g *stopGate) takesChild(now time.Duration, call hornbeamcroft.Call) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
