runner: the observer of the statement tests is used under a mutex

TestLimitForgottenByRestart failed once with -race -count=5, and in 1 of 30 runs on: its calls changed the observer at the same time.

--- a/runner/statement_test.go
+++ b/runner/statement_test.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,15 +18,18 @@
 	o := &observer.Observer{Service: "stock", Address: "1"}
 	o.ApplyHealthProbe("i-1", true, 50)
 	r := newRunner(u, 100)
-	apply := func(changed bool) {
-		if changed {
+	var mu sync.Mutex
+	apply := func(change func() bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		if change() {
 			r.SetUpstream(o.Upstream())
 		}
 	}
 	r.OnStatement = func(to observer.Upstream, s hornbeamcroft.Statement) {
-		apply(o.ApplyStatement(to.Instance, to.Born, s))
+		apply(func() bool { return o.ApplyStatement(to.Instance, to.Born, s) })
 	}
-	r.OnReport = func(s hornbeamcroft.InstanceStatement) { apply(o.ApplyReport(s)) }
+	r.OnReport = func(s hornbeamcroft.InstanceStatement) { apply(func() bool { return o.ApplyReport(s) }) }
 	r.SetUpstream(o.Upstream())
 	return r, o
 }
