runner, courier: a presumed-lost run goes on while its retry runs

Cause: at the attempt timeout the node beside the upstream ended the run and granted a retry in its answer, and no host took the retry, because the service was overloaded. Ruled out: the planned stop itself, which cut nothing; the retry budget, which had granted the retry; the limit of runs, as this was the first.

Now the run goes on. The grant travels in a frame of its own, the sender delivers the call once more beside the run, and the first success ends the other. A retry that no host takes is offered again while the run lasts. Senders that do not know the frame are answered as before.

--- a/call.go
+++ b/call.go
@@ -79,6 +79,10 @@
 	// Memory is the account of the memory that the bodies of the call and of its answer hold in this process; nil if they are
 	// not accounted for.
 	Memory Memory `cbor:"-"`
+	// OnRetryGranted is called at most once, and from another goroutine, when the run is presumed lost: the sender may retry the call
+	// once while the run goes on. The node beside the upstream has already counted the retry against the retry budget. If
+	// OnRetryGranted is nil, such a run is aborted, and its answer grants the retry.
+	OnRetryGranted func() `cbor:"-"`
 }
 
 // maxDepthOnWire is the maximum depth accepted in a frame from another node. The document's max-depth is checked separately.
--- a/connector/link.go
+++ b/connector/link.go
@@ -55,6 +55,8 @@
 	answer chan hornbeamcroft.Answer
 	// memory is the account for the answer's body; nil if it is not accounted for.
 	memory hornbeamcroft.Memory
+	// onRetryGranted is called when the peer grants a retry of the call while its run goes on; nil if the sender awaits no such grant.
+	onRetryGranted func()
 }
 
 // runningCall is a call of the peer that is running on this node.
@@ -134,7 +136,8 @@
 // Call sends the call and waits for its answer. If ctx ends first, Call sends a cancellation to the peer and returns
 // the error of the context; the call may have run nevertheless. A call that does not fit into a frame without its body is not sent.
 func (l *Link) Call(ctx context.Context, call hornbeamcroft.Call) (hornbeamcroft.Answer, error) {
-	a, err := l.roundTrip(ctx, call.ID, call.Memory, func() error { return l.sendCall(call) })
+	pending := pendingAnswer{memory: call.Memory, onRetryGranted: call.OnRetryGranted}
+	a, err := l.roundTrip(ctx, call.ID, pending, func() error { return l.sendCall(call) })
 	if errors.Is(err, framer.ErrTooLarge) {
 		return hornbeamcroft.Answer{ID: call.ID, Code: hornbeamcroft.CodeHeaderTooLarge, UnspentRetries: call.RetryBudget}, nil
 	}
@@ -144,7 +147,7 @@
 // Outcome asks for the outcome of a call that was in flight on an earlier link to the same node. Memory is the account of the
 // call.
 func (l *Link) Outcome(ctx context.Context, q framer.OutcomeQuery, memory hornbeamcroft.Memory) (hornbeamcroft.Answer, error) {
-	return l.roundTrip(ctx, q.ID, memory, func() error { return l.Send(framer.TypeOutcomeQuery, q) })
+	return l.roundTrip(ctx, q.ID, pendingAnswer{memory: memory}, func() error { return l.Send(framer.TypeOutcomeQuery, q) })
 }
 
 // inFlight returns the number of calls and outcome queries that wait for an answer.
--- a/connector/read.go
+++ b/connector/read.go
@@ -65,6 +65,13 @@
 		}
 		l.cancelCall(f.ID)
 		return nil
+	case framer.TypeRetryGranted:
+		var f framer.RetryGranted
+		if err := framer.Decode(payload, &f); err != nil {
+			return err
+		}
+		l.handleRetryGranted(f.ID)
+		return nil
 	case framer.TypePing:
 		var f framer.Ping
 		if err := framer.Decode(payload, &f); err != nil {
@@ -193,6 +200,9 @@
 	if call.Idempotent && l.Ended() {
 		cancel()
 	}
+	if call.Idempotent && l.Peer.Knows(framer.TypeRetryGranted) {
+		call.OnRetryGranted = func() { _ = l.Send(framer.TypeRetryGranted, framer.RetryGranted{ID: call.ID}) }
+	}
 	go func() {
 		defer func() {
 			l.mu.Lock()
@@ -207,6 +217,16 @@
 	}()
 }
 
+// handleRetryGranted passes a grant on to the call with the id, if it still waits for its answer.
+func (l *Link) handleRetryGranted(id uint64) {
+	l.mu.Lock()
+	p := l.pendingAnswers[id]
+	l.mu.Unlock()
+	if p.onRetryGranted != nil {
+		p.onRetryGranted()
+	}
+}
+
 // cancelCall cancels the running call of the peer with the id, if there is one.
 func (l *Link) cancelCall(id uint64) {
 	l.mu.Lock()
--- a/connector/roundtrip.go
+++ b/connector/roundtrip.go
@@ -9,8 +9,9 @@
 	"hornbeamcroft/framer"
 )
 
-// roundTrip takes one unit of the peer's credit, sends a call or an outcome query and waits for the answer with the id.
-func (l *Link) roundTrip(ctx context.Context, id uint64, memory hornbeamcroft.Memory, send func() error,
+// roundTrip takes one unit of the peer's credit, sends a call or an outcome query and waits for the answer with the id. It sets
+// pending.answer.
+func (l *Link) roundTrip(ctx context.Context, id uint64, pending pendingAnswer, send func() error,
 ) (hornbeamcroft.Answer, error) {
 	var none hornbeamcroft.Answer
 	select {
@@ -23,7 +24,8 @@
 	defer func() { <-l.usedCredit }()
 	ch := make(chan hornbeamcroft.Answer, 1)
 	l.mu.Lock()
-	l.pendingAnswers[id] = pendingAnswer{answer: ch, memory: memory}
+	pending.answer = ch
+	l.pendingAnswers[id] = pending
 	l.mu.Unlock()
 	defer l.removePending(id)
 	if l.Ended() {
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -37,28 +37,40 @@
 		}
 		return d.finalAnswer(call, hornbeamcroft.Answer{Code: code})
 	}
+	return d.sendUntilFinal(ctx, call)
+}
+
+// sendUntilFinal sends the call until it must not be sent again, and returns the final answer.
+func (d *delivery) sendUntilFinal(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	for {
 		m, ok := d.waitForHost(ctx, &call)
 		if !ok {
 			return d.finalAnswer(call, hornbeamcroft.Answer{Code: hornbeamcroft.CodeNoUpstream, RetryAfter: noHostRetryAfter})
 		}
-		a := d.send(ctx, m, call)
-		d.courier.recordAnswer(call, m.Name, a)
-		d.rec.Hosts, d.rec.Codes = append(d.rec.Hosts, m.Name), append(d.rec.Codes, a.Code)
-		d.tried = append(d.tried, m.Name)
-		if a.Code == hornbeamcroft.CodeUpstreamRefused || mayHaveRun(a.Code) {
-			call.Sends++
-		}
-		if mayHaveRun(a.Code) {
-			d.mayHaveRunOn = append(d.mayHaveRunOn, m.Name)
-			call.Retry = true
+		a, final := d.sendHedged(ctx, m, call)
+		if final {
+			return d.finalAnswer(call, a)
 		}
+		d.recordSend(&call, m.Name, a.Code)
 		if !d.mayResend(ctx, call, a) {
 			return d.finalAnswer(call, a)
 		}
 	}
 }
 
+// recordSend records a send to the host that was answered with the code, and updates the call for the next send.
+func (d *delivery) recordSend(call *hornbeamcroft.Call, host string, code hornbeamcroft.Code) {
+	d.rec.Hosts, d.rec.Codes = append(d.rec.Hosts, host), append(d.rec.Codes, code)
+	d.tried = append(d.tried, host)
+	if code == hornbeamcroft.CodeUpstreamRefused || mayHaveRun(code) {
+		call.Sends++
+	}
+	if mayHaveRun(code) {
+		d.mayHaveRunOn = append(d.mayHaveRunOn, host)
+		call.Retry = true
+	}
+}
+
 const (
 	// hostPollInterval is the interval between two attempts to pick a host.
 	hostPollInterval = 25 * time.Millisecond
--- /dev/null
+++ b/courier/hedge.go
@@ -0,0 +1,130 @@
+package courier
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"hornbeamcroft"
+	"hornbeamcroft/sleeper"
+)
+
+// hedge is the retry of a call whose run is presumed lost but goes on. The first success of the run and the retry ends the other.
+type hedge struct {
+	// begin starts the retry. It is set before the call is sent.
+	begin func(h *hedge)
+	// cancelRun ends the run.
+	cancelRun context.CancelFunc
+
+	mu sync.Mutex
+	// runEnded is set when the run has ended: a grant that arrives later starts no retry.
+	runEnded bool
+	// retry is the delivery of the retry, cancelRetry ends it, and answer receives its final answer. They are nil if none was granted.
+	retry       *delivery
+	cancelRetry context.CancelFunc
+	answer      chan hornbeamcroft.Answer
+}
+
+// onGranted starts the retry unless the run has ended.
+func (h *hedge) onGranted() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.runEnded && h.retry == nil {
+		h.begin(h)
+	}
+}
+
+// endRun records that the run has ended, and reports whether there is a retry.
+func (h *hedge) endRun() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runEnded = true
+	return h.retry != nil
+}
+
+// sendHedged sends the call to the host. If a retry is granted while the run goes on, it delivers the call once more beside it and
+// returns the better answer of both. It reports whether that answer is final.
+func (d *delivery) sendHedged(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
+	if !call.Idempotent {
+		return d.sendOnce(ctx, m, call), false
+	}
+	runCtx, cancelRun := context.WithCancel(ctx)
+	defer cancelRun()
+	h := &hedge{cancelRun: cancelRun, begin: func(h *hedge) { d.beginRetry(ctx, h, m.Name, call) }}
+	sent := call
+	sent.OnRetryGranted = h.onGranted
+	a := d.sendOnce(runCtx, m, sent)
+	if !h.endRun() {
+		return a, false
+	}
+	return d.awaitRetry(h, a), true
+}
+
+// sendOnce sends the call to the host and records the answer.
+func (d *delivery) sendOnce(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	a := d.send(ctx, m, call)
+	d.courier.recordAnswer(call, m.Name, a)
+	return a
+}
+
+// beginRetry starts to deliver the call once more while it runs on the host. The caller must hold h.mu, and the delivery must be
+// waiting for the answer of the host.
+func (d *delivery) beginRetry(ctx context.Context, h *hedge, host string, call hornbeamcroft.Call) {
+	retry := &delivery{
+		courier: d.courier, route: d.route, rec: d.rec, start: d.start,
+		tried: slices.Clone(d.tried), mayHaveRunOn: slices.Clone(d.mayHaveRunOn),
+	}
+	retry.rec.Hosts, retry.rec.Codes = slices.Clone(d.rec.Hosts), slices.Clone(d.rec.Codes)
+	retry.recordSend(&call, host, hornbeamcroft.CodeOutcomeUnknown)
+	ctx, cancel := context.WithCancel(ctx)
+	answer := make(chan hornbeamcroft.Answer, 1)
+	h.retry, h.cancelRetry, h.answer = retry, cancel, answer
+	go func() {
+		a := retry.placeRetry(ctx, host, call)
+		if succeeded(a) {
+			h.cancelRun()
+		}
+		answer <- a
+	}()
+}
+
+// minPlacementInterval is the time after which a granted retry that no host took is offered again. It doubles each time.
+const minPlacementInterval = 50 * time.Millisecond
+
+// placeRetry delivers a granted retry of a call that runs on the host, and offers it again while no host takes it: the answer of the run
+// may be lost, and the retry budget has been charged.
+func (d *delivery) placeRetry(ctx context.Context, host string, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	runs := len(d.mayHaveRunOn)
+	interval := minPlacementInterval
+	for {
+		a := d.sendUntilFinal(ctx, call)
+		if len(d.mayHaveRunOn) > runs || len(d.rec.Hosts) >= maxSends || !sleeper.Sleep(ctx, interval) {
+			return a
+		}
+		d.tried = []string{host}
+		interval *= 2
+	}
+}
+
+// awaitRetry waits for the end of the retry, which it cancels if the run has succeeded, and returns the better answer of both. The
+// delivery takes over the record of the retry.
+func (d *delivery) awaitRetry(h *hedge, run hornbeamcroft.Answer) hornbeamcroft.Answer {
+	if succeeded(run) {
+		h.cancelRetry()
+	}
+	a := <-h.answer
+	h.cancelRetry()
+	at := len(d.rec.Codes)
+	d.rec, d.tried, d.mayHaveRunOn = h.retry.rec, h.retry.tried, h.retry.mayHaveRunOn
+	d.rec.Codes[at] = run.Code
+	if succeeded(run) || !succeeded(a) && run.Code == hornbeamcroft.CodeAnswered {
+		return run
+	}
+	return a
+}
+
+// succeeded reports whether the upstream answered the call with a status below 500.
+func succeeded(a hornbeamcroft.Answer) bool {
+	return a.Code == hornbeamcroft.CodeAnswered && a.Status < 500
+}
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -55,6 +55,7 @@
 	TypeQuotaRequest                       // package borrower: asks the home of tenants for permits of their quotas
 	TypeQuotaGrant                         // package lender: permits of a tenant's quota
 	TypeSuspects                           // package suspecter: the suspects that the sender holds
+	TypeRetryGranted                       // a call is presumed lost and may be retried while its run goes on
 
 	typeEnd
 )
@@ -159,6 +160,15 @@
 // Check returns an error if the frame is malformed.
 func (Cancel) Check() error { return nil }
 
+// RetryGranted tells the sender of the call with the id that the run is presumed lost and goes on, and that the sender may retry the
+// call once.
+type RetryGranted struct {
+	ID uint64 `cbor:"1,keyasint"`
+}
+
+// Check returns an error if the frame is malformed.
+func (RetryGranted) Check() error { return nil }
+
 // Ping requests a frame of type TypePong with the same number. It is also the value of that frame.
 type Ping struct {
 	N uint64 `cbor:"1,keyasint"`
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -250,20 +250,24 @@
 		r.finish(id, hornbeamcroft.Sample{Ignore: true})
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
 	}
-	res, abortedForRetry := r.exchange(ctx, id, call, run, r.Request(call, instance, deadline-started))
+	res, grant := r.exchange(ctx, id, call, run, r.Request(call, instance, deadline-started))
 	rec.ServiceTime = r.Clock.Now() - started
 	rec.Outcome, rec.Err = res.Outcome, res.Err
-	if !abortedForRetry && (res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent) {
+	if grant != grantInAnswer && (res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent) {
 		r.detectCrash(ctx, instance)
 	}
 	serviceCalls := r.endRun(id, run, call, res)
-	r.finish(id, schedulerSample(res, rec.ServiceTime, len(serviceCalls) > 0))
+	sample := schedulerSample(res, rec.ServiceTime, len(serviceCalls) > 0)
+	if grant == grantBesideRun && res.Outcome == exchanger.OutcomeContextEnded {
+		sample = hornbeamcroft.Sample{ServiceTime: rec.ServiceTime, Failed: true} // the retry was answered first, or none was
+	}
+	r.finish(id, sample)
 	if res.Outcome == exchanger.OutcomeWrongInstance {
 		r.OnInstanceReplaced(instance, res.Instance)
 	}
 	r.reportStatement(to, res.Statement)
 	a := answerForResult(ctx, res)
 	a.ServiceCalls = serviceCalls
-	a.RetryGranted = abortedForRetry || r.grantRetry(call, a)
+	a.RetryGranted = grant == grantInAnswer || grant == noGrant && r.grantRetry(call, a)
 	return a
 }
--- a/runner/timeout.go
+++ b/runner/timeout.go
@@ -10,7 +10,7 @@
 	"hornbeamcroft/tracer"
 )
 
-// AttemptTimeoutError is the error of a run that was aborted at its attempt timeout, because its answer is presumed
+// AttemptTimeoutError is the error of a run that reached its attempt timeout and got no answer, because its answer is presumed
 // lost.
 type AttemptTimeoutError struct {
 	// OwnTime is how long the upstream worked on the run, without the time in which it waited for child calls. Timeout
@@ -23,9 +23,22 @@
 	return fmt.Sprintf("no answer after the upstream worked for %s; attempt timeout is %s", e.OwnTime, e.Timeout)
 }
 
+// retryGrant is how the sender is granted the retry of a run that reached its attempt timeout.
+type retryGrant uint8
+
+const (
+	// noGrant means that no retry was granted.
+	noGrant retryGrant = iota
+	// grantInAnswer means that the run was aborted and that its answer grants the retry.
+	grantInAnswer
+	// grantBesideRun means that Call.OnRetryGranted granted the retry and the run went on.
+	grantBesideRun
+)
+
 // attemptTimer checks whether the own time of a run has reached the attempt timeout, from which on the answer may be
-// lost. It then calls Scheduler.PresumeLost, and aborts the run if the call may be retried. If not, it leaves the run to
-// continue, because the run may merely be slow. The fields are guarded by Runner.mu.
+// lost. It then calls Scheduler.PresumeLost and grants a retry if the call may be retried. The run goes on, because it may merely
+// be slow and the retry may be refused: an aborted run would then leave its caller with an error. Only if the sender cannot be
+// told of the grant before the answer, the run is aborted. The fields are guarded by Runner.mu.
 type attemptTimer struct {
 	r       *Runner
 	id      uint64
@@ -35,24 +48,33 @@
 	timer   *time.Timer
 	cancel  context.CancelFunc
 	stopped bool
-	err     *AttemptTimeoutError
+	// err is set when a retry is granted.
+	err *AttemptTimeoutError
 }
 
-// exchange sends the request to the upstream. It reports whether the run was aborted at its attempt timeout; a retry of
-// the call has then been spent from the retry budget.
+// exchange sends the request to the upstream. It returns how a retry was granted at the attempt timeout; the retry has then been
+// spent from the retry budget.
 func (r *Runner) exchange(ctx context.Context, id uint64, call hornbeamcroft.Call, run *tracer.Run, q exchanger.Request,
-) (exchanger.Result, bool) {
+) (exchanger.Result, retryGrant) {
 	exchangeCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	t := r.startAttemptTimer(id, call, run, cancel)
 	if t == nil {
-		return r.Exchanger.Exchange(ctx, q), false
+		return r.Exchanger.Exchange(ctx, q), noGrant
 	}
 	res := r.Exchanger.Exchange(exchangeCtx, q)
-	if !t.stop() || res.Outcome != exchanger.OutcomeContextEnded || ctx.Err() != nil {
-		return res, false
+	granted := t.stop()
+	ended := res.Outcome == exchanger.OutcomeContextEnded
+	switch {
+	case granted && call.OnRetryGranted != nil:
+		if ended {
+			res.Err = t.err
+		}
+		return res, grantBesideRun
+	case granted && ended && ctx.Err() == nil:
+		return exchanger.Result{Outcome: exchanger.OutcomeLost, Err: t.err}, grantInAnswer
 	}
-	return exchanger.Result{Outcome: exchanger.OutcomeLost, Err: t.err}, true
+	return res, noGrant
 }
 
 // startAttemptTimer starts the timer of a run. It returns nil if the attempt timeout of the route is not known yet or
@@ -92,7 +114,7 @@
 	switch {
 	case t.canRetry(now) && t.r.spendRetry(t.call, true):
 		t.err = &AttemptTimeoutError{OwnTime: ownTime, Timeout: t.timeout}
-		t.cancel()
+		t.grantRetry()
 	case t.canRetry(now):
 		// The retry budget did not allow the retry. It counts each call of spendRetry as demand for retries, so the next
 		// call follows only after another whole timeout.
@@ -102,13 +124,23 @@
 	}
 }
 
+// grantRetry tells the sender that it may retry the call, or aborts the run if the sender cannot be told. The caller must hold
+// Runner.mu, so that the sender is told by another goroutine.
+func (t *attemptTimer) grantRetry() {
+	if t.call.OnRetryGranted != nil {
+		go t.call.OnRetryGranted()
+		return
+	}
+	t.cancel()
+}
+
 // canRetry reports whether the sender would send the call again and the retry could be answered in time. A run that
 // cannot be retried must not be aborted: its answer may still arrive.
 func (t *attemptTimer) canRetry(now time.Duration) bool {
 	return t.call.Idempotent && t.call.Sends+1 < hornbeamcroft.MaxRuns && t.run.Deadline-now >= t.timeout/timeoutDivisor
 }
 
-// stop stops the timer and reports whether it aborted the run.
+// stop stops the timer and reports whether it granted a retry.
 func (t *attemptTimer) stop() bool {
 	t.r.mu.Lock()
 	defer t.r.mu.Unlock()
