agent: the log line of a rejected request names its tenant

An operator who looks into the refusals of one tenant could not tell them from those of others: way-in: request rejected had the attempt's id and the code only. The name is that of the configuration; keys stay out of the log.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -67,7 +67,7 @@
 		defer a.callerRequests.Add(-1)
 		var refusal *hornbeamcroft.Answer
 		if permit, refusal = a.obtainPermit(ctx, &call); refusal != nil {
-			a.recordRejected(in.Attempt, *refusal, nil)
+			a.recordTenantRejected(in.Attempt, call.Tenant, *refusal, nil)
 			return *refusal
 		}
 		age = a.courier.Age(route.Name, in.Remaining)
@@ -115,7 +115,7 @@
 // refuseAtStop records and returns the refusal of a request that the stopping node does not take.
 func (a *Agent) refuseAtStop(now time.Duration, call hornbeamcroft.Call, isChild bool) hornbeamcroft.Answer {
 	answer := hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining, RetryAfter: a.callers.retryAfter(now)}
-	a.recordRejected(call.Attempt, answer, nil)
+	a.recordTenantRejected(call.Attempt, call.Tenant, answer, nil)
 	if isChild && call.Remaining > 0 {
 		a.runner.ChildEnded(call.Attempt, call.Service, nil)
 	}
--- a/agent/record.go
+++ b/agent/record.go
@@ -92,12 +92,23 @@
 	return level.Importance.String() + " " + strconv.FormatFloat(share, 'f', 2, 64)
 }
 
-// recordRejected counts and logs a request that was refused before its route was looked up.
+// recordRejected counts and logs a request that was refused before its tenant was known.
 func (a *Agent) recordRejected(attempt string, answer hornbeamcroft.Answer, err error) {
+	a.recordTenantRejected(attempt, "", answer, err)
+}
+
+// recordTenantRejected counts and logs a request that was refused before it was sent. Tenant is the name of its tenant; empty if it has
+// none or that is not known.
+func (a *Agent) recordTenantRejected(attempt, tenant string, answer hornbeamcroft.Answer, err error) {
 	a.metrics.count("requests/rejected/" + answer.Code.Info().Name)
-	if a.recorder.Allow(recorder.Refused) {
-		a.Log.Info().Str("id", attempt).Str("code", answer.Code.String()).Err(err).Msg("way-in: request rejected")
+	if !a.recorder.Allow(recorder.Refused) {
+		return
+	}
+	line := a.Log.Info().Str("id", attempt).Str("code", answer.Code.String())
+	if tenant != "" {
+		line.Str("tenant", tenant)
 	}
+	line.Err(err).Msg("way-in: request rejected")
 }
 
 // recordUnrouted counts and logs a request that no route matches.
