lender: a new home waits for what the node next in line may have lent until it heard of it

Cause: a home that was cut off for 6 s lent until it linked to the new home, for which it is next in line. The new home took the link as the acknowledgement, its other waits had passed, and it lent at once. Ruled out: the tenure of the home that was cut off, which was right: its last list was 6 s old.

--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -128,7 +128,7 @@
 	for _, tenant := range q.lender.Unsettled(now) {
 		h := q.homes[tenant]
 		if h.next == "" && q.ownRead.Load() || h.next != "" && a.links.LinkTo(h.next) != nil {
-			q.lender.Acknowledge(tenant)
+			q.lender.Acknowledge(now, tenant)
 		}
 		claims[h.next] = append(claims[h.next], tenant)
 		if h.previous != h.next {
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -130,10 +130,10 @@
 	return max(1, q.Burst+tolerancePart*tolerance)
 }
 
-// Acknowledge records that the node next in line for the tenant knows this home, so that it does not lend itself.
-func (l *Lender) Acknowledge(tenant string) {
-	if b := l.buckets[tenant]; b != nil {
-		b.acknowledged = true
+// Acknowledge records that the node next in line for the tenant knows this home, so that it does not lend itself from now on.
+func (l *Lender) Acknowledge(now time.Duration, tenant string) {
+	if b := l.buckets[tenant]; b != nil && !b.acknowledged {
+		b.acknowledged, b.acknowledgedAt = true, now
 	}
 }
 
@@ -163,7 +163,8 @@
 	if b == nil || b.started || now-asked >= claimTime {
 		return
 	}
-	b.started, b.updatedAt, b.acknowledged = true, now, true
+	b.started, b.updatedAt = true, now
+	b.acknowledged, b.acknowledgedAt = true, now
 	// What the previous home lent may still be used.
 	o := b.loan("handover/"+from, 0)
 	o.limit, o.expires, o.seen = min(h.Lent, math.MaxInt32), now+hornbeamcroft.MaxPermitLife, now
@@ -195,7 +196,7 @@
 	if !l.startIfReady(now, b) {
 		l.counts.Undecided++
 		if !b.started {
-			undecided.Retry = max(unknownRetry, l.tenure.readyAt(b.since, b.acknowledged)-now)
+			undecided.Retry = max(unknownRetry, l.tenure.readyAt(b)-now)
 		}
 		return undecided, true
 	}
--- a/lender/tenure.go
+++ b/lender/tenure.go
@@ -90,14 +90,17 @@
 // knows of it.
 func (t *tenure) hasList(now time.Duration) bool { return t.listed && now-t.listedAt < MaxListAge }
 
-// readyAt returns when a node that became home at the time since may lend. It also needs a list that began at or after that time and
-// still shows it as home.
-func (t *tenure) readyAt(since time.Duration, acknowledged bool) time.Duration {
-	at := max(since+replaceTime, t.listingSince+firstListTime)
-	switch {
-	case !acknowledged:
-		at = max(at, t.recordedAt+unseenTime)
-	case !t.succeeds:
+// readyAt returns when the permits of the bucket may be lent. The node also needs a list that began at or after that time and still
+// shows it as home.
+func (t *tenure) readyAt(b *bucket) time.Duration {
+	at := max(b.since+replaceTime, t.listingSince+firstListTime)
+	seenAt := t.recordedAt + unseenTime
+	if b.acknowledged {
+		// The node next in line may have lent until it learned of this home, if it had no contact with the store.
+		seenAt = min(seenAt, b.acknowledgedAt+replaceTime)
+	}
+	at = max(at, seenAt)
+	if b.acknowledged && !t.succeeds {
 		at = max(at, t.recordedAt+joinTime)
 	}
 	if t.restored {
@@ -186,7 +189,7 @@
 		return false
 	}
 	if !b.started {
-		ready := l.tenure.readyAt(b.since, b.acknowledged)
+		ready := l.tenure.readyAt(b)
 		if now < ready || l.tenure.listedAt < ready {
 			return false
 		}
@@ -201,7 +204,7 @@
 		return false
 	}
 	for _, b := range l.buckets {
-		if ready := l.tenure.readyAt(b.since, b.acknowledged); !b.started && now >= ready && l.tenure.listedAt < ready {
+		if ready := l.tenure.readyAt(b); !b.started && now >= ready && l.tenure.listedAt < ready {
 			return true
 		}
 	}
