--- a/attester/attester_test.go
+++ b/attester/attester_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
 	"hornbeamcroft"
+	"hornbeamcroft/scripter"
 )
 
 // zeroRand returns the least values.
@@ -21,30 +20,10 @@
 // TestScenarios runs the scripts. Each line is a time in milliseconds, a command and, after "->", its result. The node is node-1
 // in zone z; the first line of each script says which failure it guards against.
 func TestScenarios(t *testing.T) {
-	paths, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(paths) == 0 {
-		t.Fatalf("no scripts: %v", err)
-	}
-	for _, path := range paths {
-		t.Run(strings.TrimSuffix(filepath.Base(path), ".txt"), func(t *testing.T) {
-			text, err := os.ReadFile(path)
-			if err != nil {
-				t.Fatal(err)
-			}
-			a := &Attester{Name: "node-1", Zone: "z", Rand: zeroRand{}}
-			n := 0
-			for line := range strings.Lines(string(text)) {
-				n++
-				command, want, _ := strings.Cut(strings.TrimSpace(line), "->")
-				if command == "" || strings.HasPrefix(command, "#") {
-					continue
-				}
-				if got := runCommand(t, a, strings.Fields(command)); got != strings.TrimSpace(want) {
-					t.Errorf("line %d: %s: got %q, want %q", n, command, got, strings.TrimSpace(want))
-				}
-			}
-		})
-	}
+	scripter.Scripter{New: func(*testing.T) func(*testing.T, []string) string {
+		a := &Attester{Name: "node-1", Zone: "z", Rand: zeroRand{}}
+		return func(t *testing.T, words []string) string { return runCommand(t, a, words) }
+	}}.Run(t)
 }
 
 // fields holds the numbers of a command: version, sum, era and two times in milliseconds.
--- a/borrower/borrower_test.go
+++ b/borrower/borrower_test.go
@@ -1,10 +1,7 @@
 package borrower
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -12,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamcroft"
+	"hornbeamcroft/scripter"
 )
 
 // scenario runs the lines of one file. The tenant gold has a quota, and its home is "home".
@@ -27,28 +25,11 @@
 // TestScenarios guards against requests that are decided too late, on permits that have ended or were given back, or with the wrong
 // retry delay, and against requests for permits that are lost, too many or too late.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
-	}
-	for _, name := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(name), ".txt"), func(t *testing.T) {
-			f, err := os.Open(name)
-			is.New(t).NoErr(err)
-			defer f.Close()
-			s := scenario{b: Borrower{Home: func(string) string { return "home" }}, asked: []time.Duration{0}}
-			s.b.SetTenants(0, []hornbeamcroft.Tenant{{Name: "gold", Quota: hornbeamcroft.Quota{Rate: 1}}, {Name: "free"}})
-			lines := bufio.NewScanner(f)
-			for n := 1; lines.Scan(); n++ {
-				line, want, _ := strings.Cut(lines.Text(), " -> ")
-				if words := strings.Fields(line); len(words) > 0 && words[0] != "#" {
-					if got := s.step(t, words); got != want {
-						t.Errorf("line %d: %s: got %q, want %q", n, line, got, want)
-					}
-				}
-			}
-		})
-	}
+	scripter.Scripter{New: func(*testing.T) func(*testing.T, []string) string {
+		s := &scenario{b: Borrower{Home: func(string) string { return "home" }}, asked: []time.Duration{0}}
+		s.b.SetTenants(0, []hornbeamcroft.Tenant{{Name: "gold", Quota: hornbeamcroft.Quota{Rate: 1}}, {Name: "free"}})
+		return s.step
+	}}.Run(t)
 }
 
 func duration(t *testing.T, word string) time.Duration {
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -1,10 +1,7 @@
 package lender_test
 
 import (
-	"bufio"
 	"fmt"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +10,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/lender"
+	"hornbeamcroft/scripter"
 )
 
 // scenario runs the lines of one file. The bound is that of the page: 5 s, 0.1, 20.
@@ -27,28 +25,13 @@
 // TestScenarios guards against permits that are lent too early, twice or beyond the capacity, and against shares that do not follow
 // the demand.
 func TestScenarios(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no scenarios", err)
-	}
-	for _, name := range files {
-		t.Run(strings.TrimSuffix(filepath.Base(name), ".txt"), func(t *testing.T) {
-			f, err := os.Open(name)
-			is.New(t).NoErr(err)
-			defer f.Close()
-			s := scenario{
-				asked: map[string]time.Duration{},
-				l:     lender.Lender{Window: 5 * time.Second, Over: 0.1, Slack: 20, ApplyTime: 2500 * time.Millisecond},
-			}
-			lines := bufio.NewScanner(f)
-			for n := 1; lines.Scan(); n++ {
-				line, want, _ := strings.Cut(lines.Text(), " -> ")
-				if got := s.step(t, strings.Fields(line)); got != want {
-					t.Errorf("line %d: %s: got %q, want %q", n, line, got, want)
-				}
-			}
-		})
-	}
+	scripter.Scripter{New: func(*testing.T) func(*testing.T, []string) string {
+		s := &scenario{
+			asked: map[string]time.Duration{},
+			l:     lender.Lender{Window: 5 * time.Second, Over: 0.1, Slack: 20, ApplyTime: 2500 * time.Millisecond},
+		}
+		return s.step
+	}}.Run(t)
 }
 
 func scan(t *testing.T, format string, words []string, values ...any) {
@@ -60,9 +43,6 @@
 
 // step runs one line and returns what it shows.
 func (s *scenario) step(t *testing.T, words []string) string {
-	if len(words) == 0 || words[0] == "#" {
-		return ""
-	}
 	duration := func() time.Duration {
 		d, err := time.ParseDuration(words[1])
 		is.New(t).NoErr(err)
