--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -67,6 +67,7 @@
 	sends, resends := a.runner.Sends()
 	m.gauge("upstream/sends", sends)
 	m.gauge("upstream/repeats", resends)
+	m.gauge("upstream/grants-beside-run", a.runner.GrantsBesideRun())
 	m.gauge("upstream/rate-limit-thousandths", rateLimitThousandths(a.runner.Upstream().Statement))
 	open, idle := a.exchanger.Counts()
 	m.gauge("upstream/connections-open", int64(open))
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -99,6 +99,8 @@
 	crashed bool
 	// sends counts the calls sent to the upstream since the start, resends those of them that were sent before.
 	sends, resends int64
+	// grantsBesideRun counts the retries that were granted since the start while their runs went on.
+	grantsBesideRun int64
 }
 
 // SetUpstream sets the state of the upstream. If the upstream is not registered or is draining, SetUpstream refuses the
--- a/runner/statement.go
+++ b/runner/statement.go
@@ -41,6 +41,13 @@
 	}
 }
 
+// GrantsBesideRun returns the number of retries that were granted since the start while their runs went on.
+func (r *Runner) GrantsBesideRun() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.grantsBesideRun
+}
+
 // Sends returns the number of calls sent to the upstream since the start, and how many of them were repeats.
 func (r *Runner) Sends() (sends, resends int64) {
 	r.mu.Lock()
--- a/runner/timeout.go
+++ b/runner/timeout.go
@@ -128,6 +128,7 @@
 // Runner.mu, so that the sender is told by another goroutine.
 func (t *attemptTimer) grantRetry() {
 	if t.call.OnRetryGranted != nil {
+		t.r.grantsBesideRun++
 		go t.call.OnRetryGranted()
 		return
 	}
