--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -106,15 +106,18 @@
 			previous = q.homes[t.Name].previous // it may not have handed over yet
 		}
 		homes[t.Name] = quotaHome{home: home, next: next, previous: previous}
-		if next != q.homes[t.Name].next {
-			q.lender.Unacknowledge(now, t.Name)
-		}
 		if home == a.Settings.Agent.Name {
 			own = append(own, t)
 		}
 	}
 	q.homes = homes
 	q.lender.SetTenants(now, own)
+	isMember := func(name string) bool {
+		return slices.ContainsFunc(q.members, func(m hornbeamcroft.Member) bool { return m.Name == name && assigner.Eligible(m) })
+	}
+	for _, t := range own {
+		q.lender.SetNext(now, t.Name, homes[t.Name].next, isMember)
+	}
 	return len(own)
 }
 
@@ -126,13 +129,16 @@
 	var missing []string
 	q.mu.Lock()
 	for _, tenant := range q.lender.Unsettled(now) {
-		h := q.homes[tenant]
-		if h.next == "" && q.ownRead.Load() || h.next != "" && a.links.LinkTo(h.next) != nil {
+		previous, next := q.homes[tenant].previous, q.lender.Next(tenant)
+		notLinked := func(name string) bool { return a.links.LinkTo(name) == nil }
+		if len(next) == 0 && q.ownRead.Load() || len(next) > 0 && !slices.ContainsFunc(next, notLinked) {
 			q.lender.Acknowledge(now, tenant)
 		}
-		claims[h.next] = append(claims[h.next], tenant)
-		if h.previous != h.next {
-			claims[h.previous] = append(claims[h.previous], tenant)
+		for _, name := range next {
+			claims[name] = append(claims[name], tenant)
+		}
+		if !slices.Contains(next, previous) {
+			claims[previous] = append(claims[previous], tenant)
 		}
 	}
 	q.mu.Unlock()
--- a/borrower/node_test.go
+++ b/borrower/node_test.go
@@ -44,7 +44,6 @@
 		n.view[m.name] = m == n || m.record.present(n.now)
 	}
 	n.l = &lender.Lender{Window: window, Over: over, Slack: slack, ApplyTime: 2500 * time.Millisecond}
-	n.l.SetSucceeds(n.record.present(n.now) && !n.stopping)
 	n.b = &borrower.Borrower{Home: func(tenant string) string { return n.homes[tenant][0] }}
 	n.updateHomes()
 	tenants := make([]hornbeamcroft.Tenant, 0, len(n.loads))
@@ -84,6 +83,9 @@
 		}
 	}
 	n.l.SetTenants(n.now, own)
+	for _, t := range own {
+		n.l.SetNext(n.now, t.Name, n.homes[t.Name][1], func(name string) bool { return n.view[name] })
+	}
 	n.b.UpdateHomes()
 }
 
@@ -120,13 +122,18 @@
 func (n *node) settle() {
 	claims := make(map[string][]string)
 	for _, tenant := range n.l.Unsettled(n.now) {
-		next, previous := n.homes[tenant][1], n.previous[tenant]
-		if m := n.peer(next); m != nil { // a link to the node next in line is open
-			n.link(m)
+		previous, next, linked := n.previous[tenant], n.l.Next(tenant), 0
+		for _, name := range next {
+			if m := n.peer(name); m != nil {
+				n.link(m)
+				linked++
+			}
+			claims[name] = append(claims[name], tenant)
+		}
+		if len(next) > 0 && linked == len(next) {
 			n.l.Acknowledge(n.now, tenant)
 		}
-		claims[next] = append(claims[next], tenant)
-		if previous != next {
+		if !slices.Contains(next, previous) {
 			claims[previous] = append(claims[previous], tenant)
 		}
 	}
--- a/borrower/records_test.go
+++ b/borrower/records_test.go
@@ -83,6 +83,9 @@
 }
 
 func (n *node) renew() {
+	if !n.written {
+		n.l.SetSucceeds(n.record.present(n.now) && !n.stopping)
+	}
 	absent := !n.written || !n.record.present(n.now)
 	if !n.record.present(n.now) {
 		n.record.writtenAt = n.now
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -34,7 +34,9 @@
 	// since is when this node became home or had to settle again, and started is set when it lends from then on.
 	since   time.Duration
 	started bool
-	// acknowledged is set when the node next in line knows this home, and acknowledgedAt is since when.
+	// next holds the members that were next in line since the bucket settles, the present one at the end.
+	next []string
+	// acknowledged is set when these know this home, and acknowledgedAt is since when.
 	acknowledged   bool
 	acknowledgedAt time.Duration
 	// loans holds what is lent, ordered by borrower.
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -130,17 +130,37 @@
 	return max(1, q.Burst+tolerancePart*tolerance)
 }
 
-// Acknowledge records that the node next in line for the tenant knows this home, so that it does not lend itself from now on.
-func (l *Lender) Acknowledge(now time.Duration, tenant string) {
-	if b := l.buckets[tenant]; b != nil && !b.acknowledged {
-		b.acknowledged, b.acknowledgedAt = true, now
+// SetNext records the node that is next in line for the tenant, and which nodes are members. All that were next in line since the tenant
+// settles must know this home: a home that one of them was before may have no contact with the store, and not know the node that has come
+// between them.
+func (l *Lender) SetNext(now time.Duration, tenant, next string, isMember func(name string) bool) {
+	b := l.buckets[tenant]
+	if b == nil {
+		return
+	}
+	started := l.startIfReady(now, b)
+	b.next = slices.DeleteFunc(b.next, func(name string) bool { return started || !isMember(name) })
+	if next == "" || slices.Contains(b.next, next) {
+		return
+	}
+	b.next = append(b.next, next)
+	if !started {
+		b.acknowledged = false
 	}
 }
 
-// Unacknowledge records that another node is next in line for the tenant now. It changes nothing for a tenant that is lent already.
-func (l *Lender) Unacknowledge(now time.Duration, tenant string) {
-	if b := l.buckets[tenant]; b != nil && !l.startIfReady(now, b) {
-		b.acknowledged = false
+// Next returns the nodes that must know this home before it lends soon.
+func (l *Lender) Next(tenant string) []string {
+	if b := l.buckets[tenant]; b != nil {
+		return b.next
+	}
+	return nil
+}
+
+// Acknowledge records that the nodes next in line for the tenant know this home, so that they do not lend themselves from now on.
+func (l *Lender) Acknowledge(now time.Duration, tenant string) {
+	if b := l.buckets[tenant]; b != nil && !b.acknowledged {
+		b.acknowledged, b.acknowledgedAt = true, now
 	}
 }
 
--- a/lender/lender_test.go
+++ b/lender/lender_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -71,6 +72,9 @@
 		s.l.SetTenants(s.now, tenants)
 	case "succeeds":
 		s.l.SetSucceeds(true)
+	case "next": // the node next in line, and members that have left
+		s.l.SetNext(s.now, words[1], words[2], func(name string) bool { return !slices.Contains(words[3:], name) })
+		return strings.Join(s.l.Next(words[1]), " ")
 	case "acknowledge":
 		s.l.Acknowledge(s.now, words[1])
 	case "handover":
