--- a/call.go
+++ b/call.go
@@ -1,6 +1,7 @@
 package hornbeamcroft
 
 import (
+	"io"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -83,6 +84,8 @@
 	// once while the run goes on. The node beside the upstream has already counted the retry against the retry budget. If
 	// OnRetryGranted is nil, such a run is aborted, and its answer grants the retry.
 	OnRetryGranted func() `cbor:"-"`
+	// Streams is true if the sender takes an answer with a Stream. Only an idempotent call gets one.
+	Streams bool `cbor:"-"`
 }
 
 // maxDepthOnWire is the maximum depth accepted in a frame from another node. The document's max-depth is checked separately.
@@ -177,6 +180,49 @@
 	RetryGranted bool `cbor:"15,keyasint,omitempty"`
 	// Upstream is what the upstream last stated about itself; nil if it has stated nothing since its start.
 	Upstream *InstanceStatement `cbor:"16,keyasint,omitempty"`
+	// StreamLength is zero for an answer whose whole body is in Body. Otherwise the body is streamed: StreamLength is its length in
+	// bytes, or UnknownLength.
+	StreamLength int64 `cbor:"17,keyasint,omitempty"`
+	// Stream is the streamed body; nil if StreamLength is zero. Its Read returns io.EOF only if the body is complete. Whoever receives
+	// the answer must close the stream, from the goroutine that reads it; that ends the run unless the body was read to its end. The
+	// stream fails when the context ends with which the answer was requested.
+	Stream io.ReadCloser `cbor:"-"`
+}
+
+// UnknownLength is the StreamLength of an answer whose upstream declared no length.
+const UnknownLength = -1
+
+// CloseStream closes the stream, if there is one.
+func (a Answer) CloseStream() {
+	if a.Stream != nil {
+		_ = a.Stream.Close() // nobody waits for the rest of the body
+	}
+}
+
+// OnStreamEnd returns the answer with a stream that calls fn after it was closed. Without a stream, OnStreamEnd calls fn at once.
+func (a Answer) OnStreamEnd(fn func()) Answer {
+	if a.Stream == nil {
+		fn()
+		return a
+	}
+	a.Stream = &notifyingStream{ReadCloser: a.Stream, fn: fn}
+	return a
+}
+
+// notifyingStream calls fn after the first Close.
+type notifyingStream struct {
+	io.ReadCloser
+	fn func()
+}
+
+// Close implements io.Closer.
+func (s *notifyingStream) Close() error {
+	err := s.ReadCloser.Close()
+	if fn := s.fn; fn != nil {
+		s.fn = nil
+		fn()
+	}
+	return err
 }
 
 // Check returns an error if the answer is malformed.
@@ -211,5 +257,8 @@
 	if a.BodyLength < len(a.Body) {
 		return errors.Errorf("answer: body length %d is less than the %d bytes present", a.BodyLength, len(a.Body))
 	}
+	if a.StreamLength < UnknownLength || a.StreamLength != 0 && a.BodyLength != 0 {
+		return errors.Errorf("answer: stream length %d with body length %d", a.StreamLength, a.BodyLength)
+	}
 	return nil
 }
--- a/memory.go
+++ b/memory.go
@@ -5,13 +5,13 @@
 type Memory interface {
 	// Reserve adds bytes to the account. It returns false and adds nothing if the process has no memory left for them.
 	Reserve(bytes int) bool
+	// Release takes bytes from the account.
+	Release(bytes int)
 }
 
 // RetainedMemory is an account of memory that is held only while no request in flight needs it. It is safe for concurrent use.
 type RetainedMemory interface {
 	Memory
-	// Release takes bytes from the account.
-	Release(bytes int)
 	// Free returns the number of bytes that could be reserved now.
 	Free() int
 }
