exchanger: the body of a large answer may be a stream

Ruled out: streaming from the first byte (an answer that breaks off could never be retried); accepting the head elsewhere than in own.go.

Change: with Request.Stream, a body of more than 256 KiB is returned as a stream once its beginning has arrived and checkOwn has accepted the answer. The exchange, its connection and its context end with the stream. The time in which a body must grow does not run while nobody reads. A closure over the request, which has grown by a flag, would have moved it to the heap for all requests.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"hornbeamcroft"
 	"hornbeamcroft/bodyreader"
 )
 
@@ -20,10 +21,11 @@
 
 var errManyInterim = errors.Errorf("more than %d interim answers", maxInterimAnswers)
 
-// readAnswer reads answers until it finds the one that names the attempt of the request.
+// readAnswer reads answers until it finds the one that names the attempt of the request. If its body is not read to its
+// end, the result has a *stream that the caller must complete.
 func (c *conn) readAnswer(request Request, headerNames HeaderNames, maxBody int) Result {
 	for skipped := 0; ; skipped++ {
-		a, err := c.readWhole(request, maxBody)
+		a, err := c.readNext(request, maxBody)
 		if err != nil {
 			return Result{Outcome: readErrorOutcome(err), Err: err}
 		}
@@ -31,25 +33,39 @@
 		switch {
 		case errors.Is(a.bodyErr, bodyreader.ErrNoMemory):
 			return Result{Outcome: OutcomeNoMemory, Err: a.bodyErr}
-		case errors.Is(err, errAnswerMismatch) && a.bodyErr == nil && !a.response.Close && skipped < maxSkippedAnswers:
+		case errors.Is(err, errAnswerMismatch) && a.bodyErr == nil && !a.response.Close && skipped < maxSkippedAnswers &&
+			a.skip(maxBody, request.Memory):
 			continue
 		case err != nil:
 			return Result{Outcome: OutcomeMalformed, Err: err}
 		}
-		c.reusable = !a.response.Close && a.response.ProtoAtLeast(1, 1) && c.reader.Buffered() == 0
+		res := newResult(a, headerNames)
 		c.idleTimeout = idleTimeout(a.response.Header)
-		return newResult(a, headerNames)
+		switch {
+		case !a.unread:
+			c.reusable = a.keepsConnection() && c.reader.Buffered() == 0
+			return res
+		case res.Outcome != OutcomeAnswered:
+			return res // the body of a refusal is not passed on
+		}
+		res.Body, res.StreamLength = nil, a.response.ContentLength
+		res.Stream = &stream{conn: c, answer: a, attempt: request.Attempt, prefix: a.body, memory: request.Memory}
+		return res
 	}
 }
 
-// readWhole reads the next answer. The error is that of its head.
-func (c *conn) readWhole(request Request, maxBody int) (answer, error) {
+// readNext reads the next answer, or the beginning of one that is streamed. The error is that of its head.
+func (c *conn) readNext(request Request, maxBody int) (answer, error) {
 	r, err := c.readResponse(request.Message.Method)
 	if err != nil {
 		return answer{}, err
 	}
 	a := answer{response: r}
-	a.body, a.bodyErr = c.readBody(r, bodyreader.BodyReader{Limit: maxBody, Memory: request.Memory})
+	if request.Stream {
+		a.body, a.unread, a.bodyErr = c.readBeginning(r, request.Memory)
+	} else {
+		a.body, a.bodyErr = c.readBody(r, bodyreader.BodyReader{Limit: maxBody, Memory: request.Memory})
+	}
 	return a, nil
 }
 
@@ -85,3 +101,17 @@
 	c.source.startBody()
 	return reader.Read(r.Body, r.ContentLength)
 }
+
+// readBeginning returns the whole body if it has at most streamBytes, and otherwise about as many bytes of its beginning and true.
+func (c *conn) readBeginning(r *http.Response, memory hornbeamcroft.Memory) (body []byte, unread bool, err error) {
+	if r.Body != http.NoBody && r.ContentLength > streamBytes {
+		c.source.startBody()
+		body, err = bodyreader.BodyReader{Memory: memory}.Read(r.Body, streamBytes)
+		return body, err == nil, err
+	}
+	body, err = c.readBody(r, bodyreader.BodyReader{Limit: streamBytes, Memory: memory})
+	if errors.Is(err, bodyreader.ErrTooLarge) {
+		return body, true, nil
+	}
+	return body, false, err
+}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -104,7 +104,7 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// exchange sends the request and reads its answer. It sets reusable.
+// exchange sends the request and reads its answer. It sets reusable, unless the result has a *stream, which sets it when it ends.
 func (c *conn) exchange(request Request, headerNames HeaderNames, maxBody int) Result {
 	c.reusable = false
 	c.source.startAnswer()
@@ -113,15 +113,26 @@
 		return Result{Outcome: OutcomeLost, Err: err}
 	}
 	res := c.readAnswer(request, headerNames, maxBody)
+	if s, ok := res.Stream.(*stream); ok {
+		c.source.pause()
+		s.written = written
+		return res
+	}
 	c.source.clearDeadline()
+	c.setReusable(request.Attempt, res, written)
+	return res
+}
+
+// setReusable clears reusable after an answer that was read to its end if the connection cannot carry another request.
+func (c *conn) setReusable(attempt string, res Result, written <-chan error) {
 	if !c.reusable {
-		return res
+		return
 	}
 	if res.Outcome != OutcomeAnswered || res.Status >= http.StatusInternalServerError {
-		c.reusable = c.refused.add(request.Attempt)
+		c.reusable = c.refused.add(attempt)
 	}
 	if !c.reusable {
-		return res
+		return
 	}
 	select {
 	case err := <-written:
@@ -130,7 +141,6 @@
 		// The upstream answered before it read the whole body. Do not wait for it to read the rest.
 		c.reusable = false
 	}
-	return res
 }
 
 // write sends the request. A body of more than maxInlineBody bytes is written in the background. The channel receives
@@ -147,8 +157,9 @@
 	if _, err := c.net.Write(b.Bytes()); err != nil {
 		return nil, err
 	}
+	body := request.Body // captured alone: a closure over the request would move it to the heap for all requests
 	go func() {
-		_, err := c.net.Write(request.Body)
+		_, err := c.net.Write(body)
 		written <- err
 	}()
 	return written, nil
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -10,8 +10,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"hornbeamcroft"
 )
 
 const (
@@ -54,31 +52,6 @@
 	return [...]string{"answered", "not-sent", "not-run", "wrong-instance", "lost", "spoilt", "ended", "no-memory"}[o]
 }
 
-// Request is a request to the upstream.
-type Request struct {
-	Message hornbeamcroft.Message
-	Body    []byte
-	// Attempt is the attempt id that the answer must carry in the field HeaderNames.Attempt.
-	Attempt string
-	// Memory is the account from which the body of the answer is reserved; nil if it is not accounted for.
-	Memory hornbeamcroft.Memory
-}
-
-// Result is an answer and what is known about the execution of its request.
-type Result struct {
-	Outcome Outcome
-	Status  int
-	Header  []hornbeamcroft.Field
-	Body    []byte
-	// Instance is the id of the instance that answered; empty if the answer does not name it.
-	Instance string
-	// Statement is what the upstream states about itself. It is nil unless Outcome is OutcomeAnswered or OutcomeNotRun and
-	// the statement can be read.
-	Statement *hornbeamcroft.Statement
-	// Err is the reason why there is no complete answer.
-	Err error
-}
-
 // HeaderNames holds the names of the header fields, and the status, by which an upstream reports on a request.
 type HeaderNames struct {
 	// Attempt is the field that carries the attempt id in requests and answers.
@@ -104,7 +77,7 @@
 	// Address is the IP address and port of the upstream.
 	Address     string
 	HeaderNames HeaderNames
-	// MaxBody bounds the body of an answer in bytes.
+	// MaxBody bounds the body of an answer in bytes, unless it is streamed.
 	MaxBody int
 	// Opened counts the connections opened since the start.
 	Opened atomic.Int64
@@ -122,7 +95,7 @@
 	e.limit = n
 }
 
-// Exchange sends the request and waits for its answer or for the end of ctx.
+// Exchange sends the request and waits for its answer or for the end of ctx, which also ends the stream of the answer.
 func (e *Exchanger) Exchange(ctx context.Context, request Request) Result {
 	c, err := e.acquire(ctx, request.Attempt)
 	if err != nil {
@@ -133,6 +106,10 @@
 	}
 	stop := context.AfterFunc(ctx, c.abort)
 	res := c.exchange(request, e.HeaderNames, e.MaxBody)
+	if s, ok := res.Stream.(*stream); ok {
+		s.exchanger, s.stop = e, stop
+		return res
+	}
 	if !stop() && res.Outcome != OutcomeAnswered && res.Outcome != OutcomeNotRun {
 		res.Outcome = OutcomeContextEnded
 	}
--- a/exchanger/own.go
+++ b/exchanger/own.go
@@ -1,10 +1,13 @@
 package exchanger
 
 import (
+	"io"
 	"net/http"
 	"net/textproto"
 
 	"github.com/go-faster/errors"
+
+	"hornbeamcroft"
 )
 
 // Reasons why an answer that was read is not the upstream's own answer to the attempt.
@@ -18,13 +21,32 @@
 type answer struct {
 	response *http.Response
 	body     []byte
-	// bodyErr is the reason why the body is not complete; nil if it is.
+	// unread is true if body is only the beginning of a body that is streamed.
+	unread bool
+	// bodyErr is the reason why the body, or its beginning, is not complete; nil if it is.
 	bodyErr error
 }
 
+// keepsConnection reports whether the connection can carry another request after the answer.
+func (a answer) keepsConnection() bool { return !a.response.Close && a.response.ProtoAtLeast(1, 1) }
+
+// skip reads what is left of the body of a skipped answer, at most maxBody bytes, and reports whether that was all. What a streamed
+// body has reserved is released.
+func (a answer) skip(maxBody int, memory hornbeamcroft.Memory) bool {
+	if !a.unread {
+		return true
+	}
+	if memory != nil {
+		memory.Release(cap(a.body))
+	}
+	_, err := io.CopyN(io.Discard, a.response.Body, int64(maxBody)+1)
+	return err == io.EOF
+}
+
 // checkOwn returns nil if the answer is the upstream's own answer to the attempt, and otherwise the reason. This is decided here only;
-// hornbeamcroft.ClaimRan relies on it. The answer must name the attempt and be complete, and a success must be signed: an upstream in
-// trouble corrupts single bytes of heads. Other answers need no signature, because a caller concludes nothing from them that needs one.
+// hornbeamcroft.ClaimRan relies on it. The answer must name the attempt and be complete, or as far as it is read if it is streamed, and a
+// success must be signed: an upstream in trouble corrupts single bytes of heads. Other answers need no signature, because a caller
+// concludes nothing from them that needs one.
 func (n HeaderNames) checkOwn(a answer, attempt string) error {
 	r := a.response
 	switch {
--- a/exchanger/source.go
+++ b/exchanger/source.go
@@ -35,8 +35,11 @@
 	headLeft int
 	// inHead is true while a head is expected or read, and begun once bytes of it have arrived.
 	inHead, begun bool
-	// hasDeadline is true while the connection has a read deadline.
+	// hasDeadline is true while the connection has a read deadline, which is deadline.
 	hasDeadline bool
+	deadline    time.Time
+	// left is how much of the time until the deadline was left at the last pause; zero if there was no deadline.
+	left time.Duration
 	// bodyBytes is the number of bytes of the body that have arrived, and mark the number that must have arrived by the
 	// present read deadline.
 	bodyBytes, mark int
@@ -67,8 +70,24 @@
 
 // setDeadline sets the read deadline.
 func (s *boundedSource) setDeadline(d time.Duration) {
-	s.hasDeadline = true
-	_ = s.net.SetReadDeadline(time.Now().Add(d)) // fails only if the connection is closed, as the next read will
+	s.hasDeadline, s.deadline = true, time.Now().Add(d)
+	_ = s.net.SetReadDeadline(s.deadline) // fails only if the connection is closed, as the next read will
+}
+
+// pause stops the time in which a body must grow, until resume: its bytes are not read while the receiver of a stream takes no more.
+func (s *boundedSource) pause() {
+	s.left = 0
+	if s.hasDeadline {
+		s.left = max(time.Until(s.deadline), 1)
+		s.clearDeadline()
+	}
+}
+
+// resume continues after pause.
+func (s *boundedSource) resume() {
+	if s.left > 0 {
+		s.setDeadline(s.left)
+	}
 }
 
 // Read implements io.Reader.
