runner: a run with a streamed answer keeps its slot until the body ends

Cause: the slot was released when Exchange returned.

Change: the head of a streamed answer is returned at once; the run ends when its last byte is read, when it fails or is closed, or with its context although nobody reads then. Its own time, which the attempt timeout follows, ends at the head.

Ruled out: own time up to the end of the body, which would lengthen attempt timeouts by the time for which slow clients read.

--- a/runner/run.go
+++ b/runner/run.go
@@ -44,11 +44,7 @@
 // endRun records that the call has ended at the upstream and returns the calls that its run made.
 func (r *Runner) endRun(id uint64, run *tracer.Run, call hornbeamcroft.Call, res exchanger.Result) []hornbeamcroft.ServiceCalls {
 	r.mu.Lock()
-	delete(r.running, id)
-	serviceCalls := r.tracer.Close(run)
-	if len(serviceCalls) > 0 {
-		r.recordRouteWithCalls(call.Type)
-	}
+	serviceCalls := r.closeRun(id, run, call)
 	if res.Outcome == exchanger.OutcomeAnswered {
 		r.crashed = false
 		r.recordOwnTime(call, run, res)
@@ -59,3 +55,13 @@
 	}
 	return serviceCalls
 }
+
+// closeRun removes a run and returns the calls that it made. The caller must hold r.mu.
+func (r *Runner) closeRun(id uint64, run *tracer.Run, call hornbeamcroft.Call) []hornbeamcroft.ServiceCalls {
+	delete(r.running, id)
+	serviceCalls := r.tracer.Close(run)
+	if len(serviceCalls) > 0 {
+		r.recordRouteWithCalls(call.Type)
+	}
+	return serviceCalls
+}
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -203,7 +203,7 @@
 }
 
 // Run runs the call and returns its answer, which carries the load of the upstream and the admission levels of the
-// services called.
+// services called. If the answer has a stream, the run ends with it; ctx must not end before.
 func (r *Runner) Run(ctx context.Context, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	arrived := r.Clock.Now()
 	rec := Record{Call: call}
@@ -221,6 +221,10 @@
 	rec.Load, rec.Level = l, level
 	a.Load = &l
 	a.AdmissionLevels = r.Levels(a.ServiceCalls)
+	if s, ok := a.Stream.(*runStream); ok {
+		s.watch(rec)
+		return a
+	}
 	r.OnEnd(rec)
 	return a
 }
@@ -255,6 +259,11 @@
 	res, grant := r.exchange(ctx, id, call, run, r.Request(call, instance, deadline-started))
 	rec.ServiceTime = r.Clock.Now() - started
 	rec.Outcome, rec.Err = res.Outcome, res.Err
+	if res.Stream != nil {
+		a := r.startStream(ctx, &runStream{id: id, run: run, call: call, started: started, result: res}, to)
+		a.RetryGranted = grant == noGrant && r.grantRetry(call, a)
+		return a
+	}
 	if grant != grantInAnswer && (res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent) {
 		r.detectCrash(ctx, instance)
 	}
--- a/runner/timeout.go
+++ b/runner/timeout.go
@@ -57,13 +57,23 @@
 func (r *Runner) exchange(ctx context.Context, id uint64, call hornbeamcroft.Call, run *tracer.Run, q exchanger.Request,
 ) (exchanger.Result, retryGrant) {
 	exchangeCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
 	t := r.startAttemptTimer(id, call, run, cancel)
 	if t == nil {
+		cancel()
 		return r.Exchanger.Exchange(ctx, q), noGrant
 	}
 	res := r.Exchanger.Exchange(exchangeCtx, q)
 	granted := t.stop()
+	aborted := granted && call.OnRetryGranted == nil
+	switch {
+	case res.Stream == nil:
+		cancel()
+	case aborted: // the timer fired while the stream began
+		_ = res.Stream.Close()
+		res = exchanger.Result{Outcome: exchanger.OutcomeContextEnded}
+	default:
+		res.Stream = &cancelingStream{ReadCloser: res.Stream, cancel: cancel}
+	}
 	ended := res.Outcome == exchanger.OutcomeContextEnded
 	switch {
 	case granted && call.OnRetryGranted != nil:
@@ -71,7 +81,7 @@
 			res.Err = t.err
 		}
 		return res, grantBesideRun
-	case granted && ended && ctx.Err() == nil:
+	case aborted && ended && ctx.Err() == nil:
 		return exchanger.Result{Outcome: exchanger.OutcomeLost, Err: t.err}, grantInAnswer
 	}
 	return res, noGrant
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -72,6 +72,11 @@
 	if t.runs[r.Attempt] == r {
 		delete(t.runs, r.Attempt)
 	}
+	return r.ServiceCalls()
+}
+
+// ServiceCalls returns the number of calls to each service that the request has made so far, at any depth.
+func (r *Run) ServiceCalls() []hornbeamcroft.ServiceCalls {
 	list := make([]hornbeamcroft.ServiceCalls, 0, len(r.serviceCalls))
 	for service, calls := range r.serviceCalls {
 		if len(list) < hornbeamcroft.MaxServiceCalls {
