courier: the stream of an accepted answer outlives the other run

Cause: the contexts of a run and of its hedged retry end when the delivery returns, and a successful retry ended the run even when that had answered first. Whole answers do not notice; a stream would break off.

Change: the context of the accepted answer ends with its stream. A retry that succeeds after the run has answered no longer ends it; if it succeeded before, the stream of the run is not accepted. Streams that are not accepted, or whose call is sent again, are closed.

--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -55,6 +55,7 @@
 		if !d.mayResend(ctx, call, a) {
 			return d.finalAnswer(call, a)
 		}
+		a.CloseStream()
 	}
 }
 
--- a/courier/hedge.go
+++ b/courier/hedge.go
@@ -18,8 +18,9 @@
 	cancelRun context.CancelFunc
 
 	mu sync.Mutex
-	// runEnded is set when the run has ended: a grant that arrives later starts no retry.
-	runEnded bool
+	// runEnded is set when the run has ended: a grant that arrives later starts no retry. runCanceled is set when a successful retry
+	// has ended the run before.
+	runEnded, runCanceled bool
 	// retry is the delivery of the retry, cancelRetry ends it, and answer receives its final answer. They are nil if none was granted.
 	retry       *delivery
 	cancelRetry context.CancelFunc
@@ -35,7 +36,17 @@
 	}
 }
 
-// endRun records that the run has ended, and reports whether there is a retry.
+// onRetrySucceeded ends the run unless it has ended, in which case its answer may have a stream that goes on.
+func (h *hedge) onRetrySucceeded() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !h.runEnded {
+		h.runCanceled = true
+		h.cancelRun()
+	}
+}
+
+// endRun records that the run has ended, and reports whether there is a retry. From then on, runCanceled does not change.
 func (h *hedge) endRun() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -50,11 +61,10 @@
 		return d.sendOnce(ctx, m, call), false
 	}
 	runCtx, cancelRun := context.WithCancel(ctx)
-	defer cancelRun()
 	h := &hedge{cancelRun: cancelRun, begin: func(h *hedge) { d.beginRetry(ctx, h, m.Name, call) }}
 	sent := call
 	sent.OnRetryGranted = h.onGranted
-	a := d.sendOnce(runCtx, m, sent)
+	a := d.sendOnce(runCtx, m, sent).OnStreamEnd(cancelRun)
 	if !h.endRun() {
 		return a, false
 	}
@@ -83,7 +93,7 @@
 	go func() {
 		a := retry.placeRetry(ctx, host, call)
 		if succeeded(a) {
-			h.cancelRun()
+			h.onRetrySucceeded()
 		}
 		answer <- a
 	}()
@@ -110,18 +120,22 @@
 // awaitRetry waits for the end of the retry, which it cancels if the run has succeeded, and returns the better answer of both. The
 // delivery takes over the record of the retry.
 func (d *delivery) awaitRetry(h *hedge, run hornbeamcroft.Answer) hornbeamcroft.Answer {
-	if succeeded(run) {
+	streamLost := run.Stream != nil && h.runCanceled
+	runSucceeded := succeeded(run) && !streamLost
+	if runSucceeded {
 		h.cancelRetry()
 	}
 	a := <-h.answer
-	h.cancelRetry()
 	at := len(d.rec.Codes)
 	d.rec, d.tried, d.mayHaveRunOn = h.retry.rec, h.retry.tried, h.retry.mayHaveRunOn
 	d.rec.Codes[at] = run.Code
-	if succeeded(run) || !succeeded(a) && run.Code == hornbeamcroft.CodeAnswered {
+	if runSucceeded || !streamLost && !succeeded(a) && run.Code == hornbeamcroft.CodeAnswered {
+		h.cancelRetry()
+		a.CloseStream()
 		return run
 	}
-	return a
+	run.CloseStream()
+	return a.OnStreamEnd(h.cancelRetry)
 }
 
 // succeeded reports whether the upstream answered the call with a status below 500.
