agent: a request ends with the stream of its answer

Cause: the context of a request, its place among those that a planned stop waits for, and the records of its time ended when serve returned.

Change: they end when the stream is closed. Without a stream nothing changes; the part for callers' requests is a function of its own.

Result: tests of the package pass with -race.

--- a/agent/calls.go
+++ b/agent/calls.go
@@ -21,6 +21,7 @@
 func (a *Agent) newIngressHandler() *platform.IngressHandler {
 	return &platform.IngressHandler{
 		Serve: a.serve, Limits: a.callerLimits, Stopping: a.stopping.Load, Memory: a.bodies, OnRejected: a.recordRejected,
+		OnBroken: a.recordBroken,
 	}
 }
 
@@ -60,40 +61,18 @@
 	if now := a.clock.Now(); a.stopping.Load() && !a.takesAtStop(now, call, isChild) {
 		return a.refuseAtStop(now, call, isChild)
 	}
-	var age time.Duration
-	var permit borrower.Decision
-	if !isChild {
-		a.callerRequests.Add(1) // a planned stop waits for those that wait for a permit too
-		defer a.callerRequests.Add(-1)
-		var refusal *hornbeamcroft.Answer
-		if permit, refusal = a.obtainPermit(ctx, &call); refusal != nil {
-			a.recordTenantRejected(in.Attempt, call.Tenant, *refusal, nil)
-			return *refusal
-		}
-		age = a.courier.Age(route.Name, in.Remaining)
-		call.Objective -= age
-		if a.stopping.Load() {
-			defer a.trackTaken(call)()
-		}
-	}
-	if call.Remaining <= 0 {
-		a.giveBackPermit(call.Tenant, permit)
+	if call.Remaining <= 0 && isChild {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDeadlineTooShort}
 	}
-	ctx, cancel := context.WithTimeout(ctx, call.Remaining)
-	defer cancel()
-	begin := a.clock.Now()
-	answer := a.courier.Deliver(ctx, call, route, age)
 	if isChild {
+		answer := a.deliver(ctx, call, route, 0)
+		if answer.Stream != nil {
+			return a.endChildWithStream(answer, in.Attempt, service)
+		}
 		a.runner.ChildEnded(in.Attempt, service, answer.ServiceCalls)
 		return answer
 	}
-	if answer.Code.Claim() == hornbeamcroft.ClaimNotRun {
-		a.giveBackPermit(call.Tenant, permit)
-	}
-	now := a.clock.Now()
-	a.callers.record(now, call, now-begin, answer)
-	return answer
+	return a.serveCaller(ctx, call, route, in.Remaining)
 }
 
 // matchRoute returns the route of a request, or records and returns the refusal of a request that has no readable route.
@@ -157,7 +136,8 @@
 		Request: requestID(in.Attempt), Attempt: in.Attempt, Service: service, Type: route.Name,
 		Tenant: tenant.Name, Importance: route.Importance.InBand(tenant.Band), Depth: 1,
 		Remaining: remaining, Objective: min(route.Objective, remaining),
-		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory, Origin: a.Settings.Agent.Service,
+		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory,
+		Origin:      a.Settings.Agent.Service,
 		Fingerprint: fingerprint(in, a.Settings.Agent.Service),
 	}
 }
@@ -217,6 +197,9 @@
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeDraining}
 	}
 	answer := a.runner.Run(ctx, call)
+	if answer.Stream != nil {
+		return a.recordAtEnd(a.peers, answer, call, begin)
+	}
 	now := a.clock.Now()
 	a.peers.record(now, call, now-begin, answer)
 	return answer
