connector, framer: streamed bodies with flow control

Cause: bodies were sent without regard to the receiver, which held them whole.

The chunks of all streams wait for one lock, so that a short call waits behind one. Cancellation, the end of the context or of the link, and a failing source end both ends. Peers that do not know the frame get whole answers.

Ruled out: credit when bytes arrive (the ingress would hold the window twice).

--- a/connector/body.go
+++ b/connector/body.go
@@ -87,8 +87,12 @@
 	l.mu.Lock()
 	p := l.partialBodies[key]
 	if p == nil {
+		s := l.inbound[b.ID]
 		l.mu.Unlock()
-		return nil
+		if s == nil || !b.Answer {
+			return nil
+		}
+		return s.receive(b)
 	}
 	if b.Offset != len(p.body) || len(p.body)+len(b.Data) > p.length {
 		l.mu.Unlock()
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -25,7 +25,7 @@
 const testKey = "0123456789abcdef"
 
 // newConnector starts a connector that answers calls by onCall and outcome queries with CodeConfirmedNotRun.
-func newConnector(t *testing.T, name, key string, onCall func(context.Context, hornbeamcroft.Call) hornbeamcroft.Answer,
+func newConnector(t testing.TB, name, key string, onCall func(context.Context, hornbeamcroft.Call) hornbeamcroft.Answer,
 ) *Connector {
 	t.Helper()
 	c := &Connector{
@@ -50,7 +50,7 @@
 }
 
 // serveLinks starts an HTTP server on which c accepts links, and returns its address.
-func serveLinks(t *testing.T, c *Connector) string {
+func serveLinks(t testing.TB, c *Connector) string {
 	t.Helper()
 	s := httptest.NewServer(nil)
 	s.Config.Handler = http.HandlerFunc(c.Accept)
--- a/connector/link.go
+++ b/connector/link.go
@@ -31,12 +31,18 @@
 	conn      *websocket.Conn
 
 	writeMu sync.Mutex
+	// streamMu is held while a chunk of a stream is written, so that at most one of them waits for writeMu: a short call waits behind
+	// one chunk, whatever the number of streams.
+	streamMu sync.Mutex
 
 	mu             sync.Mutex
 	pendingAnswers map[uint64]pendingAnswer
 	partialBodies  map[partialBodyKey]*partialBody
 	runningCalls   map[uint64]runningCall
-	closeErr       error
+	// inbound holds the streams that arrive over the link, outbound those that are sent, by the id of the call; nil before the first.
+	inbound  map[uint64]*inboundStream
+	outbound map[uint64]*outboundStream
+	closeErr error
 
 	// usedCredit holds one element for each call or outcome query in flight. Its capacity is the credit that the peer
 	// granted, the number of them that it allows at the same time.
@@ -87,6 +93,9 @@
 	for key := range l.partialBodies {
 		l.dropPartialBody(key)
 	}
+	for _, s := range l.inbound {
+		s.fail(ErrLinkLost)
+	}
 	l.mu.Unlock()
 	_ = l.conn.Close()
 	close(l.done)
@@ -135,6 +144,7 @@
 
 // Call sends the call and waits for its answer. If ctx ends first, Call sends a cancellation to the peer and returns
 // the error of the context; the call may have run nevertheless. A call that does not fit into a frame without its body is not sent.
+// The end of ctx also ends the stream of the answer.
 func (l *Link) Call(ctx context.Context, call hornbeamcroft.Call) (hornbeamcroft.Answer, error) {
 	pending := pendingAnswer{memory: call.Memory, onRetryGranted: call.OnRetryGranted}
 	a, err := l.roundTrip(ctx, call.ID, pending, func() error { return l.sendCall(call) })
@@ -150,11 +160,11 @@
 	return l.roundTrip(ctx, q.ID, pendingAnswer{memory: memory}, func() error { return l.Send(framer.TypeOutcomeQuery, q) })
 }
 
-// inFlight returns the number of calls and outcome queries that wait for an answer.
+// inFlight returns the number of calls and outcome queries that wait for an answer or for the rest of one.
 func (l *Link) inFlight() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.pendingAnswers)
+	return len(l.pendingAnswers) + len(l.inbound)
 }
 
 func (l *Link) sendCall(call hornbeamcroft.Call) error {
@@ -166,53 +176,6 @@
 	})
 }
 
-// sendAnswer sends the answer to a call or an outcome query of the peer. If its head does not fit into a frame, the peer gets to know
-// that instead, so that it does not wait or ask again.
-func (l *Link) sendAnswer(a hornbeamcroft.Answer) {
-	body := a.Body
-	a.BodyLength = len(body)
-	err := l.sendWithBody(framer.TypeAnswer, a.ID, body, func(inline []byte) any {
-		a.Body = inline
-		return a
-	})
-	if !errors.Is(err, framer.ErrTooLarge) {
-		return
-	}
-	l.connector.Log.Warn().Str("peer", l.Peer.Name).Uint64("id", a.ID).Err(err).Msg("connector: answer not sent")
-	_ = l.Send(framer.TypeAnswer, hornbeamcroft.Answer{
-		ID: a.ID, Code: hornbeamcroft.CodeAnswerTruncated, UnspentRetries: a.UnspentRetries, RetryGranted: a.RetryGranted, Load: a.Load,
-		AdmissionLevels: a.AdmissionLevels, ServiceCalls: a.ServiceCalls, ServiceTime: a.ServiceTime, Upstream: a.Upstream,
-	})
-}
-
-// sendWithBody sends a call or an answer. Its frame is message(body), or message(nil) with the body in chunks behind it if the frame
-// would be too large.
-func (l *Link) sendWithBody(t framer.Type, id uint64, body []byte, message func(inline []byte) any) error {
-	if len(body) <= framer.ChunkSize {
-		err := l.Send(t, message(body))
-		if len(body) == 0 || !errors.Is(err, framer.ErrTooLarge) {
-			return err
-		}
-	}
-	if err := l.Send(t, message(nil)); err != nil {
-		return err
-	}
-	return l.sendBody(id, t == framer.TypeAnswer, body)
-}
-
-// sendBody sends a body in chunks. It releases the write lock between chunks, so that other frames are not delayed by a
-// large body.
-func (l *Link) sendBody(id uint64, answer bool, body []byte) error {
-	for offset := 0; offset < len(body); offset += framer.ChunkSize {
-		end := min(offset+framer.ChunkSize, len(body))
-		b := framer.Body{ID: id, Answer: answer, Offset: offset, Data: body[offset:end], Last: end == len(body)}
-		if err := l.Send(framer.TypeBody, b); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // checkSilence closes the link if nothing arrived for the silence timeout and since the last ping; otherwise it sends a
 // ping if one is due. No ping is due if a frame arrived less than half an interval ago. The time now is since openedAt.
 func (l *Link) checkSilence(now time.Duration) {
--- a/connector/read.go
+++ b/connector/read.go
@@ -72,6 +72,8 @@
 		}
 		l.handleRetryGranted(f.ID)
 		return nil
+	case framer.TypeBodyCredit:
+		return l.handleCredit(payload)
 	case framer.TypePing:
 		var f framer.Ping
 		if err := framer.Decode(payload, &f); err != nil {
@@ -154,6 +156,10 @@
 }
 
 func (l *Link) handleAnswer(a hornbeamcroft.Answer) {
+	if a.StreamLength != 0 {
+		l.handleStream(a)
+		return
+	}
 	if a.BodyLength > l.connector.MaxBody() {
 		l.connector.Log.Warn().Str("peer", l.Peer.Name).Int("bytes", a.BodyLength).Msg("connector: body of an answer is too large")
 		l.deliverAnswer(hornbeamcroft.Answer{ID: a.ID, Code: hornbeamcroft.CodeOutcomeUnknown})
@@ -203,6 +209,7 @@
 	if call.Idempotent && l.Peer.Knows(framer.TypeRetryGranted) {
 		call.OnRetryGranted = func() { _ = l.Send(framer.TypeRetryGranted, framer.RetryGranted{ID: call.ID}) }
 	}
+	call.Streams = call.Idempotent && l.Peer.Knows(framer.TypeBodyCredit)
 	go func() {
 		defer func() {
 			l.mu.Lock()
@@ -213,6 +220,10 @@
 		}()
 		a := l.connector.OnCall(ctx, l.Peer, call)
 		a.ID = call.ID
+		if a.Stream != nil {
+			l.sendStream(ctx, a, call.Memory)
+			return
+		}
 		l.sendAnswer(a)
 	}()
 }
--- a/connector/roundtrip.go
+++ b/connector/roundtrip.go
@@ -33,7 +33,8 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- send() }()
-	return l.awaitAnswer(ctx, id, ch, sent)
+	a, err := l.awaitAnswer(ctx, id, ch, sent)
+	return l.takeStream(ctx, a), err
 }
 
 // awaitAnswer waits for the answer to a call or an outcome query; sent receives the result of sending it. A write may wait for other
@@ -75,10 +76,14 @@
 	_ = l.Send(framer.TypeCancel, framer.Cancel{ID: id})
 }
 
-// removePending stops waiting for the answer with the id. An answer that arrives later is dropped.
+// removePending stops waiting for the answer with the id. An answer that arrives later is dropped, as is a stream that was not taken.
 func (l *Link) removePending(id uint64) {
 	l.mu.Lock()
 	delete(l.pendingAnswers, id)
 	delete(l.partialBodies, partialBodyKey{id, true})
+	if s := l.inbound[id]; s != nil && !s.taken {
+		delete(l.inbound, id)
+		s.releaseMemory()
+	}
 	l.mu.Unlock()
 }
--- a/framer/framer.go
+++ b/framer/framer.go
@@ -56,6 +56,7 @@
 	TypeQuotaGrant                         // package lender: permits of a tenant's quota
 	TypeSuspects                           // package suspecter: the suspects that the sender holds
 	TypeRetryGranted                       // a call is presumed lost and may be retried while its run goes on
+	TypeBodyCredit                         // flow control: bytes of a streamed body that its receiver has passed on
 
 	typeEnd
 )
@@ -130,28 +131,6 @@
 	return nil
 }
 
-// Body is one chunk of the body of a call or an answer whose body is longer than ChunkSize.
-type Body struct {
-	ID uint64 `cbor:"1,keyasint"`
-	// Answer is true for the body of an answer, false for that of a call.
-	Answer bool `cbor:"2,keyasint,omitempty"`
-	// Offset is the position of Data in the body, in bytes. Chunks are sent in order and without gaps.
-	Offset int    `cbor:"3,keyasint"`
-	Data   []byte `cbor:"4,keyasint"`
-	// Last is true for the last chunk. The body must then have the length that the frame of the call or answer
-	// announced.
-	Last bool `cbor:"5,keyasint,omitempty"`
-}
-
-// Check returns an error if the frame is malformed.
-func (b Body) Check() error {
-	if b.Offset < 0 || len(b.Data) > ChunkSize {
-		return errors.Errorf("body: invalid chunk with offset %d and %d bytes: offset must be at least 0, bytes at most %d",
-			b.Offset, len(b.Data), ChunkSize)
-	}
-	return nil
-}
-
 // Cancel tells the receiver that the sender no longer waits for the answer to the call with the id.
 type Cancel struct {
 	ID uint64 `cbor:"1,keyasint"`
