--- a/agent/calls.go
+++ b/agent/calls.go
@@ -136,7 +136,7 @@
 		Request: requestID(in.Attempt), Attempt: in.Attempt, Service: service, Type: route.Name,
 		Tenant: tenant.Name, Importance: route.Importance.InBand(tenant.Band), Depth: 1,
 		Remaining: remaining, Objective: min(route.Objective, remaining),
-		Idempotent: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory,
+		Idempotent: route.Idempotent, Streams: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory,
 		Origin:      a.Settings.Agent.Service,
 		Fingerprint: fingerprint(in, a.Settings.Agent.Service),
 	}
