placer: one call at a time goes to a member whose service time is not known

Cause, first part: a node that has just started reports no service time until its first call ends, and placement assumed 20 ms. With calls of 1.9 s and a slack of 4 s the others cost 0.6 s more, so all calls went to it and waited there.

Tried and dropped: such a member as the fastest candidate from the first call on.

TestStarted failed before with all 16 calls at the new member.

--- a/placer/explain.go
+++ b/placer/explain.go
@@ -18,7 +18,7 @@
 // the others with the reason why they are left out. It changes nothing.
 func (p *Placer) Explain(now time.Duration, r Requirements) []hornbeamcroft.PlacementCandidate {
 	condition := p.preference(now, r)
-	r.Slack = max(r.Slack, minSlack)
+	r.Slack, r.fastest = max(r.Slack, minSlack), fastestOf(p.candidates(now, r, condition))
 	list := make([]explained, 0, len(p.members))
 	for _, m := range p.members {
 		e := explained{m.explain(now), p.cost(now, m, r)}
@@ -109,6 +109,11 @@
 	return "stopping"
 }
 
+// candidates returns the members that may get the call.
+func (p *Placer) candidates(now time.Duration, r Requirements, condition preference) []*member {
+	return slices.DeleteFunc(slices.Clone(p.members), func(m *member) bool { return m.leftOut(now, r, condition) != "" })
+}
+
 // explain returns what is known of the member.
 func (m *member) explain(now time.Duration) hornbeamcroft.PlacementCandidate {
 	c := hornbeamcroft.PlacementCandidate{
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,6 +3,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -51,6 +52,9 @@
 	Once bool
 	// Exclude reports whether to skip the member with the given name; it may be nil.
 	Exclude func(name string) bool
+
+	// fastest is the shortest service time of the candidates, as fastestOf returns it.
+	fastest time.Duration
 }
 
 // Placer selects the members for the calls of one service. It is not safe for concurrent use.
@@ -171,7 +175,7 @@
 			break
 		}
 	}
-	r.Slack = max(r.Slack, minSlack)
+	r.Slack, r.fastest = max(r.Slack, minSlack), fastestOf(p.local, p.remote)
 	if p.Even {
 		return p.pickEven(now, rnd, r)
 	}
@@ -251,17 +255,35 @@
 	return m.costAt(busy, limit, r)
 }
 
-// serviceTime returns the service time that the member reported.
-func (m *member) serviceTime() time.Duration {
-	if m.load.ServiceTime <= 0 {
-		return defaultServiceTime
+// fastestOf returns the shortest service time that one of the members has reported, or defaultServiceTime if none has.
+func fastestOf(lists ...[]*member) time.Duration {
+	var fastest time.Duration
+	for _, members := range lists {
+		for _, m := range members {
+			if t := m.load.ServiceTime; t > 0 && (fastest == 0 || t < fastest) {
+				fastest = t
+			}
+		}
+	}
+	return cmp.Or(fastest, defaultServiceTime)
+}
+
+// serviceTime returns the service time that the member has reported. If it has reported none, one call goes there to learn it, and
+// until that call ends the member counts as the fastest candidate: with a shorter time, a node that has just started would get all
+// calls until the first of them ends.
+func (m *member) serviceTime(fastest time.Duration) time.Duration {
+	switch {
+	case m.load.ServiceTime > 0:
+		return m.load.ServiceTime
+	case m.outstanding > 0:
+		return fastest
 	}
-	return m.load.ServiceTime
+	return defaultServiceTime
 }
 
 // costAt returns the cost of sending a call to the member while the given number of its slots is busy.
 func (m *member) costAt(busy, limit int, r Requirements) candidateCost {
-	serviceTime := m.serviceTime()
+	serviceTime := m.serviceTime(r.fastest)
 	slack := float64(r.Slack)
 	delay := float64(queueDelay(busy, limit, serviceTime))
 	delay += max(0, serviceTimeMargin*float64(serviceTime)-serviceTimeShare*slack)
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -116,3 +116,27 @@
 		is.Equal(m.Name, want)
 	}
 }
+
+// longLoad is the load of an upstream whose calls take about as long as the slack of the calls in the tests allows.
+func longLoad(running, waiting int, serviceTime time.Duration) hornbeamcroft.Load {
+	l := load(running, waiting)
+	l.ServiceTime = serviceTime
+	return l
+}
+
+// TestStarted guards against calls that all go to a node which has just started and has reported no service time, where they wait
+// while other members have free slots.
+func TestStarted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("known", "here"), newMember("started", "here"))
+	f.Report(0, "known", longLoad(4, 0, 1900*time.Millisecond))
+	f.Report(0, "started", longLoad(0, 0, 0))
+	counts := make(map[string]int)
+	for range 16 {
+		name := f.pick(4 * time.Second)
+		f.Start(name)
+		counts[name]++
+	}
+	is.Equal(counts["started"], 10) // all slots of one, and the free slots of the other
+	is.Equal(counts["known"], 6)
+}
