placer: nearly equal service times of long calls count as equal

Equal upstreams with 1.8 and 2.1 s differ by 0.6 s, so that up to 7 calls waited at one of them before another with 1 to 5 of 22 slots in use got a call.

Ruled out: a tolerance for calls of any length, of 1.25, 1.5 or 2.

TestComparable/equal failed before.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -19,6 +19,11 @@
 	// slack of the call: an answer that is earlier than needed is worth no more. Beyond that, the excess is the cost.
 	serviceTimeShare  = 0.8
 	serviceTimeMargin = 2
+	// comparableFactor times the shortest service time of a candidate is the longest one that counts as equal to it. Upstreams smooth
+	// their service times with a gain of 0.05. If the times of single calls vary by their mean, the smoothed times of two equal
+	// upstreams thus differ by 0.23 of it. Without the tolerance, calls of seconds wait at the upstream whose time is the shortest by
+	// chance while others have free slots.
+	comparableFactor = 1.25
 	// crossZoneShare and crossZoneTime determine the time that a call must save to leave the availability zone:
 	// crossZoneTime plus crossZoneShare times the slack. Traffic to another zone is paid for by the byte.
 	crossZoneShare = 0.05
@@ -281,12 +286,21 @@
 	return defaultServiceTime
 }
 
+// comparedServiceTime returns the service time by which the member is compared with other candidates. Only calls longer than
+// reportTTL have the tolerance of comparableFactor: a report that counts then shows mostly calls that still run, so that the free slots
+// are known, while the free slots of shorter calls change faster than reports arrive.
+func (m *member) comparedServiceTime(fastest time.Duration) time.Duration {
+	t := m.serviceTime(fastest)
+	if fastest > reportTTL && float64(t) <= comparableFactor*float64(fastest) {
+		return fastest
+	}
+	return t
+}
+
 // costAt returns the cost of sending a call to the member while the given number of its slots is busy.
 func (m *member) costAt(busy, limit int, r Requirements) candidateCost {
-	serviceTime := m.serviceTime(r.fastest)
-	slack := float64(r.Slack)
-	delay := float64(queueDelay(busy, limit, serviceTime))
-	delay += max(0, serviceTimeMargin*float64(serviceTime)-serviceTimeShare*slack)
+	delay := float64(queueDelay(busy, limit, m.serviceTime(r.fastest)))
+	delay += max(0, serviceTimeMargin*float64(m.comparedServiceTime(r.fastest))-serviceTimeShare*float64(r.Slack))
 	delay += m.failureCost(r)
 	return candidateCost{time: time.Duration(delay), utilization: float64(busy) / float64(limit)}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -140,3 +140,24 @@
 	is.Equal(counts["started"], 10) // all slots of one, and the free slots of the other
 	is.Equal(counts["known"], 6)
 }
+
+// TestComparable guards against calls of seconds that wait at the member whose service time is the shortest by chance, while another has
+// free slots. A member that is slower for certain is avoided, and for short calls the service times count as reported.
+func TestComparable(t *testing.T) {
+	for name, c := range map[string]struct {
+		full, free, slack time.Duration
+		want              string
+	}{
+		"equal":  {1800 * time.Millisecond, 2000 * time.Millisecond, 4 * time.Second, "free"},
+		"slower": {1800 * time.Millisecond, 2400 * time.Millisecond, 4 * time.Second, "full"},
+		"short":  {90 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, "full"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(newMember("full", "here"), newMember("free", "here"))
+			f.Report(0, "full", longLoad(10, 0, c.full))
+			f.Report(0, "free", longLoad(1, 0, c.free))
+			is.Equal(f.pick(c.slack), c.want)
+		})
+	}
+}
