scheduler: free slots count against the calls that wait at other upstreams

Four calls that waited at the host which is the only one in its zone thus took 15 of its 23 slots from the capacity of the service; in the log, hosts refused orders with an admission level of 0.00 while the other hosts ran 4 and 6 of 22.

A free slot now adds what a waiting call takes. With calls of 25 ms that is 0.05 slots each, and the levels of short calls stay as they were.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -17,8 +17,8 @@
 	// because a host fills up before senders place calls elsewhere, and only a backlog shows that the other hosts have
 	// no capacity either.
 	targetUtilization = 1.05
-	// drainTime is the time within which the waiting calls are to be worked off. It holds the wait in a lasting overload at
-	// (targetUtilization - 1) x drainTime, which is 25 ms.
+	// drainTime is the time within which the waiting calls are to be worked off, and free slots to be filled. It holds the wait in a
+	// lasting overload at (targetUtilization - 1) x drainTime, which is 25 ms.
 	drainTime = 500 * time.Millisecond
 	// demandGain is the weight of one window in the smoothed demand, which thus averages over a few windows.
 	demandGain = 0.3
@@ -84,7 +84,9 @@
 		e.demand[i] += (windowDemand - e.demand[i]) * demandGain
 		e.arrivedWeight[i] = 0
 	}
-	backlog := float64(s.excessWaiting()) * s.serviceSeconds
+	// Free slots count against the calls that wait at other upstreams: placement lets calls wait for a short time to stay in their
+	// zone, and if they need seconds, a few of them would otherwise use up the capacity of the service.
+	backlog := float64(s.excessWaiting()-s.freeSlots()) * s.serviceSeconds
 	slots := s.capacity(s.smoothedServiceTime())
 	e.capacity = math.Max(0, slots*targetUtilization-backlog/drainTime.Seconds())
 	e.sharer.Close(sharer.Window{
--- a/scheduler/rate.go
+++ b/scheduler/rate.go
@@ -57,6 +57,15 @@
 	return n
 }
 
+// freeSlots returns the number of slots in which further calls could start at once. It is zero at a rate limit, at which a free slot
+// does not mean that a call may start.
+func (s *Scheduler) freeSlots() int {
+	if _, limited := s.pacer.Rate(); limited {
+		return 0
+	}
+	return max(0, s.Limit()-s.busySlots())
+}
+
 // concurrency returns the number of calls that may run at once and the time for which a call holds a slot, as senders should
 // see them. At a rate limit, their quotient is the rate.
 func (s *Scheduler) concurrency(now time.Duration) (int, time.Duration) {
