throttler: reports of spare capacity outlast reportTTL for long calls

With calls of 1.9 s a node has fewer than two answers a second of each host, so that the reports of one full host decided alone: 49 of the 105 refusals in the log were by an admission level of critical 0.00, with hosts at 4 and 6 of 22 slots. A host with free slots reported a capacity of 23, with which the level is above 0.00.

A report whose capacity exceeds its demand now counts for the service time of the host, at most 8 s. Reports without spare capacity count for 500 ms as before. Tried and dropped: all reports for the service time; a node with few answers then refused by reports that were 0.8 s old.

TestRareReports failed before.

--- a/throttler/load.go
+++ b/throttler/load.go
@@ -69,7 +69,8 @@
 
 // reportedLevel returns the admission level that follows from the hosts' reports together. It assumes that hosts
 // without a recent report are in the same state, except for hosts that are avoided because they fail: their capacity
-// counts, and their demand does not, since the other hosts get it.
+// counts, and their demand does not, since the other hosts get it. A report of spare capacity counts for the service time
+// of the host: with calls of seconds, answers are rarer than reportTTL, and the reports of one full host would decide alone.
 func (s *serviceLoad) reportedLevel(now time.Duration, service string) hornbeamcroft.AdmissionLevel {
 	var sum leveler.Leveler
 	for host, r := range s.hosts {
@@ -77,6 +78,8 @@
 		switch {
 		case age < reportTTL:
 			sum.Add(r.load)
+		case age < min(r.load.ServiceTime, avoidedReportTTL) && hasSpareCapacity(r.load):
+			sum.Add(r.load)
 		case age < avoidedReportTTL && r.load.FailureRatio >= avoidThreshold:
 			sum.AddCapacity(r.load)
 		default:
@@ -85,3 +88,12 @@
 	}
 	return sum.AdmissionLevel(service)
 }
+
+// hasSpareCapacity reports whether the capacity of the host exceeds its demand.
+func hasSpareCapacity(l hornbeamcroft.Load) bool {
+	spare := l.Capacity
+	for _, n := range l.Demand {
+		spare -= n
+	}
+	return spare > 0
+}
--- a/throttler/throttler_test.go
+++ b/throttler/throttler_test.go
@@ -76,6 +76,36 @@
 	}
 }
 
+// TestRareReports guards against requests that are refused by the reports of one full host, because the calls take seconds and the hosts
+// with spare capacity have answered none for reportTTL. Neither an older report nor one of a full host counts longer.
+func TestRareReports(t *testing.T) {
+	const longTime = 4 * reportTTL
+	q := Request{Route: "r", Service: "front", Importance: normal}
+	for name, c := range map[string]struct {
+		serviceTime, age time.Duration
+		share            float64
+	}{
+		"long calls":  {longTime, 2 * reportTTL, 1},
+		"old report":  {longTime, longTime, 0.5},
+		"short calls": {reportTTL / 10, 2 * reportTTL, 0.5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var th Throttler
+			free := loadAdmitting(2)
+			free.ServiceTime = c.serviceTime
+			th.Observe(0, Source{Route: "r", Service: "front", Host: "free"}, hornbeamcroft.Answer{Load: free})
+			full := loadAdmitting(0.5)
+			full.ServiceTime = c.serviceTime
+			th.Observe(c.age, Source{Route: "r", Service: "front", Host: "full"}, hornbeamcroft.Answer{Load: full})
+			share, _ := admitted(&th, c.age, q)
+			is.True(near(share, c.share))
+			share, _ = admitted(&th, c.age+reportTTL, q)
+			is.Equal(share, 1.0) // the report of the full host no longer counts
+		})
+	}
+}
+
 // TestCallerRetry guards against a retry by the caller that has no better chance of admission than a first attempt.
 func TestCallerRetry(t *testing.T) {
 	is := is.New(t)
