scheduler: the demand of long calls is averaged over their service time

One call of 1.9 s counts as 19 slots in its window, so that with 5 calls a second the demand varied by more than half of itself, and a burst that fits into the free slots counted as several times the capacity.

The averaging time is now at least the service time. For calls below 0.33 s nothing changes.

TestBurst failed before.

--- a/scheduler/demand.go
+++ b/scheduler/demand.go
@@ -20,7 +20,9 @@
 	// drainTime is the time within which the waiting calls are to be worked off, and free slots to be filled. It holds the wait in a
 	// lasting overload at (targetUtilization - 1) x drainTime, which is 25 ms.
 	drainTime = 500 * time.Millisecond
-	// demandGain is the weight of one window in the smoothed demand, which thus averages over a few windows.
+	// demandGain is the weight of one window in the smoothed demand, which thus averages over a few windows. For calls that take
+	// longer than these, the weight is the window divided by the service time: with few calls in a few windows, the demand would vary
+	// by more than the free slots, although the calls of one service time fit into the slots.
 	demandGain = 0.3
 	// unitsPerSlot is the number of units of reported demand per slot: Load reports hundredths of a slot.
 	unitsPerSlot = 100
@@ -81,7 +83,8 @@
 func (e *demandEstimator) closeWindow(s *Scheduler) {
 	for i := range e.demand {
 		windowDemand := e.arrivedWeight[i] * e.serviceSeconds[i] / demandWindow.Seconds()
-		e.demand[i] += (windowDemand - e.demand[i]) * demandGain
+		gain := min(demandGain, demandWindow.Seconds()/max(e.serviceSeconds[i], demandWindow.Seconds()))
+		e.demand[i] += (windowDemand - e.demand[i]) * gain
 		e.arrivedWeight[i] = 0
 	}
 	// Free slots count against the calls that wait at other upstreams: placement lets calls wait for a short time to stay in their
--- a/scheduler/long_test.go
+++ b/scheduler/long_test.go
@@ -17,8 +17,8 @@
 )
 
 // playLong lets calls arrive at an upstream at a constant rate that keeps the given number of slots busy, and after 10 service times at
-// the rate of another number for one service time. It returns the load at the end.
-func playLong(before, after int) hornbeamcroft.Load {
+// the rate of another number for one service time. At the end, the calls of a burst arrive at once. It returns the load a window later.
+func playLong(before, after, burst int) hornbeamcroft.Load {
 	const step = 10 * time.Millisecond
 	s := &Scheduler{Service: "s", Slots: longSlots}
 	ends := make(map[uint64]time.Duration)
@@ -30,7 +30,7 @@
 			}
 		}
 	}
-	for nextID := uint64(1); now < 11*longTime; now += step {
+	for nextID := uint64(1); now <= 11*longTime+demandWindow; now += step {
 		rate := before
 		if now >= 10*longTime {
 			rate = after
@@ -41,7 +41,11 @@
 				apply(s.Finish(now, id, hornbeamcroft.Sample{ServiceTime: longTime}))
 			}
 		}
-		for arrived += float64(rate) * step.Seconds() / longTime.Seconds(); arrived >= 1; arrived-- {
+		arrived += float64(rate) * step.Seconds() / longTime.Seconds()
+		if now == 11*longTime {
+			arrived += float64(burst)
+		}
+		for ; arrived >= 1; arrived-- {
 			apply(s.Arrive(now, hornbeamcroft.Ticket{ID: nextID, Depth: 1, Importance: hornbeamcroft.ImportanceNormal, Deadline: now + time.Hour}))
 			nextID++
 		}
@@ -62,7 +66,7 @@
 // calls wait at all upstreams, requests are refused.
 func TestFreeSlotsElsewhere(t *testing.T) {
 	is := is.New(t)
-	full, free := playLong(22, 26), playLong(10, 10)
+	full, free := playLong(22, 26, 0), playLong(10, 10, 0)
 	is.True(full.Waiting >= 3)
 	is.True(free.Running <= 11)
 	level := levelOf(full, free)
@@ -72,3 +76,11 @@
 	is.Equal(level.Importance, hornbeamcroft.ImportanceNormal)
 	is.True(level.Threshold < hornbeamcroft.ThresholdAll)
 }
+
+// TestBurst guards against requests that are refused after a burst of calls for which the upstream has free slots.
+func TestBurst(t *testing.T) {
+	is := is.New(t)
+	load := playLong(10, 10, 10)
+	is.Equal(load.Waiting, 0)
+	is.Equal(levelOf(load).Threshold, uint32(hornbeamcroft.ThresholdAll))
+}
