--- a/placer/placer.go
+++ b/placer/placer.go
@@ -3,6 +3,7 @@
 package placer
 
 import (
+	"cmp"
 	"slices"
 	"strings"
 	"time"
@@ -18,6 +19,11 @@
 	// slack of the call: an answer that is earlier than needed is worth no more. Beyond that, the excess is the cost.
 	serviceTimeShare  = 0.8
 	serviceTimeMargin = 2
+	// comparableFactor times the shortest service time of a candidate is the longest one that counts as equal to it. Upstreams smooth
+	// their service times with a gain of 0.05. If the times of single calls vary by their mean, the smoothed times of two equal
+	// upstreams thus differ by 0.23 of it. Without the tolerance, calls of seconds wait at the upstream whose time is the shortest by
+	// chance while others have free slots.
+	comparableFactor = 1.25
 	// crossZoneShare and crossZoneTime determine the time that a call must save to leave the availability zone:
 	// crossZoneTime plus crossZoneShare times the slack. Traffic to another zone is paid for by the byte.
 	crossZoneShare = 0.05
@@ -51,6 +57,9 @@
 	Once bool
 	// Exclude reports whether to skip the member with the given name; it may be nil.
 	Exclude func(name string) bool
+
+	// fastest is the shortest service time of the candidates, as fastestOf returns it.
+	fastest time.Duration
 }
 
 // Placer selects the members for the calls of one service. It is not safe for concurrent use.
@@ -171,7 +180,7 @@
 			break
 		}
 	}
-	r.Slack = max(r.Slack, minSlack)
+	r.Slack, r.fastest = max(r.Slack, minSlack), fastestOf(p.local, p.remote)
 	if p.Even {
 		return p.pickEven(now, rnd, r)
 	}
@@ -251,20 +260,47 @@
 	return m.costAt(busy, limit, r)
 }
 
-// serviceTime returns the service time that the member reported.
-func (m *member) serviceTime() time.Duration {
-	if m.load.ServiceTime <= 0 {
-		return defaultServiceTime
+// fastestOf returns the shortest service time that one of the members has reported, or defaultServiceTime if none has.
+func fastestOf(lists ...[]*member) time.Duration {
+	var fastest time.Duration
+	for _, members := range lists {
+		for _, m := range members {
+			if t := m.load.ServiceTime; t > 0 && (fastest == 0 || t < fastest) {
+				fastest = t
+			}
+		}
+	}
+	return cmp.Or(fastest, defaultServiceTime)
+}
+
+// serviceTime returns the service time that the member has reported. If it has reported nothing, one call goes there to learn it. Until
+// that call ends, and while the member reports no service time, it counts as the fastest candidate: with a shorter time, a node that has
+// just started would get all calls.
+func (m *member) serviceTime(fastest time.Duration) time.Duration {
+	switch {
+	case m.load.ServiceTime > 0:
+		return m.load.ServiceTime
+	case m.outstanding > 0 || m.reportedAt > 0:
+		return fastest
+	}
+	return defaultServiceTime
+}
+
+// comparedServiceTime returns the service time by which the member is compared with other candidates. Only calls longer than
+// reportTTL have the tolerance of comparableFactor: a report that counts then shows mostly calls that still run, so that the free slots
+// are known, while the free slots of shorter calls change faster than reports arrive.
+func (m *member) comparedServiceTime(fastest time.Duration) time.Duration {
+	t := m.serviceTime(fastest)
+	if fastest > reportTTL && float64(t) <= comparableFactor*float64(fastest) {
+		return fastest
 	}
-	return m.load.ServiceTime
+	return t
 }
 
 // costAt returns the cost of sending a call to the member while the given number of its slots is busy.
 func (m *member) costAt(busy, limit int, r Requirements) candidateCost {
-	serviceTime := m.serviceTime()
-	slack := float64(r.Slack)
-	delay := float64(queueDelay(busy, limit, serviceTime))
-	delay += max(0, serviceTimeMargin*float64(serviceTime)-serviceTimeShare*slack)
+	delay := float64(queueDelay(busy, limit, m.serviceTime(r.fastest)))
+	delay += max(0, serviceTimeMargin*float64(m.comparedServiceTime(r.fastest))-serviceTimeShare*float64(r.Slack))
 	delay += m.failureCost(r)
 	return candidateCost{time: time.Duration(delay), utilization: float64(busy) / float64(limit)}
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -116,3 +116,57 @@
 		is.Equal(m.Name, want)
 	}
 }
+
+// longLoad is the load of an upstream whose calls take about as long as the slack of the calls in the tests allows.
+func longLoad(running, waiting int, serviceTime time.Duration) hornbeamcroft.Load {
+	l := load(running, waiting)
+	l.ServiceTime = serviceTime
+	return l
+}
+
+// TestStarted guards against calls that all go to a node which has just started and has reported no service time, where they wait
+// while other members have free slots.
+func TestStarted(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("known", "here"), newMember("started", "here"))
+	f.Report(0, "known", longLoad(4, 0, 1900*time.Millisecond))
+	f.Report(0, "started", longLoad(0, 0, 0))
+	counts := make(map[string]int)
+	for range 16 {
+		name := f.pick(4 * time.Second)
+		f.Start(name)
+		counts[name]++
+	}
+	is.Equal(counts["started"], 10) // all slots of one, and the free slots of the other
+	is.Equal(counts["known"], 6)
+}
+
+// TestComparable guards against calls of seconds that wait at the member whose service time is the shortest by chance, while another has
+// free slots. A member that is slower for certain is avoided, and for short calls the service times count as reported.
+func TestComparable(t *testing.T) {
+	for name, c := range map[string]struct {
+		full, free, slack time.Duration
+		want              string
+	}{
+		"equal":  {1800 * time.Millisecond, 2000 * time.Millisecond, 4 * time.Second, "free"},
+		"slower": {1800 * time.Millisecond, 2400 * time.Millisecond, 4 * time.Second, "full"},
+		"short":  {90 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond, "full"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFixture(newMember("full", "here"), newMember("free", "here"))
+			f.Report(0, "full", longLoad(10, 0, c.full))
+			f.Report(0, "free", longLoad(1, 0, c.free))
+			is.Equal(f.pick(c.slack), c.want)
+		})
+	}
+}
+
+// TestNoServiceTime guards against calls that go to the longer queue of a node which has reported its load but no service time yet.
+func TestNoServiceTime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("known", "here"), newMember("started", "here"))
+	f.Report(0, "known", longLoad(10, 1, 1900*time.Millisecond))
+	f.Report(0, "started", longLoad(10, 5, 0))
+	is.Equal(f.pick(4*time.Second), "known")
+}
