scheduler: no service time is reported before 20 calls have ended

Until 1/serviceTimeGain calls have ended, the estimate is their mean and is not reported; placement then goes by the busy slots.

--- a/message.go
+++ b/message.go
@@ -55,7 +55,7 @@
 	Waiting int `cbor:"2,keyasint,omitempty"`
 	// Limit is the number of calls that may run at once; zero while the upstream accepts none.
 	Limit int `cbor:"3,keyasint"`
-	// ServiceTime is the smoothed time for which a call occupies a slot.
+	// ServiceTime is the smoothed time for which a call occupies a slot; zero while too few calls have ended.
 	ServiceTime time.Duration `cbor:"4,keyasint"`
 	// FailureRatio is the share, in thousandths, of recent calls that failed at the upstream or that it refused.
 	FailureRatio int `cbor:"5,keyasint,omitempty"`
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -273,14 +273,14 @@
 	return cmp.Or(fastest, defaultServiceTime)
 }
 
-// serviceTime returns the service time that the member has reported. If it has reported none, one call goes there to learn it, and
-// until that call ends the member counts as the fastest candidate: with a shorter time, a node that has just started would get all
-// calls until the first of them ends.
+// serviceTime returns the service time that the member has reported. If it has reported nothing, one call goes there to learn it. Until
+// that call ends, and while the member reports no service time, it counts as the fastest candidate: with a shorter time, a node that has
+// just started would get all calls.
 func (m *member) serviceTime(fastest time.Duration) time.Duration {
 	switch {
 	case m.load.ServiceTime > 0:
 		return m.load.ServiceTime
-	case m.outstanding > 0:
+	case m.outstanding > 0 || m.reportedAt > 0:
 		return fastest
 	}
 	return defaultServiceTime
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -161,3 +161,12 @@
 		})
 	}
 }
+
+// TestNoServiceTime guards against calls that go to the longer queue of a node which has reported its load but no service time yet.
+func TestNoServiceTime(t *testing.T) {
+	is := is.New(t)
+	f := newFixture(newMember("known", "here"), newMember("started", "here"))
+	f.Report(0, "known", longLoad(10, 1, 1900*time.Millisecond))
+	f.Report(0, "started", longLoad(10, 5, 0))
+	is.Equal(f.pick(4*time.Second), "known")
+}
--- a/scheduler/estimates.go
+++ b/scheduler/estimates.go
@@ -22,10 +22,9 @@
 	if sample.ServiceTime <= 0 || failed > 0 {
 		return
 	}
-	if s.serviceSeconds == 0 {
-		s.serviceSeconds = sample.ServiceTime.Seconds()
-	}
-	s.serviceSeconds += (sample.ServiceTime.Seconds() - s.serviceSeconds) * serviceTimeGain
+	// Until minSamples, the estimate is the mean.
+	s.samples = min(s.samples+1, minSamples)
+	s.serviceSeconds += (sample.ServiceTime.Seconds() - s.serviceSeconds) / float64(s.samples)
 	s.serviceTimeAt = now
 }
 
--- a/scheduler/long_test.go
+++ b/scheduler/long_test.go
@@ -84,3 +84,22 @@
 	is.Equal(load.Waiting, 0)
 	is.Equal(levelOf(load).Threshold, uint32(hornbeamcroft.ThresholdAll))
 }
+
+// TestFirstCalls guards against a service time that a node reports soon after its start from the shortest calls, which end first: senders
+// would send all calls there. The service time after that must not depend on the very first call either.
+func TestFirstCalls(t *testing.T) {
+	is := is.New(t)
+	s := &Scheduler{Service: "s", Slots: longSlots}
+	for id := range uint64(minSamples) {
+		s.Arrive(0, hornbeamcroft.Ticket{ID: id + 1, Depth: 1, Deadline: time.Hour})
+	}
+	for id := range uint64(minSamples) {
+		is.Equal(s.Load(longTime/2).ServiceTime, time.Duration(0))
+		took := longTime/2 + longTime*time.Duration(id)/(minSamples-1)
+		s.Finish(took, id+1, hornbeamcroft.Sample{ServiceTime: took})
+	}
+	reported := s.Load(2 * longTime).ServiceTime // halves in serviceTimeHalfLife without calls
+	is.True(s.smoothedServiceTime() > longTime*95/100)
+	is.True(s.smoothedServiceTime() < longTime*105/100)
+	is.True(reported > 0)
+}
--- a/scheduler/rate.go
+++ b/scheduler/rate.go
@@ -72,6 +72,9 @@
 	serviceTime := s.serviceTime(now)
 	rate, limited := s.pacer.Rate()
 	if !limited {
+		if s.samples < minSamples {
+			serviceTime = 0
+		}
 		return s.Limit(), serviceTime
 	}
 	limit := max(1, int(math.Ceil(s.capacity(serviceTime))))
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -33,6 +33,9 @@
 	defaultObjective = time.Second
 	// serviceTimeGain is the weight of one call in the smoothed service time, the time for which a call holds a slot.
 	serviceTimeGain = 0.05
+	// minSamples is the number of calls that have ended from which on the service time is reported. The first calls to end are the
+	// shortest: with the service time of these, a node that has just started would get all calls.
+	minSamples = 1 / serviceTimeGain
 	// ageFactor times the mean age of the running calls is a lower bound of their service time. If all calls take the
 	// same time, a running call is on average half done.
 	ageFactor = 1.5
@@ -59,6 +62,8 @@
 	running map[uint64]runningCall
 	// serviceSeconds is the smoothed service time in seconds, failureRatio the smoothed ratio of failed calls, 0 to 1.
 	serviceSeconds, failureRatio float64
+	// samples is the number of calls in serviceSeconds, at most minSamples.
+	samples int
 	// serviceTimeAt is when serviceSeconds was last updated, failureRatioAt when failureRatio was.
 	serviceTimeAt, failureRatioAt time.Duration
 	// startSum is the sum of the start times of the running calls, without those whose answer is presumed lost.
