soak: steps for the findings of the reviews

Change: six kinds of steps, each drawn from its own random numbers: depart-stop and depart-kill (a late heartbeat after a restart of the node), stop-long (requests of up to 5.9 s during a stop), large-answers (bursts of 1 MiB against the memory limit), poison-rolling (requests that crash upstreams while nodes are restarted in turn), corrupt (one byte of a head). New promises: memory (resident memory of a node within memory-mb) and poison (at most three attempts later than 3 s after the third crash); lost also counts long requests that ran and that the node answered itself.

A planned replacement of an upstream now waits for the requests that it runs.

--- a/cmd/hornbeam-soak/hoster/hoster.go
+++ b/cmd/hornbeam-soak/hoster/hoster.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -26,8 +27,8 @@
 	DrainGrace = 2 * time.Second
 	// HeartbeatInterval is the time between two heartbeats of an upstream.
 	HeartbeatInterval = 500 * time.Millisecond
-	// memoryMB is the memory limit in the settings of the node.
-	memoryMB = 256
+	// MemoryMB is the memory limit in the settings of the node.
+	MemoryMB = 256
 	// nodeProcessors limits the processors that a node uses, so that many nodes run on one machine.
 	nodeProcessors = "GOMAXPROCS=2"
 )
@@ -113,7 +114,7 @@
 	fmt.Fprintf(&b, "[agent]\nname = %s\nservice = %s\nzone = %s\n", h.Name, h.Worker.Service, h.Worker.Zone)
 	fmt.Fprintf(&b, "way-in = %s\nlinks = %s\nlinks-announced = %s\n", h.Ingress, h.links, h.LinkProxy.Address())
 	fmt.Fprintf(&b, "announcements = %s\nreadiness = %s\nmetrics = %s\n", h.Announcements, h.Readiness, h.Metrics)
-	fmt.Fprintf(&b, "upstream = %s\nmemory-mb = %d\n%s", h.UpstreamProxy.Address(), memoryMB, h.Settings)
+	fmt.Fprintf(&b, "upstream = %s\nmemory-mb = %d\n%s", h.UpstreamProxy.Address(), MemoryMB, h.Settings)
 	fmt.Fprintf(&b, "[platform-store]\naddress = %s\n", h.StoreProxy.Address())
 	return b.String()
 }
@@ -150,6 +151,21 @@
 	return h.startCount
 }
 
+// ResidentKB returns the resident memory of the process of the node, or 0 if it does not run.
+func (h *Hoster) ResidentKB() int {
+	h.mu.Lock()
+	pid := h.cmd.Process.Pid
+	h.mu.Unlock()
+	data, err := os.ReadFile(filepath.Join("/proc", strconv.Itoa(pid), "status"))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(data), "VmRSS:")
+	kb, _, _ := strings.Cut(strings.TrimSpace(rest), " ")
+	n, _ := strconv.Atoi(kb) // an ended process that nobody has waited for has no such line
+	return n
+}
+
 // Signal sends a signal to the process of the node.
 func (h *Hoster) Signal(s syscall.Signal) {
 	h.mu.Lock()
--- a/cmd/hornbeam-soak/judge/check.go
+++ b/cmd/hornbeam-soak/judge/check.go
@@ -21,6 +21,7 @@
 		j.checkRetries(service, list)
 	}
 	j.checkStatements()
+	j.checkPoison()
 	return j.findings
 }
 
@@ -46,6 +47,9 @@
 	if o.Signed && !o.Complete || o.Status >= 200 && o.Status < 300 && !o.Signed {
 		j.addFinding("whole", s.ID, "answer incomplete or unsigned: status %d, signed %t, complete %t", o.Status, o.Signed, o.Complete)
 	}
+	if s.Type == TypeLong && o.Err == nil {
+		j.checkLong(r)
+	}
 	if o.Err != nil && !o.SentAt.IsZero() {
 		j.checkUnanswered(r)
 	}
--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -49,8 +49,11 @@
 //     leaves reaches that upstream
 //   - limit: an upstream gets at most limitFactor times the rate that it states, and limitAllowance requests, in a
 //     limitWindow, from nodes that have passed on its statement
-//   - lost: each request is answered, also during planned operations; not checked during other disruptions
+//   - lost: each request is answered, also during planned operations; not checked during other disruptions. A long
+//     request (TypeLong) that has run is answered by its upstream
 //   - once: a non-idempotent request runs at most once
+//   - memory: the resident memory of a node stays within its limit
+//   - poison: a request that has crashed crashesToRefuse upstreams reaches at most latePoisonRuns more from settleTime after that
 //   - process: nodes and upstreams can be started, nodes exit only when they are told to, and the configuration can be
 //     encoded
 //   - recovery: at the end of a run, most requests are served again
@@ -73,7 +76,9 @@
 type SentAttempt struct {
 	caller.Attempt
 	Host, Origin, Service string
-	Idempotent            bool
+	// Type is the name of the type of request.
+	Type       string
+	Idempotent bool
 	// FromCaller is true for the request of a caller, and false for a child call of an upstream and for a probe of the
 	// configuration.
 	FromCaller bool
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -73,13 +73,40 @@
 //     node, all of which name no upstream and cannot be read
 var ForeignKinds = []string{"odd-entries"}
 
+// ReviewKinds lists further kinds that faults found in reviews gave rise to. Each has random numbers of its own. Those with the value true
+// are planned operations, or need a run in which nothing else disturbs the nodes, and are drawn for all seeds.
+//   - depart-stop, depart-kill: the upstream deregisters and runs on, and its node is restarted before a late heartbeat arrives
+//   - stop-long: stops the node while requests last nearly as long as the time from SIGTERM to SIGKILL
+//   - large-answers: sends bursts of non-idempotent requests whose answers are large
+//   - poison-rolling: requests that crash upstreams come again and again while the nodes of a service are restarted in turn
+//   - corrupt: the upstream changes one byte in the heads of a share of its answers
+var ReviewKinds = []ReviewKind{
+	{"depart-stop", true},
+	{"depart-kill", false},
+	{"stop-long", true},
+	{"large-answers", true},
+	{"poison-rolling", true},
+	{"corrupt", false},
+}
+
+// ReviewKind is one of ReviewKinds. Always is true if it is drawn for seeds with planned operations only, too.
+type ReviewKind struct {
+	Kind   string
+	Always bool
+}
+
+// firstReviewStream is the number of the stream of random numbers of the first of ReviewKinds.
+const firstReviewStream = 4
+
+// MaxLength is the greatest drawn length of a step.
+const MaxLength = 4 * time.Second
+
 const (
 	// firstStep is when the first step starts. The time before it is for the start of the nodes.
 	firstStep = time.Second
-	// minLength and maxLength bound the drawn length of a step. Steps that consist of a single operation end when the
+	// minLength is the least drawn length of a step. Steps that consist of a single operation end when the
 	// operation is complete, whatever their length.
 	minLength = 300 * time.Millisecond
-	maxLength = 4 * time.Second
 	// plannedOnlyShare is the share of seeds that have planned operations only. All their requests must be answered.
 	plannedOnlyShare = 0.3
 	// seriesShare is the probability with which a drawn step begins a series: one to three more steps on the same host,
@@ -91,6 +118,8 @@
 	statementShare = 0.3
 	departureShare = 0.15
 	foreignShare   = 0.15
+	// reviewShare is the same for each kind of ReviewKinds.
+	reviewShare = 0.04
 )
 
 // Plan returns the steps of a run of the given length on the given number of hosts, in the order of their start. On
@@ -109,7 +138,7 @@
 	for at := firstStep; at < length; {
 		s := Step{
 			At: at, Kind: kinds[rnd.IntN(len(kinds))], Host: rnd.IntN(hosts),
-			Length: minLength + time.Duration(rnd.Float64()*float64(maxLength-minLength)),
+			Length: minLength + time.Duration(rnd.Float64()*float64(MaxLength-minLength)),
 		}
 		steps = append(steps, s)
 		if rnd.Float64() < seriesShare {
@@ -126,6 +155,11 @@
 		steps = append(steps, planFurther(seed, 2, DepartureKinds, hosts, length, perSecond*departureShare)...)
 	}
 	steps = append(steps, planFurther(seed, 3, ForeignKinds, hosts, length, perSecond*foreignShare)...)
+	for i, k := range ReviewKinds {
+		if k.Always || len(kinds) > len(PlannedKinds) {
+			steps = append(steps, planReview(seed, firstReviewStream+uint64(i), k.Kind, hosts, length, perSecond*reviewShare)...)
+		}
+	}
 	slices.SortStableFunc(steps, func(a, b Step) int { return int(a.At - b.At) })
 	return steps
 }
@@ -133,13 +167,29 @@
 // planFurther returns the steps of further kinds. They have random numbers of their own, from the stream with the given number,
 // so that the other steps of a seed do not depend on them.
 func planFurther(seed, stream uint64, kinds []string, hosts int, length time.Duration, perSecond float64) []Step {
+	return planFrom(firstStep, rand.New(rand.NewPCG(seed, stream)), kinds, hosts, length, perSecond)
+}
+
+// planReview returns the steps of one kind of ReviewKinds. Unlike planFurther it draws the start of the first one, so that most seeds have
+// few of the kinds, which take long.
+func planReview(seed, stream uint64, kind string, hosts int, length time.Duration, perSecond float64) []Step {
 	rnd := rand.New(rand.NewPCG(seed, stream))
+	return planFrom(firstStep+nextAfter(rnd, perSecond), rnd, []string{kind}, hosts, length, perSecond)
+}
+
+// planFrom returns the steps of the kinds, of which the first starts at the given time.
+func planFrom(at time.Duration, rnd *rand.Rand, kinds []string, hosts int, length time.Duration, perSecond float64) []Step {
 	var steps []Step
-	for at := firstStep; at < length; at += time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second)) {
+	for ; at < length; at += nextAfter(rnd, perSecond) {
 		steps = append(steps, Step{
 			At: at, Kind: kinds[rnd.IntN(len(kinds))], Host: rnd.IntN(hosts),
-			Length: minLength + time.Duration(rnd.Float64()*float64(maxLength-minLength)),
+			Length: minLength + time.Duration(rnd.Float64()*float64(MaxLength-minLength)),
 		})
 	}
 	return steps
 }
+
+// nextAfter draws the time between two steps of which perSecond start per second on average.
+func nextAfter(rnd *rand.Rand, perSecond float64) time.Duration {
+	return time.Duration(rnd.ExpFloat64() / perSecond * float64(time.Second))
+}
--- a/cmd/hornbeam-soak/soaker/routes.go
+++ b/cmd/hornbeam-soak/soaker/routes.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"hornbeamcroft/cmd/hornbeam-soak/hoster"
+	"hornbeamcroft/cmd/hornbeam-soak/judge"
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/operator"
 	"hornbeamcroft/platform/standin/storeserver"
@@ -31,6 +32,10 @@
 	"order":   {"order", http.MethodPost, "front", false, 0, 3 * time.Second, time.Second},
 	"deposit": {"deposit", http.MethodPost, "deep", false, 1, 2 * time.Second, 300 * time.Millisecond},
 	"audit":   {"audit", http.MethodGet, "deep", true, 1, 2 * time.Second, 300 * time.Millisecond},
+	// The following are sent by steps only.
+	judge.TypeLong:   {judge.TypeLong, http.MethodPost, "front", false, 1, 9 * time.Second, 8 * time.Second},
+	judge.TypePoison: {judge.TypePoison, http.MethodGet, "front", true, 1, 3 * time.Second, time.Second},
+	"statement":      {"statement", http.MethodPost, "deep", false, 1, 6 * time.Second, 2 * time.Second},
 }
 
 // longDeadline and longObjective are those of all requests if Soaker.Work is set.
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -100,6 +100,7 @@
 	for _, h := range s.hosts {
 		traffic.Go(func() { s.sendHeartbeats(ctx, h) })
 		traffic.Go(func() { s.probeConfiguration(ctx, h) })
+		traffic.Go(func() { s.watchMemory(ctx, h) })
 		for range s.Callers {
 			traffic.Go(func() { s.runCaller(ctx, h) })
 		}
@@ -184,7 +185,7 @@
 	}
 	h.Worker = &worker.Worker{
 		Service: serviceOf(i), Zone: "zone-" + strconv.Itoa(i%2), Slots: 24, Work: cmp.Or(s.Work, defaultWork),
-		OnArrival: s.judge.AddArrival, OnRun: s.judge.AddRun, OnCrash: func() {},
+		OnArrival: s.judge.AddArrival, OnRun: s.judge.AddRun, OnCrash: func() {}, Poison: poisonTarget, WorkOf: longWorkOf,
 	}
 	if s.Work == 0 {
 		h.Worker.Calls = map[string]int{"order": 2, "lookup": 1}
@@ -275,15 +276,22 @@
 
 // send sends one attempt to the node of the host, and adds the attempt and its outcome to the judge.
 func (s *Soaker) send(c *caller.Caller, h *hoster.Hoster, rt requestType, id string, remaining time.Duration, fromCaller bool,
+) caller.Outcome {
+	return s.sendTarget(c, h, rt, "/"+rt.name+"/"+id, id, remaining, fromCaller)
+}
+
+// sendTarget is send with the given target.
+func (s *Soaker) sendTarget(
+	c *caller.Caller, h *hoster.Hoster, rt requestType, target, id string, remaining time.Duration, fromCaller bool,
 ) caller.Outcome {
 	a := caller.Attempt{
-		ID: id, Method: rt.method, Host: routeHost, Target: "/" + rt.name + "/" + id, Remaining: remaining,
+		ID: id, Method: rt.method, Host: routeHost, Target: target, Remaining: remaining,
 	}
 	if rt.method == http.MethodPost {
 		a.Body = "body of " + id
 	}
 	s.judge.AddSent(judge.SentAttempt{
-		Attempt: a, Host: h.Name, Origin: h.Worker.Service, Service: rt.service, Idempotent: rt.idempotent,
+		Attempt: a, Host: h.Name, Origin: h.Worker.Service, Service: rt.service, Type: rt.name, Idempotent: rt.idempotent,
 		FromCaller: fromCaller, At: time.Now(),
 	})
 	o := c.Send(a)
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -21,8 +22,6 @@
 	// lingerTime is how much longer than hoster.DrainGrace a draining upstream runs. A request that it receives in this
 	// time breaks the promise "drain" of package judge.
 	lingerTime = 500 * time.Millisecond
-	// departedTime is how long an upstream runs after it has begun to deregister.
-	departedTime = 10 * time.Second
 	// killShare is the probability with which a step "kill-many" kills each node.
 	killShare = 0.6
 	// statedLimit is the number of requests per second that an upstream states in a step "limit", and limitLength is the length
@@ -35,6 +34,9 @@
 	rewriteDelay = 300 * time.Millisecond
 )
 
+// everywhereKinds are the kinds of steps, besides storeFaults, that are not limited to one host.
+var everywhereKinds = []string{"store-compact", "store-restore", "kill-many", "refuse-all", judge.KindPoison}
+
 // storeFaults are the faults of the store by kind of step.
 var storeFaults = map[string]storeserver.Faults{
 	"store-busy":   {Busy: true},
@@ -53,6 +55,7 @@
 	"refuse-all": {Refuse: 0.8},
 	"lose":       {Lose: 0.3},
 	"truncate":   {Truncate: 0.2},
+	"corrupt":    {Corrupt: 0.25},
 }
 
 // proxyModes are the modes of a proxy by kind of step. proxyOf selects the proxy.
@@ -72,10 +75,11 @@
 	h := s.hosts[p.Host]
 	d := judge.Disruption{Kind: p.Kind, Host: h.Name, Store: strings.HasPrefix(p.Kind, "store-")}
 	switch p.Kind {
-	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "odd-entries":
+	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "odd-entries",
+		"depart-stop", "depart-kill", "stop-long", "large-answers":
 		d.Planned = true
 	}
-	if _, ok := storeFaults[p.Kind]; ok || p.Kind == "store-compact" || p.Kind == "store-restore" || p.Kind == "kill-many" || p.Kind == "refuse-all" {
+	if _, ok := storeFaults[p.Kind]; ok || slices.Contains(everywhereKinds, p.Kind) {
 		d.Host = ""
 	}
 	end := s.judge.BeginDisruption(d)
@@ -168,6 +172,14 @@
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{}) })
 	case "depart-healthy":
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{Healthy: true}) })
+	case "depart-stop", "depart-kill":
+		s.departWithRestart(p, h)
+	case "stop-long":
+		s.exclusive(h, func() { s.stopDuringLong(p, h) })
+	case "large-answers":
+		s.sendLarge()
+	case judge.KindPoison:
+		s.exclusive(judge.KindPoison, func() { s.rollWithPoison(p) })
 	case "odd-entries":
 		s.writeOddEntries(h)
 	case "leave":
@@ -233,6 +245,10 @@
 	h.Worker.Drain()
 	s.awaitDrain(h, h.Worker.Announce)
 	time.Sleep(hoster.DrainGrace + lingerTime)
+	// Long requests that it took before are not cut off by a planned replacement.
+	for limit := time.Now().Add(maxLong); h.Worker.Busy() > 0 && time.Now().Before(limit); {
+		time.Sleep(upstreamInterval)
+	}
 	// The error is ignored: the node may be down, and the upstream ends in any case.
 	_ = h.Worker.Depart(h.Announcements)
 	h.Worker.Crash()
@@ -249,33 +265,6 @@
 	}
 }
 
-// departUpstream lets the upstream deregister and go on running. The heartbeat that it sent before arrives late. Then a new
-// instance starts at the same address.
-func (s *Soaker) departUpstream(h *hoster.Hoster, late time.Duration, f worker.Faults) {
-	end := time.Now().Add(departedTime)
-	h.Worker.SetFaults(f)
-	heartbeat := h.Worker.Heartbeat()
-	arrives := time.Now().Add(late)
-	h.Worker.Drain()
-	s.awaitDrain(h, h.Worker.Depart)
-	time.Sleep(time.Until(arrives))
-	// The error is ignored: a late heartbeat has no effect, or the node is down.
-	_ = heartbeat(h.Announcements)
-	time.Sleep(time.Until(end))
-	h.Worker.Crash()
-	h.Worker.SetFaults(worker.Faults{})
-	s.startWorker(h)
-}
-
-// leaveUnannounced lets the upstream state in its answers that it leaves, and starts a new instance at the same address.
-func (s *Soaker) leaveUnannounced(h *hoster.Hoster) {
-	h.Worker.SetFaults(worker.Faults{Leaving: true})
-	time.Sleep(hoster.DrainGrace + 2*lingerTime)
-	h.Worker.Crash()
-	h.Worker.SetFaults(worker.Faults{})
-	s.startWorker(h)
-}
-
 // restoreStore takes the store away for the given time and brings it back from an older copy.
 func (s *Soaker) restoreStore(length time.Duration) {
 	s.store.SetFaults(storeserver.Faults{Silent: true})
