--- a/cmd/hornbeam-soak/soak_test.go
+++ b/cmd/hornbeam-soak/soak_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -16,6 +17,7 @@
 	"github.com/rogpeppe/go-internal/txtar"
 
 	"hornbeamcroft/cmd/hornbeam-soak/judge"
+	"hornbeamcroft/cmd/hornbeam-soak/planner"
 	"hornbeamcroft/cmd/hornbeam-soak/soaker"
 )
 
@@ -26,12 +28,15 @@
 
 const (
 	// shortLength is the time during which steps start in CI, and fullLength the same with -all-seeds or -mutants.
-	shortLength = 6 * time.Second
-	fullLength  = 12 * time.Second
+	shortLength    = 6 * time.Second
+	fullLength     = 12 * time.Second
+	soakHosts      = 5
+	stepsPerSecond = 0.7
 	// shortSeeds is the number of seeds that CI runs.
 	shortSeeds = 2
-	// mutantSeeds is the number of seeds within which a mutant must be detected.
-	mutantSeeds = 12
+	// mutantSeeds is the number of seeds within which a mutant must be detected, and mutantStepSeeds the same for a mutant whose file
+	// names a kind of step. Seeds without a step of that kind are not run.
+	mutantSeeds, mutantStepSeeds = 12, 50
 )
 
 // TestSeeds guards against promises that are broken under faults. It runs seeds that broke one before, and some others.
@@ -63,17 +68,19 @@
 	}
 	for _, file := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
-			overlay, promise := mutate(t, file)
+			overlay, m := mutate(t, file)
 			node := build(t, overlay)
-			for seed := range uint64(mutantSeeds) {
-				for _, f := range runSoak(t, node, seed+1, fullLength) {
-					if f.Promise == promise {
-						t.Logf("seed %d: %s %s", seed+1, f.Promise, f.Text)
+			seeds := m.seeds()
+			for _, seed := range seeds {
+				begin := time.Now()
+				for _, f := range runSoak(t, node, seed, fullLength) {
+					if f.Promise == m.promise {
+						t.Logf("seed %d of %v, %s: %s %s", seed, seeds, time.Since(begin).Round(time.Second), f.Promise, f.Text)
 						return
 					}
 				}
 			}
-			t.Errorf("%d seeds have no finding of promise %q", mutantSeeds, promise)
+			t.Errorf("the seeds %v have no finding of promise %q", seeds, m.promise)
 		})
 	}
 }
@@ -93,7 +100,7 @@
 func runSoak(t *testing.T, node string, seed uint64, length time.Duration) []judge.Finding {
 	t.Helper()
 	s := &soaker.Soaker{
-		Seed: seed, Hosts: 5, Callers: 3, Length: length, StepsPerSecond: 0.7, Program: node, Folder: t.TempDir(),
+		Seed: seed, Hosts: soakHosts, Callers: 3, Length: length, StepsPerSecond: stepsPerSecond, Program: node, Folder: t.TempDir(),
 	}
 	r, err := s.Run()
 	if err != nil {
@@ -113,9 +120,27 @@
 	return program
 }
 
-// mutate returns the arguments of go build that build the mutant described in the file, and the promise that the mutant
-// breaks.
-func mutate(t *testing.T, file string) ([]string, string) {
+// mutant names the promise that a mutant breaks, and the kind of step that a seed must have to detect it; empty for any.
+type mutant struct{ promise, step string }
+
+// seeds returns the seeds within which the mutant must be detected.
+func (m mutant) seeds() []uint64 {
+	n := uint64(mutantSeeds)
+	if m.step != "" {
+		n = mutantStepSeeds
+	}
+	var seeds []uint64
+	for seed := uint64(1); seed <= n; seed++ {
+		plan := planner.Plan(seed, soakHosts, fullLength, stepsPerSecond)
+		if m.step == "" || slices.ContainsFunc(plan, func(s planner.Step) bool { return s.Kind == m.step }) {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
+// mutate returns the arguments of go build that build the mutant described in the file, and the mutant.
+func mutate(t *testing.T, file string) ([]string, mutant) {
 	t.Helper()
 	is := is.New(t)
 	archive, err := txtar.ParseFile(file)
@@ -138,7 +163,7 @@
 	is.NoErr(err)
 	list := filepath.Join(t.TempDir(), "overlay.json")
 	is.NoErr(os.WriteFile(list, overlay, 0o600))
-	return []string{"-overlay", list}, fields["promise"]
+	return []string{"-overlay", list}, mutant{fields["promise"], fields["step"]}
 }
 
 // fileText returns the content of a file of the archive without the newline at its end.
