--- a/agent/components.go
+++ b/agent/components.go
@@ -88,7 +88,8 @@
 			a.Log.Info().Int64("revision", revision).Msg("enroller: record written")
 			a.setQuotaListed(true, revision)
 		},
-		Clock: a.proof.clock, Interval: a.renewInterval, OnHeld: a.onRecordRenewed, OnStored: a.onRecordStored, OnFound: a.onRecordFound, Keep: a.keepsRecord,
+		Clock: a.proof.clock, Interval: a.renewInterval, OnHeld: a.onRecordRenewed,
+		OnStored: a.onRecordStored, OnFound: a.onRecordFound, Keep: a.keepsRecord,
 	}
 }
 
--- a/agent/quotahome.go
+++ b/agent/quotahome.go
@@ -231,7 +231,7 @@
 	}
 	a.quotas.mu.Lock()
 	defer a.quotas.mu.Unlock()
-	a.quotas.borrower.SetLost(a.quotaNow(), peer)
+	a.quotas.borrower.SetUnlinked(a.quotaNow(), peer)
 }
 
 // onQuotaLink sends what waits for a node to which a link was opened.
--- a/agent/quotatenure.go
+++ b/agent/quotatenure.go
@@ -9,8 +9,8 @@
 	"hornbeamcroft/lender"
 )
 
-// homeRenewInterval is the time between two renewals of the lease of a home of tenants: the less it is, the longer the record outlives
-// the last contact with the store.
+// homeRenewInterval is the time between two renewals of the lease of a home of tenants. With 9 s of rejection by the store and 1.3 s until
+// the node notices its end, it stays below lender.MaxRecordAge.
 const homeRenewInterval = time.Second
 
 // renewInterval returns the time between two renewals of the lease of this node's record.
@@ -96,7 +96,7 @@
 	q.mu.Lock()
 	now := a.quotaNow()
 	recorded, pause := q.lender.HasRecord(now), q.lender.Pause(now)
-	wake := q.borrower.NeedsList(now) || q.lender.NeedsList(now) && now-q.woke >= wakeListInterval
+	wake := q.borrower.TakeDueList(now) || q.lender.NeedsList(now) && now-q.woke >= wakeListInterval
 	if wake {
 		q.woke = now
 	}
--- a/borrower/asking.go
+++ b/borrower/asking.go
@@ -67,33 +67,33 @@
 
 // SetLinked records that a link to a home was opened. Requests sent to it before are lost.
 func (b *Borrower) SetLinked(name string) {
-	delete(b.lost, name)
+	delete(b.unlinkedSince, name)
 	if h := b.homes[name]; h != nil {
 		h.inFlight = false
 	}
 }
 
-// lapseTime is the time after the loss of the link to a home from when on a list shows that its record has lapsed, if the host is lost.
+// lapseTime after the last link to a lost home has ended, a list no longer shows its record.
 const lapseTime = hornbeamcroft.RecordLease + hornbeamcroft.MaxListStaleness
 
-// SetLost records that the last link to a node has ended.
-func (b *Borrower) SetLost(now time.Duration, name string) {
+// SetUnlinked records that the last link to a node has ended, if the node is home of a tenant.
+func (b *Borrower) SetUnlinked(now time.Duration, name string) {
 	if !slices.ContainsFunc(b.ordered, func(a *account) bool { return a.home == name }) {
 		return
 	}
-	if b.lost == nil {
-		b.lost = make(map[string]time.Duration)
+	if b.unlinkedSince == nil {
+		b.unlinkedSince = make(map[string]time.Duration)
 	}
-	b.lost[name] = now
+	b.unlinkedSince[name] = now
 }
 
-// NeedsList reports, once for each home that was lost, that a list of members would show by now whether its record has lapsed. Without
+// TakeDueList reports, once for each home without a link, that a list of members would show by now whether its record has lapsed. Without
 // it, the next home would be known up to 4 s later, when the next list is due.
-func (b *Borrower) NeedsList(now time.Duration) bool {
+func (b *Borrower) TakeDueList(now time.Duration) bool {
 	needed := false
-	for name, at := range b.lost {
+	for name, at := range b.unlinkedSince {
 		if now-at >= lapseTime {
-			delete(b.lost, name)
+			delete(b.unlinkedSince, name)
 			needed = true
 		}
 	}
--- a/borrower/borrower.go
+++ b/borrower/borrower.go
@@ -60,8 +60,8 @@
 	ordered []*account
 	// homes holds the requests in flight by home.
 	homes map[string]*home
-	// lost holds since when there has been no link to a home to which there was one.
-	lost map[string]time.Duration
+	// unlinkedSince is the time since which a home has had no link, for homes that had one.
+	unlinkedSince map[string]time.Duration
 	// lastAsked is the time of asking of the last request; it rises with each.
 	lastAsked time.Duration
 	lastID    uint64
@@ -129,9 +129,9 @@
 			delete(b.homes, name)
 		}
 	}
-	for name := range b.lost {
+	for name := range b.unlinkedSince {
 		if !inUse[name] {
-			delete(b.lost, name)
+			delete(b.unlinkedSince, name)
 		}
 	}
 }
--- a/borrower/records_test.go
+++ b/borrower/records_test.go
@@ -63,7 +63,7 @@
 		}
 		n.renew()
 	}
-	woken := n.b.NeedsList(n.now) || n.l.NeedsList(n.now) && n.now-n.wokeAt >= 300*time.Millisecond
+	woken := n.b.TakeDueList(n.now) || n.l.NeedsList(n.now) && n.now-n.wokeAt >= 300*time.Millisecond
 	if woken {
 		n.wokeAt = n.now
 	}
@@ -118,7 +118,7 @@
 func (n *node) isLinked(name string) bool {
 	if n.linked[name] && n.peer(name) == nil {
 		delete(n.linked, name)
-		n.b.SetLost(n.now, name)
+		n.b.SetUnlinked(n.now, name)
 	}
 	return n.linked[name]
 }
--- a/courier/hedge.go
+++ b/courier/hedge.go
@@ -91,7 +91,7 @@
 	answer := make(chan hornbeamcroft.Answer, 1)
 	h.retry, h.cancelRetry, h.answer = retry, cancel, answer
 	go func() {
-		a := retry.placeRetry(ctx, host, call)
+		a := retry.deliverRetry(ctx, host, call)
 		if succeeded(a) {
 			h.onRetrySucceeded()
 		}
@@ -99,26 +99,28 @@
 	}()
 }
 
-// minPlacementInterval is the time after which a granted retry that no host took is offered again. It doubles each time.
-const minPlacementInterval = 50 * time.Millisecond
+// minRetryBackoff is the time after which a granted retry that all hosts refused is sent again. It doubles each time, so that a service
+// without capacity gets few such calls while the run goes on.
+const minRetryBackoff = 50 * time.Millisecond
 
-// placeRetry delivers a granted retry of a call that runs on the host, and offers it again while no host takes it: the answer of the run
-// may be lost, and the retry budget has been charged.
-func (d *delivery) placeRetry(ctx context.Context, host string, call hornbeamcroft.Call) hornbeamcroft.Answer {
+// deliverRetry delivers a granted retry of a call that runs on the host, and sends it again while all hosts refuse it: the answer
+// of the run may be lost, and the retry budget has been charged.
+func (d *delivery) deliverRetry(ctx context.Context, host string, call hornbeamcroft.Call) hornbeamcroft.Answer {
 	runs := len(d.mayHaveRunOn)
-	interval := minPlacementInterval
+	backoff := minRetryBackoff
 	for {
 		a := d.sendUntilFinal(ctx, call)
-		if len(d.mayHaveRunOn) > runs || len(d.rec.Hosts) >= maxSends || !sleeper.Sleep(ctx, interval) {
+		if len(d.mayHaveRunOn) > runs || len(d.rec.Hosts) >= maxSends || !sleeper.Sleep(ctx, backoff) {
 			return a
 		}
 		d.tried = []string{host}
-		interval *= 2
+		backoff *= 2
 	}
 }
 
-// awaitRetry waits for the end of the retry, which it cancels if the run has succeeded, and returns the better answer of both. The
-// delivery takes over the record of the retry.
+// awaitRetry waits for the end of the retry, which it cancels if the run has succeeded. It returns the answer of the run if that succeeded,
+// or if it is the upstream's and the retry did not succeed, and otherwise the answer of the retry. The delivery takes over the record of
+// the retry.
 func (d *delivery) awaitRetry(h *hedge, run hornbeamcroft.Answer) hornbeamcroft.Answer {
 	streamLost := run.Stream != nil && h.runCanceled
 	runSucceeded := succeeded(run) && !streamLost
@@ -126,7 +128,7 @@
 		h.cancelRetry()
 	}
 	a := <-h.answer
-	at := len(d.rec.Codes)
+	at := len(d.rec.Codes) // beginRetry recorded the run there with CodeOutcomeUnknown; its code is known now
 	d.rec, d.tried, d.mayHaveRunOn = h.retry.rec, h.retry.tried, h.retry.mayHaveRunOn
 	d.rec.Codes[at] = run.Code
 	if runSucceeded || !streamLost && !succeeded(a) && run.Code == hornbeamcroft.CodeAnswered {
--- a/enroller/enroller.go
+++ b/enroller/enroller.go
@@ -48,7 +48,7 @@
 	// OnFound is called with the record of an earlier process before it is replaced, and with nil if the store holds no record; it may be
 	// nil. If it calls Set, the new record is the one that is written.
 	OnFound func(value []byte)
-	// Interval returns the time between two renewals; if it is nil, that is 2.25 s.
+	// Interval returns the time between two renewals; if it is nil, that is RenewInterval.
 	Interval func() time.Duration
 	// Keep reports at the end of Run whether the record stays in the store until its lease expires; it may be nil.
 	Keep func() bool
--- a/lender/bucket.go
+++ b/lender/bucket.go
@@ -34,9 +34,9 @@
 	// since is when this node became home or had to settle again, and started is set when it lends from then on.
 	since   time.Duration
 	started bool
-	// next holds the members that were next in line since the bucket settles, the present one at the end.
+	// next holds the members that were next in line since settling began, the present one at the end.
 	next []string
-	// acknowledged is set when these know this home, and acknowledgedAt is since when.
+	// acknowledged is set once all of next know this home; acknowledgedAt is when that became true.
 	acknowledged   bool
 	acknowledgedAt time.Duration
 	// loans holds what is lent, ordered by borrower.
--- a/lender/lender.go
+++ b/lender/lender.go
@@ -130,9 +130,8 @@
 	return max(1, q.Burst+tolerancePart*tolerance)
 }
 
-// SetNext records the node that is next in line for the tenant, and which nodes are members. All that were next in line since the tenant
-// settles must know this home: a home that one of them was before may have no contact with the store, and not know the node that has come
-// between them.
+// SetNext records the node that is next in line for the tenant, and forgets those that were and are no members any more. All that were next
+// in line since settling began must know this home: one of them may have been home before and, without contact with the store, still lend.
 func (l *Lender) SetNext(now time.Duration, tenant, next string, isMember func(name string) bool) {
 	b := l.buckets[tenant]
 	if b == nil {
@@ -149,7 +148,7 @@
 	}
 }
 
-// Next returns the nodes that must know this home before it lends soon.
+// Next returns the nodes that must know this home before it may lend without the wait of unseenTime.
 func (l *Lender) Next(tenant string) []string {
 	if b := l.buckets[tenant]; b != nil {
 		return b.next
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -11,8 +11,8 @@
 	serviceTimeShare  = 0.8
 	serviceTimeMargin = 2
 	// comparableFactor times the shortest service time of a candidate is the longest one that counts as equal to it. Upstreams smooth
-	// their service times with a gain of 0.05. If the times of single calls vary by their mean, the smoothed times of two equal
-	// upstreams thus differ by 0.23 of it. Without the tolerance, calls of seconds wait at the upstream whose time is the shortest by
+	// their service times with a gain of 0.05. If the times of single calls vary by their mean, the standard deviation of the difference
+	// of two smoothed times is 0.23 of it. Without the tolerance, calls of seconds wait at the upstream whose time is the shortest by
 	// chance while others have free slots.
 	comparableFactor = 1.25
 	// The cost of an upstream that fails calls is a share of the slack: failingCostFactor times the share of failed calls
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -270,7 +270,7 @@
 	serviceCalls := r.endRun(id, run, call, res)
 	sample := schedulerSample(res, rec.ServiceTime, len(serviceCalls) > 0)
 	if grant == grantBesideRun && res.Outcome == exchanger.OutcomeContextEnded {
-		sample = hornbeamcroft.Sample{ServiceTime: rec.ServiceTime, Failed: true} // the retry was answered first, or none was
+		sample = hornbeamcroft.Sample{ServiceTime: rec.ServiceTime, Failed: true} // failed at its time so far, whatever ended it
 	}
 	r.finish(id, sample)
 	if res.Outcome == exchanger.OutcomeWrongInstance {
--- a/runner/timeout.go
+++ b/runner/timeout.go
@@ -27,7 +27,7 @@
 type retryGrant uint8
 
 const (
-	// noGrant means that no retry was granted.
+	// noGrant means that the sender has not been granted a retry at the attempt timeout.
 	noGrant retryGrant = iota
 	// grantInAnswer means that the run was aborted and that its answer grants the retry.
 	grantInAnswer
