--- a/runner/outcome.go
+++ b/runner/outcome.go
@@ -10,6 +10,18 @@
 	"hornbeamcroft/rationer"
 )
 
+// grantsRetry reports whether the answer grants a retry of the call, which may have been granted at the attempt timeout. A failure repeats
+// a grant that was sent beside the run, because the answer may overtake it; a sender that has received it ignores the second one.
+func (r *Runner) grantsRetry(grant retryGrant, call hornbeamcroft.Call, a hornbeamcroft.Answer) bool {
+	switch grant {
+	case grantInAnswer:
+		return true
+	case grantBesideRun:
+		return a.Code != hornbeamcroft.CodeAnswered || a.Status >= 500
+	}
+	return r.grantRetry(call, a)
+}
+
 // grantRetry reports whether the sender may retry the call after the answer. If so, it has spent a retry from the retry
 // budget.
 func (r *Runner) grantRetry(call hornbeamcroft.Call, a hornbeamcroft.Answer) bool {
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -261,7 +261,7 @@
 	rec.Outcome, rec.Err = res.Outcome, res.Err
 	if res.Stream != nil {
 		a := r.startStream(ctx, &runStream{id: id, run: run, call: call, started: started, result: res}, to)
-		a.RetryGranted = grant == noGrant && r.grantRetry(call, a)
+		a.RetryGranted = grant != grantInAnswer && r.grantsRetry(grant, call, a)
 		return a
 	}
 	if grant != grantInAnswer && (res.Outcome == exchanger.OutcomeLost || res.Outcome == exchanger.OutcomeNotSent) {
@@ -279,6 +279,6 @@
 	r.reportStatement(to, res.Statement)
 	a := answerForResult(ctx, res)
 	a.ServiceCalls = serviceCalls
-	a.RetryGranted = grant == grantInAnswer || grant == noGrant && r.grantRetry(call, a)
+	a.RetryGranted = r.grantsRetry(grant, call, a)
 	return a
 }
--- a/runner/timeout.go
+++ b/runner/timeout.go
@@ -122,10 +122,13 @@
 	decisions, presumedLost := t.r.scheduler.PresumeLost(now, t.id)
 	t.r.deliverDecisions(decisions)
 	switch {
-	case t.canRetry(now) && t.r.spendRetry(t.call, true):
+	case t.err == nil && t.canRetry(now) && t.r.spendRetry(t.call, true):
 		t.err = &AttemptTimeoutError{OwnTime: ownTime, Timeout: t.timeout}
 		t.grantRetry()
-	case t.canRetry(now):
+		if !presumedLost {
+			t.timer.Reset(t.timeout / timeoutDivisor) // the run may go on and hold its slot
+		}
+	case t.err == nil && t.canRetry(now):
 		// The retry budget did not allow the retry. It counts each call of spendRetry as demand for retries, so the next
 		// call follows only after another whole timeout.
 		t.timer.Reset(t.timeout)
--- a/tracer/tracer.go
+++ b/tracer/tracer.go
@@ -3,6 +3,7 @@
 package tracer
 
 import (
+	"slices"
 	"strings"
 	"time"
 
@@ -51,10 +52,13 @@
 // Tracer holds the running requests by attempt id. It is not safe for concurrent use.
 type Tracer struct {
 	runs map[string]*Run
+	// repeats holds the further running requests with the attempt id of one in runs, in order of their start: retries beside a run that
+	// goes on.
+	repeats map[string][]*Run
 }
 
-// Open records that a request starts at the upstream. If a running request has the same attempt id, Open returns the
-// new Run without recording it, and Parent goes on finding the earlier one.
+// Open records that a request starts at the upstream. If a running request has the same attempt id, Parent goes on finding the
+// earlier one until it is closed.
 func (t *Tracer) Open(r Run) *Run {
 	if t.runs == nil {
 		t.runs = make(map[string]*Run)
@@ -63,14 +67,28 @@
 	run.activeSince = run.Started
 	if _, exists := t.runs[r.Attempt]; !exists {
 		t.runs[r.Attempt] = run
+		return run
 	}
+	if t.repeats == nil {
+		t.repeats = make(map[string][]*Run)
+	}
+	t.repeats[r.Attempt] = append(t.repeats[r.Attempt], run)
 	return run
 }
 
 // Close removes a request and returns the number of calls to each service that it made, at any depth.
 func (t *Tracer) Close(r *Run) []hornbeamcroft.ServiceCalls {
+	repeats := slices.DeleteFunc(t.repeats[r.Attempt], func(other *Run) bool { return other == r })
 	if t.runs[r.Attempt] == r {
 		delete(t.runs, r.Attempt)
+		if len(repeats) > 0 {
+			t.runs[r.Attempt], repeats = repeats[0], repeats[1:]
+		}
+	}
+	if len(repeats) > 0 {
+		t.repeats[r.Attempt] = repeats
+	} else {
+		delete(t.repeats, r.Attempt)
 	}
 	return r.ServiceCalls()
 }
--- a/tracer/tracer_test.go
+++ b/tracer/tracer_test.go
@@ -47,3 +47,18 @@
 	tr.ChildEnded(r, 70, "deep", nil)
 	check(72, 7, false)
 }
+
+// TestParentOfRepeat guards against child calls of a retry that find no parent because the run beside it has ended.
+func TestParentOfRepeat(t *testing.T) {
+	is := is.New(t)
+	var tr Tracer
+	first, second, third := tr.Open(Run{Attempt: "a"}), tr.Open(Run{Attempt: "a"}), tr.Open(Run{Attempt: "a"})
+	is.Equal(tr.Parent("a.1"), first)
+	tr.Close(second)
+	is.Equal(tr.Parent("a.1"), first)
+	tr.Close(first)
+	is.Equal(tr.Parent("a.1"), third)
+	tr.Close(third)
+	is.Equal(tr.Parent("a.1"), nil)
+	is.Equal(len(tr.repeats), 0)
+}
