courier: a hedged request ends with the upstream's failure, within its sends, and harms no host

The retry now ends with the answer of the run unless a host has it; and it is sent again only after a host refused it, not after an upstream did, which needs another grant. - TestSendsBeyondMaximum: a grant on the last send made nine sends of eight. - TestCancelledRetryHarmsHost: a retry that was cancelled while its link was being opened made its host unreachable for 500 ms.

--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -21,6 +21,8 @@
 	// mayHaveRunOn are the hosts on which the call may have run, with one entry for each such send. It names at most
 	// Route.MaxAttempts different hosts.
 	mayHaveRunOn []string
+	// hedge is set if this is the delivery of a retry beside a run.
+	hedge *hedge
 }
 
 // run admits the call, sends it until it must not be sent again, and returns the final answer.
@@ -193,7 +195,8 @@
 	}
 	call.Upstream = d.courier.lastStatement(m.Name)
 	a := d.courier.Remote(ctx, m, call)
-	if a.Code == hornbeamcroft.CodeUpstreamUnreachable && a.Load == nil {
+	// A send that was cancelled while the link was being opened says nothing about the host.
+	if a.Code == hornbeamcroft.CodeUpstreamUnreachable && a.Load == nil && ctx.Err() == nil {
 		d.courier.markUnreachable(call.Service, m.Name)
 	}
 	return a
--- a/courier/hedge.go
+++ b/courier/hedge.go
@@ -21,6 +21,9 @@
 	// runEnded is set when the run has ended: a grant that arrives later starts no retry. runCanceled is set when a successful retry
 	// has ended the run before.
 	runEnded, runCanceled bool
+	// runAnswered is set when the upstream has answered the run with a failure: the retry is not sent again then. retrySending is true
+	// while a send of the retry awaits its answer, and from its success on.
+	runAnswered, retrySending bool
 	// retry is the delivery of the retry, cancelRetry ends it, and answer receives its final answer. They are nil if none was granted.
 	retry       *delivery
 	cancelRetry context.CancelFunc
@@ -54,6 +57,31 @@
 	return h.retry != nil
 }
 
+// setRunAnswered records that the upstream has answered the run with a failure, and ends a retry that is not at a host now: the caller
+// must not wait for the failure until a host has room.
+func (h *hedge) setRunAnswered() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.runAnswered = true
+	if !h.retrySending {
+		h.cancelRetry()
+	}
+}
+
+// setRetrySending records whether a send of the retry awaits its answer or has succeeded.
+func (h *hedge) setRetrySending(sending bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.retrySending = sending
+}
+
+// mayRetry reports whether the retry may be sent again.
+func (h *hedge) mayRetry() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.runAnswered
+}
+
 // sendHedged sends the call to the host. If a retry is granted while the run goes on, it delivers the call once more beside it and
 // returns the better answer of both. It reports whether that answer is final.
 func (d *delivery) sendHedged(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) (hornbeamcroft.Answer, bool) {
@@ -73,16 +101,26 @@
 
 // sendOnce sends the call to the host and records the answer.
 func (d *delivery) sendOnce(ctx context.Context, m hornbeamcroft.Member, call hornbeamcroft.Call) hornbeamcroft.Answer {
+	if d.hedge == nil {
+		a := d.send(ctx, m, call)
+		d.courier.recordAnswer(call, m.Name, a)
+		return a
+	}
+	d.hedge.setRetrySending(true)
 	a := d.send(ctx, m, call)
 	d.courier.recordAnswer(call, m.Name, a)
+	d.hedge.setRetrySending(succeeded(a))
 	return a
 }
 
 // beginRetry starts to deliver the call once more while it runs on the host. The caller must hold h.mu, and the delivery must be
 // waiting for the answer of the host.
 func (d *delivery) beginRetry(ctx context.Context, h *hedge, host string, call hornbeamcroft.Call) {
+	if len(d.rec.Hosts)+1 >= maxSends {
+		return
+	}
 	retry := &delivery{
-		courier: d.courier, route: d.route, rec: d.rec, start: d.start,
+		courier: d.courier, route: d.route, rec: d.rec, start: d.start, hedge: h,
 		tried: slices.Clone(d.tried), mayHaveRunOn: slices.Clone(d.mayHaveRunOn),
 	}
 	retry.rec.Hosts, retry.rec.Codes = slices.Clone(d.rec.Hosts), slices.Clone(d.rec.Codes)
@@ -109,8 +147,10 @@
 	runs := len(d.mayHaveRunOn)
 	backoff := minRetryBackoff
 	for {
+		sends := len(d.rec.Hosts)
 		a := d.sendUntilFinal(ctx, call)
-		if len(d.mayHaveRunOn) > runs || len(d.rec.Hosts) >= maxSends || !sleeper.Sleep(ctx, backoff) {
+		refused := len(d.rec.Hosts) == sends || refusedByHost(d.rec.Codes[len(d.rec.Codes)-1])
+		if len(d.mayHaveRunOn) > runs || !refused || len(d.rec.Hosts) >= maxSends || !d.hedge.mayRetry() || !sleeper.Sleep(ctx, backoff) {
 			return a
 		}
 		d.tried = []string{host}
@@ -118,14 +158,23 @@
 	}
 }
 
+// refusedByHost reports whether a host refused the call with the code, because of its load or a planned stop, without sending it to its
+// upstream. A call that the upstream refused needs another grant.
+func refusedByHost(code hornbeamcroft.Code) bool {
+	return code == hornbeamcroft.CodeOverloaded || code == hornbeamcroft.CodeQueueExpired || code == hornbeamcroft.CodeDraining
+}
+
 // awaitRetry waits for the end of the retry, which it cancels if the run has succeeded. It returns the answer of the run if that succeeded,
 // or if it is the upstream's and the retry did not succeed, and otherwise the answer of the retry. The delivery takes over the record of
 // the retry.
 func (d *delivery) awaitRetry(h *hedge, run hornbeamcroft.Answer) hornbeamcroft.Answer {
 	streamLost := run.Stream != nil && h.runCanceled
 	runSucceeded := succeeded(run) && !streamLost
-	if runSucceeded {
+	switch {
+	case runSucceeded:
 		h.cancelRetry()
+	case run.Code == hornbeamcroft.CodeAnswered && !streamLost:
+		h.setRunAnswered()
 	}
 	a := <-h.answer
 	at := len(d.rec.Codes) // beginRetry recorded the run there with CodeOutcomeUnknown; its code is known now
