--- /dev/null
+++ b/review/standin-2/main.go
@@ -0,0 +1,73 @@
+// Command reviewstandin2 plays the cases of the second review against nodes that run as processes of their own.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// Exit statuses of a case.
+const (
+	held   = 0
+	broken = 1
+	failed = 2
+)
+
+// maxTime ends a case that hangs.
+const maxTime = 110 * time.Second
+
+// cases are the cases by name. A case returns one of the exit statuses. trouble is false for the run without the disruption.
+var cases = map[string]func(f *fleet, trouble bool) (int, error){
+	"early-answer":  runEarlyAnswer,
+	"silent-answer": runSilentAnswer,
+	"slow-reading":  runSlowReading,
+}
+
+func main() {
+	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: reviewstandin2 CASE FOLDER PROGRAM")
+		os.Exit(failed)
+	}
+	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
+}
+
+// run plays a case and returns its exit status. All processes that it has started have ended then.
+func run(name, folder, program string) int {
+	f, err := newFleet(folder, program)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return failed
+	}
+	defer f.close()
+	trouble := os.Getenv("TROUBLE") != "0"
+	f.note("case %s, TROUBLE: %v", name, trouble)
+	type outcome struct {
+		status int
+		err    error
+	}
+	done := make(chan outcome, 1)
+	go func() {
+		status, err := cases[name](f, trouble)
+		done <- outcome{status, err}
+	}()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	var o outcome
+	select {
+	case o = <-done:
+	case <-time.After(maxTime):
+		o = outcome{failed, fmt.Errorf("no result after %s", maxTime)}
+	case s := <-signals:
+		o = outcome{failed, fmt.Errorf("ended by %s", s)}
+	}
+	if o.err != nil {
+		f.note("the case could not run: %v", o.err)
+		fmt.Fprintln(os.Stderr, o.err)
+		o.status = failed
+	}
+	f.note("exit status %d", o.status)
+	return o.status
+}
