review: the cases depend less on the kernel's buffers and timers

Cause: the bodies of case 6 could fit into larger socket buffers than those here; case 8 may lose its requests before the SIGTERM on another machine.

--- a/review/standin-2/case_early.go
+++ b/review/standin-2/case_early.go
@@ -13,8 +13,9 @@
 
 const (
 	shopHost = "shop.example"
-	// longBody is the length of the bodies in the case early-answer, readBefore what the backend reads before it answers.
-	longBody   = 8 << 20
+	// longBody is the length of the bodies in the case early-answer; it exceeds what the kernel usually buffers for a connection (4 MiB).
+	// readBefore is what the backend reads before it answers.
+	longBody   = 24 << 20
 	readBefore = 64 << 10
 	// readingPause is how long the backend waits after its answer until it reads on.
 	readingPause = 200 * time.Millisecond
--- a/review/standin-2/case_silent.go
+++ b/review/standin-2/case_silent.go
@@ -14,7 +14,7 @@
 	// silentWork is the time for which the backend works on a request. It is below the deadline and the route's timeout of 5 s.
 	silentWork = 3 * time.Second
 	// untilStop is the time from the requests to the SIGTERM.
-	untilStop = 500 * time.Millisecond
+	untilStop = 200 * time.Millisecond
 	// lastSixth is when the last sixth of graceS = 6 begins; what is cut from then on does not count.
 	lastSixth = 5 * time.Second
 	deadline  = 5 * time.Second
