--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -33,7 +33,12 @@
 	// answer handles a request whose head has arrived and that names this backend. It returns false if the connection ends.
 	answer func(b *backend, a *arrival) bool
 
+	// unhealthy reports whether the health check answers 503; nil if it never does.
+	unhealthy func() bool
+
 	sequence atomic.Int64
+	// silent is true once no further heartbeat is sent.
+	silent   atomic.Bool
 	listener net.Listener
 	stop     chan struct{}
 	once     sync.Once
@@ -84,7 +89,11 @@
 			return
 		}
 		if q.URL.Path == "/health" {
-			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", b.id)
+			status := "200 OK"
+			if b.unhealthy != nil && b.unhealthy() {
+				status = "503 Service Unavailable"
+			}
+			fmt.Fprintf(c, "HTTP/1.1 %s\r\nInstance-Id: %s\r\nContent-Length: 0\r\n\r\n", status, b.id)
 			continue
 		}
 		a := &arrival{
@@ -112,7 +121,9 @@
 // beat sends a heartbeat at once and then every 1.5 s.
 func (b *backend) beat() {
 	for {
-		_ = b.announce("ready")
+		if !b.silent.Load() {
+			_ = b.announceAs("ready", b.sequence.Add(1))
+		}
 		select {
 		case <-time.After(1500 * time.Millisecond):
 		case <-b.stop:
@@ -121,14 +132,33 @@
 	}
 }
 
-// announce sends one heartbeat and returns an error if it was not acknowledged.
-func (b *backend) announce(state string) error {
+// stopBeats ends the heartbeats.
+func (b *backend) stopBeats() { b.silent.Store(true) }
+
+// announceAs sends one heartbeat with the sequence and returns an error if it was not acknowledged.
+func (b *backend) announceAs(state string, sequence int64) error {
 	body := fmt.Sprintf(`{"address":%q,"born":%d,"info":{"service":%q,"version":"v1","zone":"z","slots":%d},`+
 		`"status":{"state":%q,"sequence":%d,"coldRemainingMs":0}}`,
-		b.node.appAddr, b.born, b.node.service, b.slots, state, b.sequence.Add(1))
+		b.node.appAddr, b.born, b.node.service, b.slots, state, sequence)
+	return b.call("instances.heartbeat", body)
+}
+
+// deregister says that the backend leaves, until that is acknowledged.
+func (b *backend) deregister() error {
+	var err error
+	for range 5 {
+		if err = b.call("instances.deregister", fmt.Sprintf(`{"born":%d}`, b.born)); err == nil {
+			return nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return err
+}
+
+// call makes one call to the node and returns an error if it was not acknowledged within a second.
+func (b *backend) call(name, body string) error {
 	c := http.Client{Timeout: time.Second}
-	r, err := c.Post("http://"+b.node.control+"/hornbeamcroft/rpc?call=instances.heartbeat&of="+b.id, "application/json",
-		bytes.NewReader([]byte(body)))
+	r, err := c.Post("http://"+b.node.control+"/hornbeamcroft/rpc?call="+name+"&of="+b.id, "application/json", bytes.NewReader([]byte(body)))
 	if err != nil {
 		return err
 	}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,6 +22,7 @@
 // cases are the cases by name. A case returns one of the exit statuses. trouble is false for the run without the disruption.
 var cases = map[string]func(f *fleet, trouble bool) (int, error){
 	"early-answer":  runEarlyAnswer,
+	"leaving":       runLeaving,
 	"silent-answer": runSilentAnswer,
 	"slow-reading":  runSlowReading,
 }
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,14 +22,27 @@
 	done chan error
 }
 
+// ports are handed out once each, below the range from which the kernel takes ports for outgoing connections.
+const (
+	firstPort = 14000
+	lastPort  = 30000
+)
+
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
 // freeAddress returns a loopback address on which nothing listens.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		l, err := net.Listen("tcp", address)
+		if err == nil {
+			_ = l.Close()
+			return address
+		}
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
 
 // newNode writes the settings file of a node, as the template of the deploy file gives it.
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -42,6 +43,8 @@
 // store is a stand-in for the platform's metadata store, as PROTOCOL.md describes it.
 type store struct {
 	address string
+	// down is true while the store refuses all calls (503).
+	down atomic.Bool
 
 	mu       sync.Mutex
 	changed  chan struct{}
@@ -54,7 +57,7 @@
 
 // startStore serves the store on a free loopback port.
 func startStore() (*store, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", freeAddress())
 	if err != nil {
 		return nil, err
 	}
@@ -70,7 +73,14 @@
 	mux.HandleFunc("POST /hornbeamcroft/kv-lease", s.grant)
 	mux.HandleFunc("POST /hornbeamcroft/kv-keep/{id}", s.keep)
 	mux.HandleFunc("DELETE /hornbeamcroft/kv-lease-end/{id}", s.endLease)
-	go func() { _ = http.Serve(l, mux) }()
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		if s.down.Load() {
+			reply(w, http.StatusServiceUnavailable, map[string]any{})
+			return
+		}
+		mux.ServeHTTP(w, r)
+	}
+	go func() { _ = http.Serve(l, http.HandlerFunc(handler)) }()
 	go s.expire()
 	return s, nil
 }
@@ -162,6 +172,11 @@
 		}
 		select {
 		case <-changed:
+		case <-time.After(100 * time.Millisecond):
+			if s.down.Load() {
+				reply(w, http.StatusServiceUnavailable, map[string]any{})
+				return
+			}
 		case <-end:
 			reply(w, http.StatusOK, map[string]any{"events": found, "asOf": asOf})
 			return
