--- a/review/standin-2/backend.go
+++ b/review/standin-2/backend.go
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{node: n, id: id, born: time.Now().UnixMilli(), slots: 32, answer: answer, listener: l, stop: make(chan struct{})}
+	b := &backend{node: n, id: id, born: unixMilli(), slots: 32, answer: answer, listener: l, stop: make(chan struct{})}
 	go b.accept()
 	go b.beat()
 	return b, nil
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -27,9 +28,22 @@
 	"slow-reading":  runSlowReading,
 }
 
+// startMilli is the Unix time in milliseconds at started, which the script gives.
+var (
+	startMilli int64
+	started    = time.Now()
+)
+
+// unixMilli returns the Unix time in milliseconds, as the steady clock has advanced it since the start.
+func unixMilli() int64 { return startMilli + time.Since(started).Milliseconds() }
+
 func main() {
-	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: reviewstandin2 CASE FOLDER PROGRAM")
+	var err error
+	if len(os.Args) == 5 {
+		startMilli, err = strconv.ParseInt(os.Args[4], 10, 64)
+	}
+	if len(os.Args) != 5 || err != nil || cases[os.Args[1]] == nil {
+		fmt.Fprintln(os.Stderr, "usage: reviewstandin2 CASE FOLDER PROGRAM UNIX-MILLISECONDS")
 		os.Exit(failed)
 	}
 	os.Exit(run(os.Args[1], os.Args[2], os.Args[3]))
