exchanger, dispatcher: an answer whose status HTTP does not know is malformed

What callers saw: an upstream's answer with status 000 was taken for an interim one. If other bytes followed it that could be read as an answer, callers got them as a success; otherwise the request was held until its deadline (504) although it could be sent again. Answers with status 101, which nobody asked for, and with 600 to 999 were passed on. On the own interface a refusal with status 000 was believed, and the caller told "not run". Cause: net/http takes any three digits for a status, and even "+20"; the exchanger decided by "from 200 up", the dispatcher by "below 200". Change: FinalStatus (200 to 599) is the one place that decides. The exchanger passes over interim statuses only, 100 to 199 without 101; an answer with any other is malformed: the request may have run, its connection is closed, and an idempotent request is sent again. An answer of another node with such a status is not readable, so that the outcome of its call is unknown: an older node may pass one on. Ruled out: the store's answers; any status besides 200 is an error there. Two fixtures of connector and those of TestUnreadableAnswer had answered calls without a status, which no node sends; they have one now, so that they test what they did before.

--- a/call.go
+++ b/call.go
@@ -152,7 +152,7 @@
 	// ID is the ID of the call that is answered.
 	ID   uint64 `cbor:"1,keyasint"`
 	Code Code   `cbor:"2,keyasint"`
-	// Status is the upstream's HTTP status if the request ran; zero otherwise.
+	// Status is the upstream's HTTP status, for which FinalStatus holds, if the request ran; zero otherwise.
 	Status      int    `cbor:"3,keyasint,omitempty"`
 	ContentType string `cbor:"4,keyasint,omitempty"`
 	// UnspentRetries is the part of the call's RetryBudget that was not used.
@@ -189,6 +189,10 @@
 	Stream io.ReadCloser `cbor:"-"`
 }
 
+// FinalStatus reports whether an HTTP answer with the status ends its exchange. HTTP defines no status outside of 100 to 599, and an
+// upstream in trouble may send one, such as 000.
+func FinalStatus(status int) bool { return status >= 200 && status <= 599 }
+
 // UnknownLength is the StreamLength of an answer whose upstream declared no length.
 const UnknownLength = -1
 
@@ -230,6 +234,9 @@
 	if a.Code < 100 || a.Code >= 500 {
 		return errors.Errorf("answer: code %d: must be 100 to 499", a.Code)
 	}
+	if a.Code == CodeAnswered && !FinalStatus(a.Status) {
+		return errors.Errorf("answer: status %d: must be 200 to 599", a.Status)
+	}
 	if len(a.Home) > maxNameLength {
 		return errors.New("answer: home is bounded to 128 bytes")
 	}
--- /dev/null
+++ b/cmd/hornbeam-node/broken_test.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft/platform/standin/operator"
+	"hornbeamcroft/platform/standin/storeserver"
+	"hornbeamcroft/platform/standin/worker"
+)
+
+const (
+	answerBody  = "hello, world"
+	wholeAnswer = "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 12\r\n\r\n" + answerBody
+	// requestsBefore is the number of requests through each node that leave a retry budget for the cases.
+	requestsBefore = 200
+)
+
+// brokenUpstream writes the text first to an attempt that arrives for the first time and closes the connection, and a whole answer to
+// one that arrives again.
+type brokenUpstream struct {
+	mu    sync.Mutex
+	first string
+	runs  map[string]int
+}
+
+func (u *brokenUpstream) serve(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go u.serveConn(c)
+	}
+}
+
+func (u *brokenUpstream) serveConn(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		id := r.Header.Get("Attempt-Id")
+		text, last := u.answer(id)
+		fields := "Attempt-Id: " + id + "\r\nServer-Signature: s\r\n"
+		if _, err := io.WriteString(c, strings.ReplaceAll(text, "FIELDS", fields)); err != nil || last {
+			return
+		}
+	}
+}
+
+// answer returns the answer to the attempt, and whether the connection ends behind it.
+func (u *brokenUpstream) answer(id string) (text string, last bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.runs[id]++; u.runs[id] == 1 && u.first != "" {
+		return u.first, true
+	}
+	return wholeAnswer, false
+}
+
+// startBroken starts a node without an upstream, and one beside the upstream.
+func startBroken(t *testing.T) (*brokenUpstream, []*node) {
+	t.Helper()
+	is := is.New(t)
+	store := &storeserver.StoreServer{}
+	server := httptest.NewServer(store)
+	stop := make(chan struct{})
+	go store.Run(stop)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	u := &brokenUpstream{runs: make(map[string]int)}
+	go u.serve(l)
+	w := &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: l.Addr().String()}
+	is.NoErr(w.Start(freeAddress(t)))
+	t.Cleanup(func() {
+		w.Crash()
+		_ = l.Close()
+		close(stop)
+		server.CloseClientConnections()
+		server.Close()
+	})
+	program, storeAddress := build(t), strings.TrimPrefix(server.URL, "http://")
+	nodes := []*node{
+		startStreamNode(t, program, "in", storeAddress, ""),
+		startStreamNode(t, program, "last", storeAddress, l.Addr().String()),
+	}
+	var routes []operator.Route
+	for _, name := range []string{"get", "post"} {
+		routes = append(routes, operator.Route{
+			Name: name, Host: routeHost, Prefix: "/" + name + "/", Service: "s", Idempotent: name == "get",
+			Timeout: streamRouteTimeout, Objective: time.Second,
+		})
+	}
+	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(1, routes)
+	is.NoErr(err)
+	store.Put(storeserver.KeyConfiguration, value)
+	nodes[1].await(t, func() bool { return w.Announce(nodes[1].announcements) == nil })
+	for i, n := range nodes {
+		n.await(t, func() bool {
+			return strings.HasPrefix(n.rawAnswer(t, "get", fmt.Sprintf("start-%d", i)), "HTTP/1.1 200")
+		})
+		for j := range requestsBefore {
+			n.rawAnswer(t, "get", fmt.Sprintf("before-%d-%d", i, j))
+		}
+	}
+	return u, nodes
+}
+
+// rawAnswer sends an attempt on the route and returns all bytes that come back.
+func (n *node) rawAnswer(t *testing.T, route, id string) string {
+	t.Helper()
+	c, err := net.Dial("tcp", n.ingress)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = fmt.Fprintf(c, "GET /%s/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nConnection: close\r\n\r\n", route, routeHost, id)
+	if err != nil {
+		return ""
+	}
+	text, _ := io.ReadAll(c) // an answer that breaks off is compared as far as it came
+	return string(text)
+}
+
+// TestBrokenAnswers guards against an answer of the upstream that is not valid HTTP and reaches a caller, at the node beside the upstream
+// and at another one, or for which a request runs twice that may run once only. It plays testdata/broken-answers.txt.
+func TestBrokenAnswers(t *testing.T) {
+	text, err := os.ReadFile("testdata/broken-answers.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u, nodes := startBroken(t)
+	line := 0
+	for l := range strings.Lines(string(text)) {
+		if line++; strings.HasPrefix(l, "#") {
+			continue
+		}
+		columns := strings.Split(strings.TrimSpace(l), " | ")
+		first, err := strconv.Unquote(`"` + columns[0] + `"`)
+		if err != nil || len(columns) != 3 {
+			t.Fatalf("malformed line %q: %v", l, err)
+		}
+		u.mu.Lock()
+		u.first = first
+		u.mu.Unlock()
+		for i, n := range nodes {
+			for j, route := range []string{"post", "get"} {
+				id := fmt.Sprintf("%d-%d-%s", line, i, route)
+				t.Run(id, func(t *testing.T) {
+					checkAnswer(t, n.rawAnswer(t, route, id), columns[1+j])
+					u.mu.Lock()
+					defer u.mu.Unlock()
+					if runs := u.runs[id]; runs == 0 || runs > 1 && route == "post" {
+						t.Errorf("%d runs", runs)
+					}
+				})
+			}
+		}
+	}
+}
+
+// checkAnswer fails the test unless the bytes are one whole answer with the status, and with the upstream's body if that is 200.
+func checkAnswer(t *testing.T, text, status string) {
+	t.Helper()
+	reader := bufio.NewReader(strings.NewReader(text))
+	r, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("%q: %v", text, err)
+	}
+	body, err := io.ReadAll(r.Body)
+	rest, _ := io.ReadAll(reader)
+	whole := r.StatusCode != http.StatusOK || string(body) == answerBody && r.Header.Get("Server-Signature") == "s"
+	if err != nil || !whole || len(bytes.TrimSpace(rest)) > 0 || strconv.Itoa(r.StatusCode) != status {
+		t.Errorf("a caller gets %q, %v; status %s expected", text, err, status)
+	}
+}
--- a/connector/connector_test.go
+++ b/connector/connector_test.go
@@ -107,7 +107,7 @@
 	c := newConnector(t, "a", testKey, echo)
 	l := &Link{connector: c, partialBodies: make(map[partialBodyKey]*partialBody)}
 	var frame bytes.Buffer
-	is.NoErr(framer.Encode(&frame, framer.TypeAnswer, hornbeamcroft.Answer{ID: 1, Code: hornbeamcroft.CodeAnswered, BodyLength: 1 << 20}))
+	is.NoErr(framer.Encode(&frame, framer.TypeAnswer, hornbeamcroft.Answer{ID: 1, Code: hornbeamcroft.CodeAnswered, Status: 200, BodyLength: 1 << 20}))
 	is.NoErr(l.handleFrame(frame.Bytes()))
 	is.Equal(len(l.partialBodies), 0)
 	is.Equal(c.LateAnswers.Load(), int64(1))
@@ -119,7 +119,7 @@
 	b := newConnector(t, "b", testKey, echo)
 	b.Memory = &reserver.Reserver{Limit: 1 << 20}
 	b.OnOutcome = func(_ context.Context, q framer.OutcomeQuery) hornbeamcroft.Answer {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Body: make([]byte, q.ID<<19)}
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: 200, Body: make([]byte, q.ID<<19)}
 	}
 	l, err := newConnector(t, "a", testKey, echo).Link(t.Context(), serveLinks(t, b))
 	is.NoErr(err)
--- a/connector/frames_test.go
+++ b/connector/frames_test.go
@@ -101,9 +101,12 @@
 func TestUnreadableAnswer(t *testing.T) {
 	for name, value := range map[string]any{
 		"code out of range":   map[int]any{1: 2, 2: 7},
-		"field of other type": map[int]any{1: 2, 2: 100, 12: "x"},
-		"large head":          map[int]any{1: 2, 2: 100, 12: []any{[]any{"X", strings.Repeat("x", 100<<10)}}},
-		"large body":          map[int]any{1: 2, 2: 100, 8: 1 << 30},
+		"status 000":          map[int]any{1: 2, 2: 100},
+		"interim status":      map[int]any{1: 2, 2: 100, 3: 101},
+		"status out of range": map[int]any{1: 2, 2: 100, 3: 600},
+		"field of other type": map[int]any{1: 2, 2: 100, 3: 200, 12: "x"},
+		"large head":          map[int]any{1: 2, 2: 100, 3: 200, 12: []any{[]any{"X", strings.Repeat("x", 100<<10)}}},
+		"large body":          map[int]any{1: 2, 2: 100, 3: 200, 8: 1 << 30},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -111,7 +114,7 @@
 				payload, err := cbor.Marshal(value)
 				is.NoErr(err)
 				is.NoErr(l.write(append([]byte{byte(framer.TypeAnswer)}, payload...)))
-				return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered}
+				return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: 200}
 			})
 			a, err := l.Call(t.Context(), testCall(2, nil))
 			is.NoErr(err)
@@ -125,7 +128,7 @@
 func TestManyLargeAnswers(t *testing.T) {
 	is := is.New(t)
 	l, finish := linkBeside(t, func(*Link, hornbeamcroft.Call) hornbeamcroft.Answer {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered}
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: 200}
 	})
 	answers := make(chan hornbeamcroft.Answer, maxPartialBodies+2)
 	for i := range maxPartialBodies + 2 {
--- a/dispatcher/conn.go
+++ b/dispatcher/conn.go
@@ -11,8 +11,8 @@
 // upstreamConn is a connection to the upstream.
 type upstreamConn struct {
 	net.Conn
-	// discarded is true once an answer on the connection may belong to an earlier call. The HTTP client may hold the connection
-	// as idle for a while after that, because it reuses one as soon as an answer without a body has arrived.
+	// discarded is true once an answer on the connection was malformed or may belong to an earlier call. The HTTP client may hold the
+	// connection as idle for a while after that, because it reuses one as soon as an answer without a body has arrived.
 	discarded atomic.Bool
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -171,8 +171,8 @@
 // readResponse returns the result of a call with the token that was answered on the connection.
 func (d *Dispatcher) readResponse(ctx context.Context, resp *http.Response, token string, conn *connUse, start time.Time) Result {
 	refused := resp.Header.Get(HeaderClaim) == hornbeamcroft.ClaimNotRun.String()
-	if mayBeEarlier(resp.Header.Get(HeaderCall), token, refused && conn.reused) {
-		// The answers on this connection are no longer in step with the calls.
+	if malformed(resp) || mayBeEarlier(resp.Header.Get(HeaderCall), token, refused && conn.reused) {
+		// The answers on this connection may no longer be in step with the calls.
 		conn.discard()
 		return Result{Answer: hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}}
 	}
@@ -183,6 +183,11 @@
 	return d.readAnswer(ctx, resp, start)
 }
 
+// malformed reports whether the head of an answer breaks a rule of HTTP that net/http does not check.
+func malformed(resp *http.Response) bool {
+	return !hornbeamcroft.FinalStatus(resp.StatusCode)
+}
+
 // mayBeEarlier reports whether an answer may be a second copy of the answer to an earlier call on its connection. It is if it
 // names another call than the one with the token. A refusal that names no call counts only on a new connection: if it were taken
 // for the answer to a call that runs, the call would run twice.
@@ -230,10 +235,6 @@
 // readAnswer reads the whole body of the answer. A body whose end is marked neither by a content length nor by a last
 // chunk cannot be told from a truncated one, so it is not passed on.
 func (d *Dispatcher) readAnswer(ctx context.Context, resp *http.Response, start time.Time) Result {
-	if resp.StatusCode < http.StatusOK {
-		// A status below 200 is not a final answer in HTTP and cannot be passed on as one.
-		return Result{Answer: hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}}
-	}
 	limit := d.MaxBody()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, int64(limit)+1))
 	unmarked := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -92,6 +92,8 @@
 		{"end not marked", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nok", hornbeamcroft.CodeAnswerTruncated},
 		{"upstream did not start", "HTTP/1.1 503 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeUpstreamRefused},
 		{"status that HTTP does not know", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"status above those of HTTP", "HTTP/1.1 600 None\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"refusal with a status that HTTP does not know", "HTTP/1.1 000 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswered},
 	}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -19,7 +19,11 @@
 	maxInterimAnswers = 16
 )
 
-var errManyInterim = errors.Errorf("more than %d interim answers", maxInterimAnswers)
+// Reasons why the statuses of an answer make it malformed.
+var (
+	errManyInterim   = errors.Errorf("more than %d interim answers", maxInterimAnswers)
+	errInvalidStatus = errors.New("status of the answer is neither interim nor final")
+)
 
 // readAnswer reads answers until it finds the one that names the attempt of the request. If its body is not read to its
 // end, the result has a *stream that the caller must complete.
@@ -69,18 +73,29 @@
 	return a, nil
 }
 
-// readResponse reads the head of the next answer, skipping interim responses (1xx) except 101 Switching Protocols.
+// readResponse reads the head of the next answer, skipping interim responses (1xx).
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	for range maxInterimAnswers + 1 {
 		c.source.startHead()
 		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil || r.StatusCode >= 200 || r.StatusCode == http.StatusSwitchingProtocols {
-			return r, err
+		switch {
+		case err != nil:
+			return nil, err
+		case hornbeamcroft.FinalStatus(r.StatusCode):
+			return r, nil
+		case !interimStatus(r.StatusCode):
+			return nil, errInvalidStatus
 		}
 	}
 	return nil, errManyInterim
 }
 
+// interimStatus reports whether an answer with the status is followed by another one. 101 Switching Protocols is not, and no request
+// asks for another protocol.
+func interimStatus(status int) bool {
+	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
+}
+
 // readErrorOutcome returns OutcomeLost if the read failed because the connection ended, or OutcomeMalformed if the
 // bytes received are not an HTTP response.
 func readErrorOutcome(err error) Outcome {
