exchanger: a head with a malformed line of a field is not an answer

What callers saw: an upstream's answer in whose head the name of a field held a space was passed on as a success, without that line, or with a line folded into the value of the field before it. If the damaged field was the length or the encoding, or an LF stood in place of the first byte of a name, callers got a signed success whose body was not the upstream's: the rest of the head with the body, or chunks with their sizes. Names with other control bytes were malformed before. Cause: heads count as net/http reads them, and net/http is lenient: it takes names with spaces, continues a value with a line that begins with a space or tab, and takes a bare LF for the end of a line, or of the head, between lines that end with CR LF. Change: headchecker checks the bytes of each head, of interim answers too, before net/http sees them: names are tokens, lines are not folded, and all lines end as the status line does. Otherwise the request may have run, its connection is closed, and an idempotent request is sent again. Heads whose lines all end with LF are read as before. Ruled out: trailers. A malformed one is dropped like any other, and the body is whole (a case of TestBrokenAnswers). Checking net/http's result in place of the bytes: it shows neither a folded line nor where a head ended early.

--- a/cmd/hornbeam-node/broken_test.go
+++ b/cmd/hornbeam-node/broken_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamcroft/headchecker"
 	"hornbeamcroft/platform/standin/operator"
 	"hornbeamcroft/platform/standin/storeserver"
 	"hornbeamcroft/platform/standin/worker"
@@ -179,6 +180,10 @@
 // checkAnswer fails the test unless the bytes are one whole answer with the status, and with the upstream's body if that is 200.
 func checkAnswer(t *testing.T, text, status string) {
 	t.Helper()
+	var c headchecker.HeadChecker
+	if err := c.Check([]byte(text)); err != nil {
+		t.Errorf("%q: %v", text, err)
+	}
 	reader := bufio.NewReader(strings.NewReader(text))
 	r, err := http.ReadResponse(reader, nil)
 	if err != nil {
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -76,8 +76,7 @@
 // readResponse reads the head of the next answer, skipping interim responses (1xx).
 func (c *conn) readResponse(method string) (*http.Response, error) {
 	for range maxInterimAnswers + 1 {
-		c.source.startHead()
-		r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		r, err := c.readHead(method)
 		switch {
 		case err != nil:
 			return nil, err
@@ -90,6 +89,15 @@
 	return nil, errManyInterim
 }
 
+// readHead reads the head of one answer.
+func (c *conn) readHead(method string) (*http.Response, error) {
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails for bytes that are buffered
+	if err := c.source.startHead(buffered); err != nil {
+		return nil, err
+	}
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
 // interimStatus reports whether an answer with the status is followed by another one. 101 Switching Protocols is not, and no request
 // asks for another protocol.
 func interimStatus(status int) bool {
--- a/exchanger/source.go
+++ b/exchanger/source.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/go-faster/errors"
+
+	"hornbeamcroft/headchecker"
 )
 
 const (
@@ -33,8 +35,12 @@
 	net net.Conn
 	// headLeft is the number of bytes that the heads of the present exchange may still have.
 	headLeft int
-	// inHead is true while a head is expected or read, and begun once bytes of it have arrived.
+	// inHead is true while a head is expected or read, and begun once bytes of it have arrived. checker checks this head.
 	inHead, begun bool
+	checker       headchecker.HeadChecker
+	// malformed is the reason why the head is malformed; nil if it is not. All further reads fail with it, because the parser goes on
+	// after some errors.
+	malformed error
 	// hasDeadline is true while the connection has a read deadline, which is deadline.
 	hasDeadline bool
 	deadline    time.Time
@@ -48,10 +54,14 @@
 // startAnswer prepares for the answer of a new exchange.
 func (s *boundedSource) startAnswer() { s.headLeft = maxHeadBytes }
 
-// startHead prepares for a head. The wait for its first byte has no limit here, because the upstream is running the request.
-func (s *boundedSource) startHead() {
+// startHead prepares for a head, and checks the bytes of it that were read before. The wait for its first byte has no limit here,
+// because the upstream is running the request.
+func (s *boundedSource) startHead(buffered []byte) error {
 	s.inHead, s.begun = true, false
 	s.clearDeadline()
+	s.checker = headchecker.HeadChecker{}
+	s.malformed = s.checker.Check(buffered)
+	return s.malformed
 }
 
 // startBody prepares for a body.
@@ -107,9 +117,12 @@
 	return n, err
 }
 
-// readHead reads a part of a head. The bytes are counted before they are kept.
+// readHead reads a part of a head. The bytes are counted and checked before they are kept.
 func (s *boundedSource) readHead(p []byte) (int, error) {
-	if s.headLeft == 0 {
+	switch {
+	case s.malformed != nil:
+		return 0, s.malformed
+	case s.headLeft == 0:
 		return 0, errHeadTooLarge
 	}
 	if s.begun && !s.hasDeadline {
@@ -121,5 +134,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errHeadTooSlow
 	}
+	if s.malformed = s.checker.Check(p[:n]); s.malformed != nil {
+		return 0, s.malformed
+	}
 	return n, err
 }
--- /dev/null
+++ b/headchecker/headchecker.go
@@ -0,0 +1,91 @@
+// Package headchecker checks the bytes of the head of an HTTP/1 answer before it is parsed. net/http accepts heads that HTTP does not
+// allow, and takes fields, a length or an end from them that the sender did not mean: names of fields with spaces, lines that continue
+// the value of the field before them, and line ends that differ within a head.
+package headchecker
+
+import (
+	"unicode/utf8"
+
+	"github.com/go-faster/errors"
+	"golang.org/x/net/http/httpguts"
+)
+
+// Reasons why a head is malformed.
+var (
+	ErrFieldName = errors.New("name of a field has characters that are not allowed")
+	ErrNoColon   = errors.New("line of a field has no colon")
+	ErrLineEnd   = errors.New("lines of the head do not end alike")
+)
+
+// place is where in a head the next byte stands.
+type place uint8
+
+const (
+	statusLine place = iota
+	lineStart
+	fieldName
+	fieldValue
+	behindHead
+)
+
+// HeadChecker checks one head. The zero value expects the first byte of a status line. It does not check the status line, or the
+// characters of values, which net/http does.
+type HeadChecker struct {
+	place place
+	// afterCR is true if the last byte was a CR.
+	afterCR bool
+	// crlf is true if the status line ended with CR and LF, and false if with LF only. All lines must end alike, because an LF in
+	// place of another byte may look like the end of a line, or of the head.
+	crlf bool
+}
+
+// Check checks the next bytes, and returns the reason if they make the head malformed. Bytes behind the end of the head are ignored.
+func (h *HeadChecker) Check(p []byte) error {
+	for _, b := range p {
+		if h.place == behindHead {
+			return nil
+		}
+		if err := h.next(b); err != nil {
+			return err
+		}
+		h.afterCR = b == '\r'
+	}
+	return nil
+}
+
+// next checks the next byte.
+func (h *HeadChecker) next(b byte) error {
+	switch {
+	case b == '\n':
+		return h.endLine()
+	case h.place == statusLine || h.place == fieldValue:
+		return nil
+	case h.place == lineStart && b == '\r' && !h.afterCR:
+		return nil
+	case h.place == fieldName && b == ':':
+		h.place = fieldValue
+		return nil
+	case h.afterCR || b >= utf8.RuneSelf || !httpguts.IsTokenRune(rune(b)):
+		return ErrFieldName
+	}
+	h.place = fieldName
+	return nil
+}
+
+// endLine ends a line.
+func (h *HeadChecker) endLine() error {
+	switch {
+	case h.place == statusLine:
+		h.crlf = h.afterCR
+		h.place = lineStart
+	case h.place == fieldName:
+		return ErrNoColon
+	case h.afterCR != h.crlf:
+		return ErrLineEnd
+	case h.place == lineStart:
+		h.place = behindHead
+	default:
+		h.place = lineStart
+	}
+	return nil
+}
--- /dev/null
+++ b/headchecker/headchecker_test.go
@@ -0,0 +1,45 @@
+package headchecker
+
+import (
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/go-faster/errors"
+	"github.com/matryer/is"
+)
+
+var reasons = map[string]error{"": nil, "name": ErrFieldName, "colon": ErrNoColon, "line end": ErrLineEnd}
+
+// TestHeads guards against a malformed head that is accepted, and a well-formed one that is not, however its bytes are split. It plays
+// testdata/heads.txt.
+func TestHeads(t *testing.T) {
+	text, err := os.ReadFile("testdata/heads.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if strings.HasPrefix(line, "#") {
+			continue
+		}
+		quoted, reason, _ := strings.Cut(strings.TrimRight(line, "\n"), " |")
+		t.Run(quoted, func(t *testing.T) {
+			is := is.New(t)
+			head, err := strconv.Unquote(`"` + quoted + `"`)
+			is.NoErr(err)
+			want, ok := reasons[strings.TrimSpace(reason)]
+			is.True(ok)
+			var whole HeadChecker
+			is.True(errors.Is(whole.Check([]byte(head)), want))
+			for cut := range head {
+				var split HeadChecker
+				err := split.Check([]byte(head[:cut]))
+				if err == nil {
+					err = split.Check([]byte(head[cut:]))
+				}
+				is.True(errors.Is(err, want))
+			}
+		})
+	}
+}
