dispatcher: an answer with a malformed name of a field is not passed on

What callers saw, on the own interface: an upstream's answer in whose head the name of a field held a space was passed on without that line. If the field was the claim, a refusal reached the caller as an answer of a request that had run. Change: the names of an answer must be tokens. Ruled out: a damaged length or encoding; an answer whose end is not marked was not passed on before. What remains: net/http's client does not show a folded line, or a head that a bare LF ends early.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -17,6 +17,7 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+	"golang.org/x/net/http/httpguts"
 
 	"hornbeamcroft"
 )
@@ -185,7 +186,15 @@
 
 // malformed reports whether the head of an answer breaks a rule of HTTP that net/http does not check.
 func malformed(resp *http.Response) bool {
-	return !hornbeamcroft.FinalStatus(resp.StatusCode)
+	if !hornbeamcroft.FinalStatus(resp.StatusCode) {
+		return true
+	}
+	for name := range resp.Header {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return true
+		}
+	}
+	return false
 }
 
 // mayBeEarlier reports whether an answer may be a second copy of the answer to an earlier call on its connection. It is if it
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -94,6 +94,10 @@
 		{"status that HTTP does not know", "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"status above those of HTTP", "HTTP/1.1 600 None\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"refusal with a status that HTTP does not know", "HTTP/1.1 000 Busy\r\nHornbeam-Claim: not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"space in a name", "HTTP/1.1 200 OK\r\nX Y: z\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswerTruncated},
+		{"space behind a name", "HTTP/1.1 503 Busy\r\nHornbeam-Claim : not-run\r\nContent-Length: 0\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
+		{"space in the name of the length", "HTTP/1.1 200 OK\r\nContent Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswerTruncated},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01Y: z\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeOutcomeUnknown},
 		{"other protocol", "HTTP/1.1 101 Switching Protocols\r\n\r\n", hornbeamcroft.CodeAnswerTruncated},
 		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", hornbeamcroft.CodeAnswered},
 	}
