exchanger: an interim answer that announces a body is malformed

What callers saw: an upstream's answer of which the status was damaged to 100 was passed over as an interim one, and its body taken for the beginning of the next head: a body that looks like an answer could become one, and otherwise the request was held until its deadline (504). Cause: HTTP allows no body in interim answers, and net/http reads none, so that bytes that the head announced counted as the next head. Change: such a head is malformed: the request may have run, its connection is closed, and an idempotent request is sent again. Evidence: three cases of TestCorruptedAnswer failed before and pass; one more shows that an announced length of 0 is passed over as before.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -84,6 +84,8 @@
 			return r, nil
 		case !interimStatus(r.StatusCode):
 			return nil, errInvalidStatus
+		case announcesBody(r):
+			return nil, errBodyNotAllowed
 		}
 	}
 	return nil, errManyInterim
--- a/exchanger/own.go
+++ b/exchanger/own.go
@@ -14,7 +14,7 @@
 var (
 	errAnswerMismatch = errors.New("answer of the upstream names another attempt")
 	errUnsigned       = errors.New("success of the upstream does not carry its signature exactly once")
-	errBodyNotAllowed = errors.New("answer with status 204 announces a body")
+	errBodyNotAllowed = errors.New("answer announces a body that its status does not allow")
 )
 
 // answer is an answer as it was read from the connection.
