exchanger: heads of answers are reserved in the account of their request

What operators of similar systems saw: an upstream in trouble sent bytes without end, and the process that had called it ran out of memory. Here bodies, trailers, interim answers and bytes that are no HTTP are bounded and accounted for, but heads were bounded in bytes only: one of 128 KiB with short fields of different names takes about 1 MB when it is parsed. Cause: what another side sends was held before it was accounted for; only heads of requests were reserved at their parsed cost. Change: headchecker counts the cost of a head, and the source reserves what exceeds 4 KiB before it is parsed. Without memory the request may have run, as with bodies. What is not kept is released with the exchange, the rest with the account of the request. Ruled out: a lower limit of bytes, as answers with a field of 60 KiB are to be passed on (TestLargeAnswer).

--- a/cmd/hornbeam-node/crowd/crowd_test.go
+++ b/cmd/hornbeam-node/crowd/crowd_test.go
@@ -1,6 +1,7 @@
 package crowd
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -72,6 +73,14 @@
 
 // startNode starts a node that serves an idempotent route.
 func startNode(t *testing.T) *node {
+	t.Helper()
+	return startNodeBeside(t, &worker.Worker{
+		Service: "s", Zone: "z", Slots: 8, Work: 10 * time.Millisecond, OnRun: func(worker.Run) {}, OnArrival: func(worker.Run) {},
+	})
+}
+
+// startNodeBeside starts a node that serves an idempotent route of the worker, or of the upstream at the address that it announces.
+func startNodeBeside(t *testing.T, w *worker.Worker) *node {
 	t.Helper()
 	is := is.New(t)
 	program, err := build()
@@ -80,10 +89,8 @@
 	server := httptest.NewServer(store)
 	stop := make(chan struct{})
 	go store.Run(stop)
-	w := &worker.Worker{
-		Service: "s", Zone: "z", Slots: 8, Work: 10 * time.Millisecond, OnRun: func(worker.Run) {}, OnArrival: func(worker.Run) {},
-	}
 	is.NoErr(w.Start("127.0.0.1:0"))
+	upstream := cmp.Or(w.Announced, w.Address())
 	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(1, []operator.Route{{
 		Name: "get", Host: routeHost, Prefix: "/get/", Service: "s", Idempotent: true, Timeout: 5 * time.Second, Objective: time.Second,
 	}})
@@ -91,7 +98,7 @@
 	store.Put(storeserver.KeyConfiguration, value)
 	n := &node{}
 	var b strings.Builder
-	fmt.Fprintf(&b, "[agent]\nname = a\nservice = s\nzone = z\nmemory-mb = %d\nbounds = graceS=6\nupstream = %s\n", memoryMB, w.Address())
+	fmt.Fprintf(&b, "[agent]\nname = a\nservice = s\nzone = z\nmemory-mb = %d\nbounds = graceS=6\nupstream = %s\n", memoryMB, upstream)
 	for key, address := range map[string]*string{
 		"way-in": &n.ingress, "links": &n.links, "announcements": &n.announcements, "readiness": &n.readiness, "metrics": &n.metrics,
 	} {
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -106,9 +106,12 @@
 	return status >= 100 && status < 200 && status != http.StatusSwitchingProtocols
 }
 
-// readErrorOutcome returns OutcomeLost if the read failed because the connection ended, or OutcomeMalformed if the
-// bytes received are not an HTTP response.
+// readErrorOutcome returns OutcomeLost if the read failed because the connection ended, OutcomeNoMemory if no memory was left, or
+// OutcomeMalformed if the bytes received are not an HTTP response.
 func readErrorOutcome(err error) Outcome {
+	if errors.Is(err, errNoHeadMemory) {
+		return OutcomeNoMemory
+	}
 	var op *net.OpError
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &op) {
 		return OutcomeLost
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -107,12 +107,13 @@
 // exchange sends the request and reads its answer. It sets reusable, unless the result has a *stream, which sets it when it ends.
 func (c *conn) exchange(request Request, headerNames HeaderNames, maxBody int) Result {
 	c.reusable = false
-	c.source.startAnswer()
 	written, err := c.write(request)
 	if err != nil {
 		return Result{Outcome: OutcomeLost, Err: err}
 	}
+	c.source.startAnswer(request.Memory)
 	res := c.readAnswer(request, headerNames, maxBody)
+	c.source.endAnswer(res.Outcome == OutcomeAnswered)
 	if s, ok := res.Stream.(*stream); ok {
 		c.source.pause()
 		s.written = written
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -43,7 +43,7 @@
 	OutcomeMalformed
 	// OutcomeContextEnded means that the context ended before an answer; the request may have run.
 	OutcomeContextEnded
-	// OutcomeNoMemory means that the answer was not read because no memory was left for its body; the request may have run.
+	// OutcomeNoMemory means that the answer was not read because no memory was left for it; the request may have run.
 	OutcomeNoMemory
 )
 
--- a/exchanger/own_test.go
+++ b/exchanger/own_test.go
@@ -72,7 +72,7 @@
 	}()
 	source := &boundedSource{net: client}
 	c := &conn{net: client, source: source, reader: bufio.NewReaderSize(source, bufferSize)}
-	source.startAnswer()
+	source.startAnswer(nil)
 	res := c.readAnswer(Request{Attempt: "a", Message: hornbeamcroft.Message{Method: http.MethodGet}}, names, 1<<16)
 	_ = client.Close()
 	return res, c.reusable
--- a/exchanger/source.go
+++ b/exchanger/source.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-faster/errors"
 
+	"hornbeamcroft"
 	"hornbeamcroft/headchecker"
 )
 
@@ -14,6 +15,8 @@
 	// maxHeadBytes bounds the heads of all answers of one exchange together: status lines, header fields and interim
 	// answers.
 	maxHeadBytes = 128 << 10
+	// freeHeadBytes is the part of a head's cost that is not reserved: the number of connections bounds it, and most heads take less.
+	freeHeadBytes = 4 << 10
 	// maxHeadTime bounds the time from the first byte of a head to its end.
 	maxHeadTime = 2 * time.Second
 	// A body must grow by minBodyProgress bytes in each progressTime or be complete.
@@ -25,6 +28,7 @@
 var (
 	errHeadTooLarge = errors.Errorf("heads of the answer exceed %d bytes", maxHeadBytes)
 	errHeadTooSlow  = errors.Errorf("head of the answer takes more than %s", maxHeadTime)
+	errNoHeadMemory = errors.New("no memory left for the head of the answer")
 	errBodyTooSlow  = errors.Errorf("body of the answer grows by less than %d bytes in %s", minBodyProgress, progressTime)
 )
 
@@ -38,9 +42,12 @@
 	// inHead is true while a head is expected or read, and begun once bytes of it have arrived. checker checks this head.
 	inHead, begun bool
 	checker       headchecker.HeadChecker
-	// malformed is the reason why the head is malformed; nil if it is not. All further reads fail with it, because the parser goes on
-	// after some errors.
-	malformed error
+	// headErr is the reason why the head is not read to its end; nil if it is. All further reads fail with it, because the parser goes
+	// on after some errors.
+	headErr error
+	// memory is the account that heads are reserved from, nil if they are not accounted for, and reserved what they take of it.
+	memory   hornbeamcroft.Memory
+	reserved int
 	// hasDeadline is true while the connection has a read deadline, which is deadline.
 	hasDeadline bool
 	deadline    time.Time
@@ -51,8 +58,18 @@
 	bodyBytes, mark int
 }
 
-// startAnswer prepares for the answer of a new exchange.
-func (s *boundedSource) startAnswer() { s.headLeft = maxHeadBytes }
+// startAnswer prepares for the answer of a new exchange, whose heads are reserved from the account.
+func (s *boundedSource) startAnswer(memory hornbeamcroft.Memory) {
+	s.headLeft, s.memory, s.reserved = maxHeadBytes, memory, 0
+}
+
+// endAnswer ends an exchange. What its heads have reserved is released, unless the answer is kept: it is then released with the account.
+func (s *boundedSource) endAnswer(kept bool) {
+	if !kept && s.reserved > 0 {
+		s.memory.Release(s.reserved)
+	}
+	s.memory, s.reserved = nil, 0
+}
 
 // startHead prepares for a head, and checks the bytes of it that were read before. The wait for its first byte has no limit here,
 // because the upstream is running the request.
@@ -60,8 +77,24 @@
 	s.inHead, s.begun = true, false
 	s.clearDeadline()
 	s.checker = headchecker.HeadChecker{}
-	s.malformed = s.checker.Check(buffered)
-	return s.malformed
+	s.headErr = s.checkHead(buffered)
+	return s.headErr
+}
+
+// checkHead checks the next bytes of a head and reserves what they cost.
+func (s *boundedSource) checkHead(p []byte) error {
+	if err := s.checker.Check(p); err != nil {
+		return err
+	}
+	more := s.checker.Cost() - freeHeadBytes - s.reserved
+	if s.memory == nil || more <= 0 {
+		return nil
+	}
+	if !s.memory.Reserve(more) {
+		return errNoHeadMemory
+	}
+	s.reserved += more
+	return nil
 }
 
 // startBody prepares for a body.
@@ -117,11 +150,11 @@
 	return n, err
 }
 
-// readHead reads a part of a head. The bytes are counted and checked before they are kept.
+// readHead reads a part of a head. The bytes are counted, checked and reserved before they are parsed.
 func (s *boundedSource) readHead(p []byte) (int, error) {
 	switch {
-	case s.malformed != nil:
-		return 0, s.malformed
+	case s.headErr != nil:
+		return 0, s.headErr
 	case s.headLeft == 0:
 		return 0, errHeadTooLarge
 	}
@@ -134,8 +167,8 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		err = errHeadTooSlow
 	}
-	if s.malformed = s.checker.Check(p[:n]); s.malformed != nil {
-		return 0, s.malformed
+	if s.headErr = s.checkHead(p[:n]); s.headErr != nil {
+		return 0, s.headErr
 	}
 	return n, err
 }
--- a/exchanger/trouble_test.go
+++ b/exchanger/trouble_test.go
@@ -18,6 +18,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamcroft"
+	"hornbeamcroft/headchecker"
 	"hornbeamcroft/reserver"
 )
 
@@ -148,6 +149,28 @@
 	is.Equal(string(sendWithMemory(e, r.Open(), 5*time.Second).Body), "ok")
 }
 
+// TestHeadIsReserved guards against heads that are held outside of the account of their request, and against an account that is
+// charged for heads that are not kept.
+func TestHeadIsReserved(t *testing.T) {
+	const fields, limit = 500, 100 << 10
+	is := is.New(t)
+	var b strings.Builder
+	for i := range fields {
+		fmt.Fprintf(&b, "x%d: y\n", i)
+	}
+	answer := "HTTP/1.1 200 OK\nAttempt: a\n" + b.String() + "Content-Length: 2\n\nok"
+	e := newExchanger(t, answer, answer, "HTTP/1.1 503 No\nAttempt: a\nNot-Run: 1\n"+b.String()+"Content-Length: 0\n\n")
+	r := &reserver.Reserver{Limit: limit}
+	account := r.Open()
+	is.Equal(sendWithMemory(e, account, time.Second).Outcome.String(), OutcomeAnswered.String())
+	is.True(r.Reserved() > fields*headchecker.FieldBytes)
+	is.Equal(sendWithMemory(e, r.Open(), time.Second).Outcome.String(), OutcomeNoMemory.String())
+	account.Close()
+	is.Equal(r.Reserved(), int64(0))
+	is.Equal(sendWithMemory(e, r.Open(), time.Second).Outcome.String(), OutcomeNotRun.String())
+	is.Equal(r.Reserved(), int64(0))
+}
+
 // TestIdleAfterSlowAnswer guards against a connection that is not used again because a deadline of its last answer has passed.
 func TestIdleAfterSlowAnswer(t *testing.T) {
 	is := is.New(t)
@@ -253,7 +276,7 @@
 		}()
 		source := &boundedSource{net: client}
 		c := &conn{net: client, source: source, reader: bufio.NewReaderSize(source, bufferSize)}
-		source.startAnswer()
+		source.startAnswer(nil)
 		request := Request{Attempt: "a", Message: hornbeamcroft.Message{Method: http.MethodGet}}
 		res := c.readAnswer(request, headerNames, 1<<16)
 		_ = client.Close()
--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -10,6 +10,10 @@
 	"golang.org/x/net/http/httpguts"
 )
 
+// FieldBytes is what a parsed field takes besides its text: an entry of the header's map, a list with its value, and the unused part of
+// the map.
+const FieldBytes = 128
+
 // Reasons why a head is malformed.
 var (
 	ErrFieldName = errors.New("name of a field has characters that are not allowed")
@@ -37,8 +41,13 @@
 	// crlf is true if the status line ended with CR and LF, and false if with LF only. All lines must end alike, because an LF in
 	// place of another byte may look like the end of a line, or of the head.
 	crlf bool
+	// bytes and fields count those of the head so far.
+	bytes, fields int
 }
 
+// Cost returns the memory in bytes that the head takes, as far as it was checked, when it is parsed.
+func (h *HeadChecker) Cost() int { return h.bytes + h.fields*FieldBytes }
+
 // Check checks the next bytes, and returns the reason if they make the head malformed. Bytes behind the end of the head are ignored.
 func (h *HeadChecker) Check(p []byte) error {
 	for _, b := range p {
@@ -49,6 +58,7 @@
 			return err
 		}
 		h.afterCR = b == '\r'
+		h.bytes++
 	}
 	return nil
 }
@@ -67,8 +77,10 @@
 		return nil
 	case h.afterCR || b >= utf8.RuneSelf || !httpguts.IsTokenRune(rune(b)):
 		return ErrFieldName
+	case h.place == lineStart:
+		h.place = fieldName
+		h.fields++
 	}
-	h.place = fieldName
 	return nil
 }
 
--- a/headchecker/headchecker_test.go
+++ b/headchecker/headchecker_test.go
@@ -43,3 +43,12 @@
 		})
 	}
 }
+
+// TestCost guards against a head that takes more memory than was reserved for it.
+func TestCost(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\na:\r\nb: c\r\n\r\n"
+	var h HeadChecker
+	is.NoErr(h.Check([]byte(head + "body: x\r\n")))
+	is.Equal(h.Cost(), len(head)+2*FieldBytes)
+}
--- a/headreader/headreader.go
+++ b/headreader/headreader.go
@@ -11,15 +11,14 @@
 	"sync"
 
 	"github.com/go-faster/errors"
+
+	"hornbeamcroft/headchecker"
 )
 
 const (
 	// InitialBytes is the size of the buffer that a connection always has. It is not reserved: the number of connections
 	// bounds it.
 	InitialBytes = 2 << 10
-	// fieldBytes is what a parsed field takes besides its text: an entry of the header's map, a list with its value, and the
-	// unused part of the map. Heads of 240 KiB with 50,000 different names took 48 bytes a field, one name in all fields 37.
-	fieldBytes = 128
 	// requestBytes is what a parsed request takes besides its fields.
 	requestBytes = 1 << 10
 )
@@ -142,7 +141,7 @@
 		}
 	}
 	size := h.complete - h.start
-	cost := size + h.fields*fieldBytes + requestBytes
+	cost := size + h.fields*headchecker.FieldBytes + requestBytes
 	if !h.Memory.Reserve(cost) {
 		return nil, ErrNoMemory
 	}
