agent, exchanger: health probes are bounded and checked as other answers are

An upstream that answers them with a head without end took a node with a limit of 64 MB to 145,140 kB of resident memory. In addition, a health answer with a line folded into the field with its id made the node take the upstream for another instance. Cause: the probe read its answer with net/http's client, which admits heads of 10 MB and is as lenient as its parser. Change: Exchanger.Probe reads the head of the answer as that of any other, in 128 KiB and 2 s, and with headchecker. Evidence: TestFloodedProbe of crowd failed before with short fields (118,496 and 99,348 kB) and different fields (145,140 and 145,280 kB) and passes with 26,572 and 26,208 kB; the other nine passed before too.

--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -2,12 +2,13 @@
 
 import (
 	"context"
-	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"hornbeamcroft"
+	"hornbeamcroft/exchanger"
 	"hornbeamcroft/observer"
 	"hornbeamcroft/platform"
 )
@@ -167,18 +168,17 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, platform.HealthTimeout)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+a.Settings.Agent.Upstream+path, nil)
+	target, err := url.Parse("http://" + a.Settings.Agent.Upstream + path)
 	if err != nil {
 		a.Log.Warn().Str("path", path).Err(err).Msg("observer: health probe not sent")
 		return
 	}
-	transport := &http.Transport{DisableKeepAlives: true}
-	resp, err := transport.RoundTrip(r)
+	upstream := exchanger.Exchanger{Address: a.Settings.Agent.Upstream}
+	resp, err := upstream.Probe(ctx, target.RequestURI())
 	if err != nil {
 		a.Log.Debug().Err(err).Msg("observer: no health answer")
 		return
 	}
-	_ = resp.Body.Close()
 	instance, healthy := platform.HealthAnswer(resp)
 	slots := a.previousSlots(instance)
 	a.upstreamMu.Lock()
--- a/cmd/hornbeam-node/crowd/crowd_test.go
+++ b/cmd/hornbeam-node/crowd/crowd_test.go
@@ -81,6 +81,21 @@
 
 // startNodeBeside starts a node that serves an idempotent route of the worker, or of the upstream at the address that it announces.
 func startNodeBeside(t *testing.T, w *worker.Worker) *node {
+	t.Helper()
+	n := startNodeUnannounced(t, w)
+	n.announce(t, w)
+	return n
+}
+
+// announce announces the worker, and returns when the node serves requests.
+func (n *node) announce(t *testing.T, w *worker.Worker) {
+	t.Helper()
+	await(t, func() bool { return w.Announce(n.announcements) == nil })
+	await(t, n.answers)
+}
+
+// startNodeUnannounced starts a node whose upstream does not announce itself yet.
+func startNodeUnannounced(t *testing.T, w *worker.Worker) *node {
 	t.Helper()
 	is := is.New(t)
 	program, err := build()
@@ -125,8 +140,6 @@
 			t.Logf("%s", data[max(0, len(data)-2000):])
 		}
 	})
-	await(t, func() bool { return w.Announce(n.announcements) == nil })
-	await(t, n.answers)
 	return n
 }
 
--- a/cmd/hornbeam-node/crowd/flood_test.go
+++ b/cmd/hornbeam-node/crowd/flood_test.go
@@ -23,6 +23,8 @@
 	floodSlots   = 100
 	floodCallers = 150
 	floodTime    = 2 * time.Second
+	// floodedProbes is the number of health probes that are flooded.
+	floodedProbes = 2
 	// floodPiece is the least number of bytes that the upstream writes at once.
 	floodPiece = 64 << 10
 )
@@ -56,12 +58,26 @@
 	{name: "answers to others", text: constant("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 1\r\n\r\nx")},
 }
 
-// floodingUpstream floods while flood is set, and otherwise answers as a worker does.
+// floodingUpstream floods while flood is set, and otherwise answers as a worker does. It floods health probes, too, if probes is set before
+// serve.
 type floodingUpstream struct {
+	probes  bool
 	flood   atomic.Pointer[flood]
 	flooded atomic.Int64
 }
 
+// start lets the upstream serve, and returns the worker that announces it.
+func (u *floodingUpstream) start(t *testing.T) *worker.Worker {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go u.serve(l)
+	return &worker.Worker{Service: "s", Zone: "z", Slots: floodSlots, Announced: l.Addr().String()}
+}
+
 func (u *floodingUpstream) serve(l net.Listener) {
 	for {
 		c, err := l.Accept()
@@ -81,7 +97,7 @@
 			return
 		}
 		id := r.Header.Get(caller.HeaderAttempt)
-		if f := u.flood.Load(); f != nil && r.URL.Path != worker.HealthPath {
+		if f := u.flood.Load(); f != nil && (u.probes || r.URL.Path != worker.HealthPath) {
 			u.flooded.Add(1)
 			f.send(c, id)
 			return
@@ -121,11 +137,7 @@
 		t.Run(f.name, func(t *testing.T) {
 			is := is.New(t)
 			u := &floodingUpstream{}
-			l, err := net.Listen("tcp", "127.0.0.1:0")
-			is.NoErr(err)
-			t.Cleanup(func() { _ = l.Close() })
-			go u.serve(l)
-			n := startNodeBeside(t, &worker.Worker{Service: "s", Zone: "z", Slots: floodSlots, Announced: l.Addr().String()})
+			n := startNodeBeside(t, u.start(t))
 			before := n.status(t, "VmHWM")
 			u.flood.Store(&f)
 			var callers sync.WaitGroup
@@ -151,3 +163,22 @@
 		})
 	}
 }
+
+// TestFloodedProbe guards against an upstream that answers health probes with bytes without end and fills the memory of the node.
+func TestFloodedProbe(t *testing.T) {
+	for _, f := range floods {
+		t.Run(f.name, func(t *testing.T) {
+			is := is.New(t)
+			u := &floodingUpstream{probes: true}
+			u.flood.Store(&f)
+			w := u.start(t)
+			n := startNodeUnannounced(t, w)
+			await(t, func() bool { return u.flooded.Load() >= floodedProbes })
+			peak := n.status(t, "VmHWM")
+			t.Logf("peak of resident memory %d kB", peak)
+			u.flood.Store(nil)
+			n.announce(t, w)
+			is.True(peak <= memoryMB<<10)
+		})
+	}
+}
