--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -40,6 +40,9 @@
 // connectTimeout bounds the time to open a connection to the upstream, which is on the same host.
 const connectTimeout = time.Second
 
+// maxHeadBytes bounds the head of an answer, which an upstream in trouble may send without end.
+const maxHeadBytes = 128 << 10
+
 // Dispatcher sends calls to one upstream. Connections must be set before Open, the other exported fields before the
 // first Run.
 type Dispatcher struct {
@@ -77,11 +80,12 @@
 	breaker.NoBreakerFor(clientName)
 	d.client = &http.Client{
 		Transport: &http.Transport{
-			DialContext:         dial,
-			MaxConnsPerHost:     d.Connections,
-			MaxIdleConnsPerHost: d.Connections,
-			IdleConnTimeout:     90 * time.Second,
-			DisableCompression:  true,
+			DialContext:            dial,
+			MaxConnsPerHost:        d.Connections,
+			MaxIdleConnsPerHost:    d.Connections,
+			IdleConnTimeout:        90 * time.Second,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -115,6 +117,28 @@
 	}
 }
 
+// TestEndlessHead guards against an upstream that sends a head without end and fills the memory.
+func TestEndlessHead(t *testing.T) {
+	const maxAllocated = 8 << 20
+	is := is.New(t)
+	address := rawUpstream(t, func(_ int, conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		_, err := http.ReadRequest(bufio.NewReader(conn))
+		if err == nil {
+			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
+		}
+		for err == nil {
+			_, err = io.WriteString(conn, strings.Repeat("a:\r\n", 1<<12))
+		}
+	})
+	d := open(address)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	is.Equal(d.Run(context.Background(), call("x")).Answer.Code, hornbeamcroft.CodeOutcomeUnknown)
+	runtime.ReadMemStats(&after)
+	is.True(after.TotalAlloc-before.TotalAlloc < maxAllocated)
+}
+
 // TestUnreachableIsNotRun guards against the claim "may have run" for a call that no upstream can have received.
 func TestUnreachableIsNotRun(t *testing.T) {
 	is := is.New(t)
--- a/etcdclient/client.go
+++ b/etcdclient/client.go
@@ -36,6 +36,8 @@
 	// maxAnswerBytes is the maximum size of an answer, and of one message of a watch: enough for a list of ten values of 1 MB
 	// in base64.
 	maxAnswerBytes = 16 << 20
+	// maxHeadBytes bounds the head of an answer.
+	maxHeadBytes = 128 << 10
 	// maxIdleConnsPerEndpoint is the number of idle connections that are kept open to each endpoint.
 	maxIdleConnsPerEndpoint = 4
 )
@@ -81,9 +83,10 @@
 	}
 	client := &http.Client{
 		Transport: &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
-			MaxIdleConnsPerHost: maxIdleConnsPerEndpoint,
-			IdleConnTimeout:     time.Minute,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
+			MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
+			IdleConnTimeout:        time.Minute,
+			MaxResponseHeaderBytes: maxHeadBytes,
 		},
 		// A redirect is not followed, so that decode reports it as an error.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/etcdclient/client_test.go
+++ b/etcdclient/client_test.go
@@ -65,6 +65,20 @@
 	is.True(err != nil) // the answer holds another key than the requested one
 }
 
+// TestLargeHead guards against a head that is read beyond its bound.
+func TestLargeHead(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X", strings.Repeat("x", 2*maxHeadBytes))
+		_, _ = io.WriteString(w, `{"header":{"revision":"3"},"succeeded":true}`)
+	}))
+	defer server.Close()
+	c := &Client{Endpoints: []string{strings.TrimPrefix(server.URL, "http://")}, NoBreaker: true}
+	c.Init()
+	_, err := c.Txn(t.Context(), nil, nil)
+	is.True(err != nil)
+}
+
 // TestLeaseErrors guards against an expired or revoked lease that is taken for a temporary failure of the store.
 func TestLeaseErrors(t *testing.T) {
 	is, ctx := is.New(t), t.Context()
