hornbeam-node: tests of two hops start them in one place

The tests of streamed and of broken answers each started a store, two nodes and an announcement. startHops does; the tests are as they were.

--- a/cmd/hornbeam-node/broken_test.go
+++ b/cmd/hornbeam-node/broken_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptest"
 	"os"
 	"strconv"
 	"strings"
@@ -19,7 +18,6 @@
 
 	"hornbeamcroft/headchecker"
 	"hornbeamcroft/platform/standin/operator"
-	"hornbeamcroft/platform/standin/storeserver"
 	"hornbeamcroft/platform/standin/worker"
 )
 
@@ -79,28 +77,11 @@
 func startBroken(t *testing.T) (*brokenUpstream, []*node) {
 	t.Helper()
 	is := is.New(t)
-	store := &storeserver.StoreServer{}
-	server := httptest.NewServer(store)
-	stop := make(chan struct{})
-	go store.Run(stop)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
+	t.Cleanup(func() { _ = l.Close() })
 	u := &brokenUpstream{runs: make(map[string]int)}
 	go u.serve(l)
-	w := &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: l.Addr().String()}
-	is.NoErr(w.Start(freeAddress(t)))
-	t.Cleanup(func() {
-		w.Crash()
-		_ = l.Close()
-		close(stop)
-		server.CloseClientConnections()
-		server.Close()
-	})
-	program, storeAddress := build(t), strings.TrimPrefix(server.URL, "http://")
-	nodes := []*node{
-		startStreamNode(t, program, "in", storeAddress, ""),
-		startStreamNode(t, program, "last", storeAddress, l.Addr().String()),
-	}
 	var routes []operator.Route
 	for _, name := range []string{"get", "post"} {
 		routes = append(routes, operator.Route{
@@ -108,10 +89,8 @@
 			Timeout: streamRouteTimeout, Objective: time.Second,
 		})
 	}
-	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(1, routes)
-	is.NoErr(err)
-	store.Put(storeserver.KeyConfiguration, value)
-	nodes[1].await(t, func() bool { return w.Announce(nodes[1].announcements) == nil })
+	ingress, lastHop := startHops(t, &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: l.Addr().String()}, routes)
+	nodes := []*node{ingress, lastHop}
 	for i, n := range nodes {
 		n.await(t, func() bool {
 			return strings.HasPrefix(n.rawAnswer(t, "get", fmt.Sprintf("start-%d", i)), "HTTP/1.1 200")
--- a/cmd/hornbeam-node/streams_test.go
+++ b/cmd/hornbeam-node/streams_test.go
@@ -22,7 +22,6 @@
 
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/operator"
-	"hornbeamcroft/platform/standin/storeserver"
 	"hornbeamcroft/platform/standin/worker"
 )
 
@@ -112,34 +111,16 @@
 
 func startStreams(t *testing.T) *streamPair {
 	t.Helper()
-	is := is.New(t)
-	store := &storeserver.StoreServer{}
-	storeServer := httptest.NewServer(store)
-	stop := make(chan struct{})
-	go store.Run(stop)
 	s := &streamPair{upstream: &largeUpstream{}}
 	server := httptest.NewServer(s.upstream)
-	address := strings.TrimPrefix(server.URL, "http://")
 	t.Cleanup(func() {
-		close(stop)
-		storeServer.CloseClientConnections()
-		storeServer.Close()
 		server.CloseClientConnections()
 		server.Close()
 	})
-	w := &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: address}
-	is.NoErr(w.Start(freeAddress(t)))
-	t.Cleanup(w.Crash)
-	program := build(t)
-	storeAddress := strings.TrimPrefix(storeServer.URL, "http://")
-	s.ingress = startStreamNode(t, program, "in", storeAddress, "")
-	s.lastHop = startStreamNode(t, program, "last", storeAddress, address)
-	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(1, []operator.Route{{
+	w := &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: strings.TrimPrefix(server.URL, "http://")}
+	s.ingress, s.lastHop = startHops(t, w, []operator.Route{{
 		Name: "get", Host: routeHost, Prefix: "/get/", Service: "s", Idempotent: true, Timeout: streamRouteTimeout, Objective: time.Second,
 	}})
-	is.NoErr(err)
-	store.Put(storeserver.KeyConfiguration, value)
-	s.lastHop.await(t, func() bool { return w.Announce(s.lastHop.announcements) == nil })
 	for _, n := range []*node{s.ingress, s.lastHop} {
 		n.await(t, func() bool {
 			resp, err := s.get(t.Context(), n, "/get/1000", time.Second)
