exchanger: an answer of HTTP/1.0 with a transfer encoding is malformed

What callers saw: an upstream's answer in chunks whose version was damaged to HTTP/1.0 was passed on as a signed success, with the sizes of the chunks in its body. Cause: as with names and line ends, net/http's parser is lenient: it drops the field Transfer-Encoding of HTTP/1.0 without a sign and takes the body as it is sent, up to the end of the connection. HTTP has such an answer treated as one whose end is unknown. Change: headchecker sees the field in the bytes of the head, and the exchanger takes such an answer for malformed.

--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -19,10 +19,12 @@
 	maxInterimAnswers = 16
 )
 
-// Reasons why the statuses of an answer make it malformed.
+// Reasons why heads that net/http has read make an answer malformed.
 var (
 	errManyInterim   = errors.Errorf("more than %d interim answers", maxInterimAnswers)
 	errInvalidStatus = errors.New("status of the answer is neither interim nor final")
+	// net/http takes the body of such an answer as it is sent, in its encoding.
+	errEncodedOld = errors.New("answer of HTTP/1.0 has a transfer encoding")
 )
 
 // readAnswer reads answers until it finds the one that names the attempt of the request. If its body is not read to its
@@ -97,7 +99,11 @@
 	if err := c.source.startHead(buffered); err != nil {
 		return nil, err
 	}
-	return http.ReadResponse(c.reader, &http.Request{Method: method})
+	r, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err == nil && !r.ProtoAtLeast(1, 1) && c.source.checker.Encoded() {
+		return nil, errEncodedOld
+	}
+	return r, err
 }
 
 // interimStatus reports whether an answer with the status is followed by another one. 101 Switching Protocols is not, and no request
--- a/headchecker/headchecker.go
+++ b/headchecker/headchecker.go
@@ -14,6 +14,9 @@
 // the map.
 const FieldBytes = 128
 
+// encodingName is the name of the field by which HTTP/1.0 does not delimit a body.
+const encodingName = "transfer-encoding"
+
 // Reasons why a head is malformed.
 var (
 	ErrFieldName = errors.New("name of a field has characters that are not allowed")
@@ -43,8 +46,15 @@
 	crlf bool
 	// bytes and fields count those of the head so far.
 	bytes, fields int
+	// matched is how many bytes of encodingName the present name begins with; negative if it has others. encoded is true once a field
+	// had this name.
+	matched int
+	encoded bool
 }
 
+// Encoded reports whether the head, as far as it was checked, has a field Transfer-Encoding.
+func (h *HeadChecker) Encoded() bool { return h.encoded }
+
 // Cost returns the memory in bytes that the head takes, as far as it was checked, when it is parsed.
 func (h *HeadChecker) Cost() int { return h.bytes + h.fields*FieldBytes }
 
@@ -74,16 +84,30 @@
 		return nil
 	case h.place == fieldName && b == ':':
 		h.place = fieldValue
+		h.encoded = h.encoded || h.matched == len(encodingName)
 		return nil
 	case h.afterCR || b >= utf8.RuneSelf || !httpguts.IsTokenRune(rune(b)):
 		return ErrFieldName
 	case h.place == lineStart:
-		h.place = fieldName
+		h.place, h.matched = fieldName, 0
 		h.fields++
 	}
+	h.match(b)
 	return nil
 }
 
+// match compares the next byte of a name with encodingName.
+func (h *HeadChecker) match(b byte) {
+	if b >= 'A' && b <= 'Z' {
+		b += 'a' - 'A'
+	}
+	if h.matched >= 0 && h.matched < len(encodingName) && encodingName[h.matched] == b {
+		h.matched++
+	} else {
+		h.matched = -1
+	}
+}
+
 // endLine ends a line.
 func (h *HeadChecker) endLine() error {
 	switch {
--- a/headchecker/headchecker_test.go
+++ b/headchecker/headchecker_test.go
@@ -52,3 +52,17 @@
 	is.NoErr(h.Check([]byte(head + "body: x\r\n")))
 	is.Equal(h.Cost(), len(head)+2*FieldBytes)
 }
+
+// TestEncoded guards against a field Transfer-Encoding that is not seen, and others that are taken for it.
+func TestEncoded(t *testing.T) {
+	for line, want := range map[string]bool{
+		"Transfer-Encoding: chunked": true, "tRANSFER-eNCODING:": true, "X: y\r\nTransfer-Encoding: x\r\nZ: 1": true,
+		"Transfer-Encodin: chunked": false, "Transfer-Encodings: chunked": false, "XTransfer-Encoding: x": false,
+		"X: Transfer-Encoding: chunked": false, "Transfer-EncodingTransfer-Encoding: x": false,
+	} {
+		is := is.New(t)
+		var h HeadChecker
+		is.NoErr(h.Check([]byte("HTTP/1.1 200 OK\r\n" + line + "\r\n\r\n")))
+		is.Equal(h.Encoded(), want)
+	}
+}
