--- a/cmd/hornbeam-node/broken_test.go
+++ b/cmd/hornbeam-node/broken_test.go
@@ -57,6 +57,9 @@
 		id := r.Header.Get("Attempt-Id")
 		text, last := u.answer(id)
 		fields := "Attempt-Id: " + id + "\r\nServer-Signature: s\r\n"
+		if last {
+			fields += "Connection: close\r\n" // otherwise the next request may be sent as the connection closes
+		}
 		if _, err := io.WriteString(c, strings.ReplaceAll(text, "FIELDS", fields)); err != nil || last {
 			return
 		}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
-	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -121,6 +121,7 @@
 func TestEndlessHead(t *testing.T) {
 	const maxAllocated = 8 << 20
 	is := is.New(t)
+	fields := bytes.Repeat([]byte("a:\r\n"), 1<<12)
 	address := rawUpstream(t, func(_ int, conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		_, err := http.ReadRequest(bufio.NewReader(conn))
@@ -128,7 +129,7 @@
 			_, err = io.WriteString(conn, "HTTP/1.1 200 OK\r\n")
 		}
 		for err == nil {
-			_, err = io.WriteString(conn, strings.Repeat("a:\r\n", 1<<12))
+			_, err = conn.Write(fields)
 		}
 	})
 	d := open(address)
