hornbeam-node: bodies of the pipelined streams are larger than the kernel's buffers

Bodies of 5 MiB can fit into the buffers of the sockets (here up to 32 MiB to read and 4 MiB to write), the upstream is then done before the test looks, and the condition never becomes true. The nodes had answered all three requests. Change: bodies of 24 MiB. The condition and the bound of what the nodes hold are as they were.

--- a/cmd/hornbeam-node/streams_test.go
+++ b/cmd/hornbeam-node/streams_test.go
@@ -226,7 +226,8 @@
 func (s *streamPair) pipelined(t *testing.T) {
 	is := is.New(t)
 	s.upstream.pause.Store(0)
-	const size, count = 5 << 20, 3
+	// size is more than the kernel may hold of a body on its way.
+	const size, count = 24 << 20, 3
 	c, err := net.Dial("tcp", s.ingress.ingress)
 	is.NoErr(err)
 	defer func() { _ = c.Close() }()
