platform/standin: answerer, the upstream of the tests of broken and endless answers

TestBrokenAnswers and TestFloodingUpstream each had an upstream that writes its answers byte by byte, with names of the platform's protocol. It is one stand-in now, below platform/. The cases and bounds are as they were.

--- a/cmd/hornbeam-node/broken_test.go
+++ b/cmd/hornbeam-node/broken_test.go
@@ -17,13 +17,16 @@
 	"github.com/matryer/is"
 
 	"hornbeamcroft/headchecker"
+	"hornbeamcroft/platform/standin/answerer"
+	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/operator"
 	"hornbeamcroft/platform/standin/worker"
 )
 
 const (
-	answerBody  = "hello, world"
-	wholeAnswer = "HTTP/1.1 200 OK\r\nFIELDSContent-Length: 12\r\n\r\n" + answerBody
+	answerBody = "hello, world"
+	// answerInstance is the instance that signs the answers.
+	answerInstance = "i"
 	// requestsBefore is the number of requests through each node that leave a retry budget for the cases.
 	requestsBefore = 200
 )
@@ -36,55 +39,29 @@
 	runs  map[string]int
 }
 
-func (u *brokenUpstream) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go u.serveConn(c)
-	}
-}
-
-func (u *brokenUpstream) serveConn(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		id := r.Header.Get("Attempt-Id")
-		text, last := u.answer(id)
-		fields := "Attempt-Id: " + id + "\r\nServer-Signature: s\r\n"
-		if last {
-			fields += "Connection: close\r\n" // otherwise the next request may be sent as the connection closes
-		}
-		if _, err := io.WriteString(c, strings.ReplaceAll(text, "FIELDS", fields)); err != nil || last {
-			return
-		}
-	}
-}
-
-// answer returns the answer to the attempt, and whether the connection ends behind it.
-func (u *brokenUpstream) answer(id string) (text string, last bool) {
+func (u *brokenUpstream) answer(w io.Writer, r *http.Request) bool {
+	id := answerer.Attempt(r)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.runs[id]++; u.runs[id] == 1 && u.first != "" {
-		return u.first, true
+	if u.runs[id]++; u.runs[id] > 1 || u.first == "" {
+		_, err := io.WriteString(w, answerer.Whole(id, answerInstance, answerBody))
+		return err == nil
 	}
-	return wholeAnswer, false
+	// Without "close", the next request may be sent as the connection closes.
+	fields := answerer.Fields(id, answerInstance) + "Connection: close\r\n"
+	_, _ = io.WriteString(w, strings.ReplaceAll(u.first, "FIELDS", fields)) // fails if the node has given up
+	return false
 }
 
 // startBroken starts a node without an upstream, and one beside the upstream.
 func startBroken(t *testing.T) (*brokenUpstream, []*node) {
 	t.Helper()
 	is := is.New(t)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.NoErr(err)
-	t.Cleanup(func() { _ = l.Close() })
 	u := &brokenUpstream{runs: make(map[string]int)}
-	go u.serve(l)
+	a := &answerer.Answerer{Answer: u.answer}
+	address, err := a.Listen()
+	is.NoErr(err)
+	t.Cleanup(a.Close)
 	var routes []operator.Route
 	for _, name := range []string{"get", "post"} {
 		routes = append(routes, operator.Route{
@@ -92,7 +69,7 @@
 			Timeout: streamRouteTimeout, Objective: time.Second,
 		})
 	}
-	ingress, lastHop := startHops(t, &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: l.Addr().String()}, routes)
+	ingress, lastHop := startHops(t, &worker.Worker{Service: "s", Zone: "z", Slots: 4, Announced: address}, routes)
 	nodes := []*node{ingress, lastHop}
 	for i, n := range nodes {
 		n.await(t, func() bool {
@@ -114,7 +91,8 @@
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
-	_, err = fmt.Fprintf(c, "GET /%s/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: 8000\r\nConnection: close\r\n\r\n", route, routeHost, id)
+	_, err = fmt.Fprintf(c, "GET /%s/1 HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: 8000\r\nConnection: close\r\n\r\n", route, routeHost,
+		caller.HeaderAttempt, id, caller.HeaderDeadline)
 	if err != nil {
 		return ""
 	}
@@ -147,7 +125,7 @@
 			for j, route := range []string{"post", "get"} {
 				id := fmt.Sprintf("%d-%d-%s", line, i, route)
 				t.Run(id, func(t *testing.T) {
-					checkAnswer(t, n.rawAnswer(t, route, id), columns[1+j])
+					checkAnswer(t, n.rawAnswer(t, route, id), id, columns[1+j])
 					u.mu.Lock()
 					defer u.mu.Unlock()
 					if runs := u.runs[id]; runs == 0 || runs > 1 && route == "post" {
@@ -159,8 +137,9 @@
 	}
 }
 
-// checkAnswer fails the test unless the bytes are one whole answer with the status, and with the upstream's body if that is 200.
-func checkAnswer(t *testing.T, text, status string) {
+// checkAnswer fails the test unless the bytes are one whole answer with the status, and with the upstream's body and signature if that is
+// 200.
+func checkAnswer(t *testing.T, text, attempt, status string) {
 	t.Helper()
 	var c headchecker.HeadChecker
 	if err := c.Check([]byte(text)); err != nil {
@@ -173,7 +152,7 @@
 	}
 	body, err := io.ReadAll(r.Body)
 	rest, _ := io.ReadAll(reader)
-	whole := r.StatusCode != http.StatusOK || string(body) == answerBody && r.Header.Get("Server-Signature") == "s"
+	whole := r.StatusCode != http.StatusOK || string(body) == answerBody && answerer.Signed(r.Header, attempt, answerInstance)
 	if err != nil || !whole || len(bytes.TrimSpace(rest)) > 0 || strconv.Itoa(r.StatusCode) != status {
 		t.Errorf("a caller gets %q, %v; status %s expected", text, err, status)
 	}
--- a/cmd/hornbeam-node/crowd/flood_test.go
+++ b/cmd/hornbeam-node/crowd/flood_test.go
@@ -1,9 +1,7 @@
 package crowd
 
 import (
-	"bufio"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -14,6 +12,7 @@
 
 	"github.com/matryer/is"
 
+	"hornbeamcroft/platform/standin/answerer"
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/worker"
 )
@@ -29,7 +28,8 @@
 	floodPiece = 64 << 10
 )
 
-// flood is what an upstream in trouble sends without end: the beginning of an answer, and then the texts over and over.
+// flood is what an upstream in trouble sends without end: the beginning of an answer, in which FIELDS stands for the fields that name and
+// sign it, and then the texts over and over.
 type flood struct {
 	name, begin string
 	text        func(i int) string
@@ -42,7 +42,11 @@
 	return func(int) string { return text }
 }
 
-const answerHead = "HTTP/1.1 200 OK\r\nAttempt-Id: ID\r\nServer-Signature: i.ID\r\n"
+const (
+	answerHead = "HTTP/1.1 200 OK\r\nFIELDS"
+	// answerInstance is the instance that signs the answers.
+	answerInstance = "i"
+)
 
 var floods = []flood{
 	{name: "no HTTP", text: constant("x")},
@@ -55,70 +59,49 @@
 	{name: "chunks", begin: answerHead + "Transfer-Encoding: chunked\r\n\r\n", text: constant("4\r\nabcd\r\n"), streamed: true},
 	{name: "chunk size", begin: answerHead + "Transfer-Encoding: chunked\r\n\r\n", text: constant("0")},
 	{name: "trailer", begin: answerHead + "Transfer-Encoding: chunked\r\n\r\n0\r\n", text: func(i int) string { return strconv.FormatInt(int64(i), 36) + ":\r\n" }},
-	{name: "answers to others", text: constant("HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 1\r\n\r\nx")},
+	{name: "answers to others", text: constant(answerer.Whole("other", answerInstance, "x"))},
 }
 
 // floodingUpstream floods while flood is set, and otherwise answers as a worker does. It floods health probes, too, if probes is set before
-// serve.
+// start.
 type floodingUpstream struct {
 	probes  bool
 	flood   atomic.Pointer[flood]
 	flooded atomic.Int64
 }
 
-// start lets the upstream serve, and returns the worker that announces it.
+// start lets the upstream answer, and returns the worker that announces it.
 func (u *floodingUpstream) start(t *testing.T) *worker.Worker {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	a := &answerer.Answerer{Answer: u.answer}
+	address, err := a.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Cleanup(func() { _ = l.Close() })
-	go u.serve(l)
-	return &worker.Worker{Service: "s", Zone: "z", Slots: floodSlots, Announced: l.Addr().String()}
+	t.Cleanup(a.Close)
+	return &worker.Worker{Service: "s", Zone: "z", Slots: floodSlots, Announced: address}
 }
 
-func (u *floodingUpstream) serve(l net.Listener) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		go u.serveConn(c)
-	}
-}
-
-func (u *floodingUpstream) serveConn(c net.Conn) {
-	defer func() { _ = c.Close() }()
-	reader := bufio.NewReader(c)
-	for {
-		r, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		id := r.Header.Get(caller.HeaderAttempt)
-		if f := u.flood.Load(); f != nil && (u.probes || r.URL.Path != worker.HealthPath) {
-			u.flooded.Add(1)
-			f.send(c, id)
-			return
-		}
-		body := worker.Body(id, "i")
-		head := strings.ReplaceAll(answerHead, "ID", id) + "Content-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
-		if _, err := io.WriteString(c, head+body); err != nil {
-			return
-		}
+func (u *floodingUpstream) answer(w io.Writer, r *http.Request) bool {
+	id := answerer.Attempt(r)
+	if f := u.flood.Load(); f != nil && (u.probes || r.URL.Path != worker.HealthPath) {
+		u.flooded.Add(1)
+		f.send(w, id)
+		return false
 	}
+	_, err := io.WriteString(w, answerer.Whole(id, answerInstance, worker.Body(id, answerInstance)))
+	return err == nil
 }
 
 // send sends until the other side closes the connection.
-func (f *flood) send(c net.Conn, id string) {
-	_, err := io.WriteString(c, strings.ReplaceAll(f.begin, "ID", id))
+func (f *flood) send(w io.Writer, id string) {
+	_, err := io.WriteString(w, strings.ReplaceAll(f.begin, "FIELDS", answerer.Fields(id, answerInstance)))
 	for i := 0; err == nil; {
 		var b strings.Builder
 		for ; b.Len() < floodPiece; i++ {
 			b.WriteString(f.text(i))
 		}
-		_, err = io.WriteString(c, b.String())
+		_, err = io.WriteString(w, b.String())
 	}
 }
 
