agent: the line of a leaving says who holds it

Change: one line, "observer: leaving", with acknowledged, stored, nodes and linked. No change of logic.

--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -30,13 +30,15 @@
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	begin := a.clock.Now()
-	if !a.confirmer.Wait(ctx, record.Sequence, a.links.PeerNames()) {
+	peers := a.links.PeerNames()
+	held := a.confirmer.Wait(ctx, record.Sequence, peers)
+	stored, nodes := a.confirmer.Holders(record.Sequence, peers)
+	a.Log.Info().Str("instance", record.Instance).Int64("born", record.Born).Bool("acknowledged", held).Bool("stored", stored).
+		Int("nodes", nodes).Int("linked", len(peers)).Int64("took-ms", (a.clock.Now() - begin).Milliseconds()).Msg("observer: leaving")
+	if !held {
 		a.metrics.count("upstream/leavings-not-held")
-		a.Log.Warn().Str("instance", record.Instance).Int64("born", record.Born).Msg("observer: leaving not acknowledged")
 		return errLeavingNotHeld
 	}
-	a.Log.Info().Str("instance", record.Instance).Int64("born", record.Born).
-		Int64("took-ms", (a.clock.Now() - begin).Milliseconds()).Msg("observer: leaving acknowledged")
 	return nil
 }
 
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -61,6 +61,24 @@
 	}
 }
 
+// Holders returns whether the store holds the record with the sequence, or a later one, and how many of the named nodes do.
+func (c *Confirmer) Holders(sequence uint64, names []string) (stored bool, nodes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.stored >= sequence, c.holding(sequence, names)
+}
+
+// holding returns how many of the named nodes hold the record with the sequence. The caller must hold c.mu.
+func (c *Confirmer) holding(sequence uint64, names []string) int {
+	n := 0
+	for _, name := range names {
+		if c.byPeer[name] >= sequence {
+			n++
+		}
+	}
+	return n
+}
+
 // check reports whether the record with the sequence is held, and returns a channel that is closed at the next change.
 func (c *Confirmer) check(sequence uint64, names []string) (bool, <-chan struct{}) {
 	c.mu.Lock()
@@ -68,13 +86,7 @@
 	if c.stored >= sequence {
 		return true, nil
 	}
-	holding := 0
-	for _, name := range names {
-		if c.byPeer[name] >= sequence {
-			holding++
-		}
-	}
-	if 2*holding > len(names) {
+	if 2*c.holding(sequence, names) > len(names) {
 		return true, nil
 	}
 	if c.changed == nil {
