leavingkeeper: an acknowledged leaving outlives the loss of all nodes

Cause: an acknowledgement binds all later processes and was given on the memory of present ones: most linked nodes held the leaving, the store, which was down, did not. All processes were killed; a late heartbeat then put the upstream back into service. The way in was open for the same reason: peers that had been restarted as well counted as heard, and a list that may be a second old as the store's word.

Evidence: "observer: leaving ... acknowledged=true stored=false nodes=2 linked=2"; after the restart the store's record said serving, "peers heard, calls run peers=3" came 0.2 s before it was read, and the heartbeat alone had the outcome changed.

A leaving is acknowledged when the store and most linked nodes hold it. A started node reads all these keys, tells peers what it found, and counts only peers that have read them.

TestHeld held that nodes alone suffice, which is the fault. It now demands both, so that it is stricter: what it refused it still refuses.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -19,6 +19,7 @@
 	"hornbeamcroft/courier"
 	"hornbeamcroft/enroller"
 	"hornbeamcroft/exchanger"
+	"hornbeamcroft/leavingkeeper"
 	"hornbeamcroft/loader"
 	"hornbeamcroft/locator"
 	"hornbeamcroft/logger"
@@ -82,8 +83,11 @@
 	// previousRecord is the record that a previous process of this node left in the store.
 	previousRecord hornbeamcroft.Member
 	// retainer keeps the records of other nodes whose upstreams leave; confirmer tracks who holds that of this node.
-	retainer         retainer.Retainer
-	confirmer        confirmer.Confirmer
+	retainer  retainer.Retainer
+	confirmer confirmer.Confirmer
+	// leavings keeps in the store that the upstream leaves; leavingsRead is set once the store has told what it holds.
+	leavings         *leavingkeeper.Keeper
+	leavingsRead     atomic.Bool
 	storeUnreachable atomic.Bool
 
 	upstreamMu sync.Mutex
@@ -169,6 +173,7 @@
 	go a.followStore(background)
 	go a.tick(background)
 	go a.followProof(background)
+	go a.leavings.Run(background)
 	go a.probeUntilKnown(background)
 	go a.dialIntroducers(background)
 	go a.runQuotas(background)
--- a/agent/components.go
+++ b/agent/components.go
@@ -89,8 +89,9 @@
 			a.setQuotaListed(true, revision)
 		},
 		Clock: a.proof.clock, Interval: a.renewInterval, OnHeld: a.onRecordRenewed,
-		OnStored: a.onRecordStored, OnFound: a.onRecordFound, Keep: a.keepsRecord,
+		OnFound: a.onRecordFound, Keep: a.keepsRecord,
 	}
+	a.leavings = a.newLeavingKeeper()
 }
 
 func (a *Agent) newRationer(share float64) *rationer.Rationer {
--- a/agent/inquiry.go
+++ b/agent/inquiry.go
@@ -14,6 +14,9 @@
 	inquirer inquirer.Inquirer
 	// storeLost is true if the store has been unreachable since the start.
 	storeLost bool
+	// others is the number of other nodes in the last list of the store, if listed is set.
+	others int
+	listed bool
 	// done is closed when calls may run, and nil from then on.
 	done chan struct{}
 }
@@ -57,7 +60,25 @@
 			others++
 		}
 	}
-	a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) { i.Listed(others, a.inquiry.storeLost) })
+	a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) {
+		a.inquiry.others, a.inquiry.listed = others, true
+		a.tellListed(i)
+	})
+}
+
+// relist tells the inquirer of the last list again, after the leavings were read.
+func (a *Agent) relist() {
+	a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) {
+		if a.inquiry.listed {
+			a.tellListed(i)
+		}
+	})
+}
+
+// tellListed tells the inquirer of the last list. The list of the records may be a second old, so that the store has not told all before the
+// leavings were read as well. The caller must hold the lock of the inquiry.
+func (a *Agent) tellListed(i *inquirer.Inquirer) {
+	i.Listed(a.inquiry.others, a.inquiry.storeLost || !a.leavingsRead.Load())
 }
 
 // tickInquiry opens links to peers while further ones are needed. It begins with those that follow this node in the order of the
--- a/agent/inquiry_test.go
+++ b/agent/inquiry_test.go
@@ -27,6 +27,7 @@
 func TestCallBeforePeersAreHeard(t *testing.T) {
 	is := is.New(t)
 	holder, started := newLinkedAgent("a"), newLinkedAgent("b")
+	holder.leavingsRead.Store(true)
 	started.observer.Service = "front"
 	left := started.ownRecord()
 	left.Instance, left.Born, left.State, left.Slots, left.Incarnation = "i-1", 5, hornbeamcroft.MemberLeft, 4, 1
@@ -55,17 +56,42 @@
 	is.Equal(u.requests, 0)
 }
 
+// heardPeers returns the number of peers that the agent has heard since its start.
+func heardPeers(a *Agent) int {
+	a.inquiry.mu.Lock()
+	defer a.inquiry.mu.Unlock()
+	return a.inquiry.inquirer.Count()
+}
+
+// TestPeerThatKnowsNothing guards against a node that runs calls at an upstream that has left because it has heard peers that were killed
+// together with it: they know of the leaving only once they have read it in the store, and tell it then.
+func TestPeerThatKnowsNothing(t *testing.T) {
+	is := is.New(t)
+	peer, started := newLinkedAgent("a"), newLinkedAgent("b")
+	started.observer.Service = "front"
+	started.startInquiry()
+	left := started.ownRecord()
+	left.Instance, left.Born, left.State, left.Slots, left.Incarnation = "i-1", 5, hornbeamcroft.MemberLeft, 4, 1
+	linkTo(t, started, peer)
+	is.True(eventually(func() bool { return peer.links.Count() == 1 }))
+	peer.broadcastNodeState()
+	started.onListed([]hornbeamcroft.Member{{Name: "a"}, {Name: "b"}})
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(heardPeers(started), 0)
+	is.True(started.inquiry.pending()) // the list of the records may be older than the leaving
+	peer.onLeavingsRead([]hornbeamcroft.Member{left})
+	is.True(eventually(func() bool { return heardPeers(started) == 1 && !started.inquiry.pending() }))
+	is.Equal(started.ownRecord().State, hornbeamcroft.MemberLeft)
+}
+
 // TestStateBeforeEarlierRecord guards against a change of a peer's state that overtakes, on a new link, what the peer knows of the node:
 // the node would count the peer as heard.
 func TestStateBeforeEarlierRecord(t *testing.T) {
 	is := is.New(t)
 	peer, started := newLinkedAgent("a"), newLinkedAgent("b")
+	peer.leavingsRead.Store(true)
 	started.startInquiry()
-	heard := func() int {
-		started.inquiry.mu.Lock()
-		defer started.inquiry.mu.Unlock()
-		return started.inquiry.inquirer.Count()
-	}
+	heard := func() int { return heardPeers(started) }
 	peer.suspectsMu.Lock() // onUp of the peer needs it
 	linkTo(t, started, peer)
 	is.True(eventually(func() bool { return peer.links.Count() == 1 }))
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -11,17 +11,23 @@
 	"hornbeamcroft/assigner"
 	"hornbeamcroft/connector"
 	"hornbeamcroft/framer"
+	"hornbeamcroft/leavingkeeper"
 )
 
-// holdTimeout is the maximum time for which the acknowledgement of a leaving waits until the leaving is held outside of this
-// process. It is below the second within which the upstream needs the acknowledgement.
-const holdTimeout = 700 * time.Millisecond
+const (
+	// leavingsPrefix precedes the name of a node in the store key that holds which start of its upstream has announced that it leaves.
+	leavingsPrefix = "hornbeamcroft/leavings/"
+	// holdTimeout is the maximum time for which the acknowledgement of a leaving waits until the leaving is held outside of this
+	// process. It is below the second within which the upstream needs the acknowledgement.
+	holdTimeout = 800 * time.Millisecond
+)
 
 // errLeavingNotHeld means that a leaving is in force, but would be forgotten if this process ended now.
-var errLeavingNotHeld = errors.New("the leaving is in force, but neither the store nor other nodes hold it yet")
+var errLeavingNotHeld = errors.New("the leaving is in force, but the store and most linked nodes do not hold it yet")
 
-// awaitLeavingHeld waits until the store or other nodes hold the record of this node if its upstream has left. An
-// acknowledgement binds later processes of this node too, which know of it from there only.
+// awaitLeavingHeld waits until the store and most linked nodes hold the record of this node if its upstream has left. An
+// acknowledgement binds later processes of this node too: they know of it from the store, whatever has ended, and from other nodes while
+// the store does not answer.
 func (a *Agent) awaitLeavingHeld(ctx context.Context) error {
 	record := a.ownRecord()
 	if !record.HasLeft() {
@@ -30,6 +36,9 @@
 	ctx, cancel := context.WithTimeout(ctx, holdTimeout)
 	defer cancel()
 	begin := a.clock.Now()
+	if a.leavings.Keep(record) {
+		a.confirmer.Stored(record.Sequence)
+	}
 	peers := a.links.PeerNames()
 	held := a.confirmer.Wait(ctx, record.Sequence, peers)
 	stored, nodes := a.confirmer.Holders(record.Sequence, peers)
@@ -42,13 +51,51 @@
 	return nil
 }
 
-// onRecordStored records that the store holds a record of this node.
-func (a *Agent) onRecordStored(value []byte) {
-	if m, err := decodeMember(value); err == nil && m.Incarnation == a.incarnation {
-		a.confirmer.Stored(m.Sequence)
+// newLeavingKeeper returns the keeper of what this node has to know of its upstream after a restart.
+func (a *Agent) newLeavingKeeper() *leavingkeeper.Keeper {
+	return &leavingkeeper.Keeper{
+		// An upstream waits for the write, so that it is tried although the store does not answer.
+		Store: a.storeBreaker, Urgent: a.store, Prefix: leavingsPrefix, Name: a.Settings.Agent.Name,
+		OnRead: a.onLeavingsRead, OnKept: a.onLeavingKept, OnMalformed: a.logMalformedLeaving,
+		OnFailed: func(error) { a.metrics.count("store/leavings-failed") },
+	}
+}
+
+// onLeavingKept records that the store holds the leaving that the record m names, if the present start of the upstream is the one.
+func (a *Agent) onLeavingKept(m hornbeamcroft.Member) {
+	if own := a.ownRecord(); own.Instance == m.Instance && own.Born == m.Born {
+		a.confirmer.Stored(own.Sequence)
 	}
 }
 
+// onLeavingsRead applies the leavings that the store holds: that of the upstream of this node, and those that other nodes may have to be
+// told. From then on this node knows all that were acknowledged before.
+func (a *Agent) onLeavingsRead(members []hornbeamcroft.Member) {
+	a.Log.Info().Int("members", len(members)).Msg("observer: leavings read")
+	for _, m := range members {
+		if m.Name == a.Settings.Agent.Name {
+			a.applyEarlierRecord(m, "leavings")
+			a.onLeavingKept(m)
+			continue
+		}
+		a.membersMu.Lock()
+		a.retainer.Record(a.clock.Now(), m)
+		a.membersMu.Unlock()
+	}
+	for _, l := range a.links.Links() {
+		a.sendEarlierRecord(l)
+	}
+	a.leavingsRead.Store(true)
+	a.broadcastNodeState()
+	a.relist()
+}
+
+// logMalformedLeaving logs that the key of a leaving cannot be read.
+func (a *Agent) logMalformedLeaving(e hornbeamcroft.Entry, err error) {
+	a.metrics.count("store/malformed-records")
+	a.Log.Warn().Str("key", e.Key).Int64("revision", e.ModRevision).Err(err).Msg("members: malformed leaving")
+}
+
 // onRecordFound applies the record that an earlier process of this node left in the store, which is nil if there is none.
 func (a *Agent) onRecordFound(value []byte) {
 	if value == nil {
--- a/agent/members.go
+++ b/agent/members.go
@@ -61,6 +61,7 @@
 	a.membersMu.Unlock()
 	if restored {
 		a.onQuotaRestore(0)
+		a.leavings.Restored()
 	}
 	if !ownListed {
 		a.enroller.ReportMissing(revision)
@@ -149,8 +150,10 @@
 	a.courier.SetLinked(n.Member.Name, !l.Ended())
 	a.courier.RecordLoad(n.Member.Name, n.Load)
 	a.compareRoutes(l, n.Routes)
-	// The state is the last of the messages that tell what the peer knows of this node, of whatever version the peer is.
-	a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) { i.Heard(l.Peer.Name) })
+	// The state is the last of the messages that tell what the peer knows of this node. A peer that has started as well may know nothing.
+	if n.LeavingsRead {
+		a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) { i.Heard(l.Peer.Name) })
+	}
 }
 
 // onUp sends the peer of a link that was opened what it may not know after a start: what its earlier process announced, the suspects, the
@@ -240,7 +243,7 @@
 
 // newNodeState returns the present state of this node.
 func (a *Agent) newNodeState() nodeState {
-	n := nodeState{Member: a.ownRecord(), Load: a.runner.Load(), Routes: a.routesVersion()}
+	n := nodeState{Member: a.ownRecord(), Load: a.runner.Load(), Routes: a.routesVersion(), LeavingsRead: a.leavingsRead.Load()}
 	a.membersMu.Lock()
 	n.Era = a.recordsEra
 	a.membersMu.Unlock()
--- a/agent/messages.go
+++ b/agent/messages.go
@@ -20,6 +20,8 @@
 	Era int64 `cbor:"4,keyasint,omitempty"`
 	// Restored is how long ago the sender heard that the store was restored; zero if that no longer matters for quotas.
 	Restored time.Duration `cbor:"5,keyasint,omitempty"`
+	// LeavingsRead is true if the sender has read since its start which upstreams leave, so that it has told the receiver what it announced.
+	LeavingsRead bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Check reports whether the node state is well formed.
--- a/cmd/hornbeam-soak/departure_test.go
+++ b/cmd/hornbeam-soak/departure_test.go
@@ -48,9 +48,46 @@
 	}},
 }
 
+// allKilled are departures after which no process is left that has heard of them.
+var allKilled = []departure{
+	{"departed in an outage", []planner.Step{
+		{At: 500 * time.Millisecond, Kind: "store-busy", Length: 4500 * time.Millisecond},
+		{At: 1500 * time.Millisecond, Kind: "depart", Length: 4 * time.Second},
+		{At: 2 * time.Second, Kind: "kill-all"},
+	}},
+	{"drained in an outage, killed twice", []planner.Step{
+		{At: 500 * time.Millisecond, Kind: "store-silent", Length: 4500 * time.Millisecond},
+		{At: 1500 * time.Millisecond, Kind: "drain", Length: 8 * time.Second},
+		{At: 2 * time.Second, Kind: "kill-all"},
+		{At: 3500 * time.Millisecond, Kind: "kill-all"},
+	}},
+	{"departed as the outage ends", []planner.Step{
+		{At: 500 * time.Millisecond, Kind: "store-busy", Length: 2 * time.Second},
+		{At: 1500 * time.Millisecond, Kind: "depart-healthy", Length: 5 * time.Second},
+		{At: 3 * time.Second, Kind: "kill-all"},
+	}},
+	{"departed before an outage", []planner.Step{
+		{At: time.Second, Kind: "depart-healthy", Length: 5 * time.Second},
+		{At: 1200 * time.Millisecond, Kind: "store-silent", Length: 3 * time.Second},
+		{At: 1500 * time.Millisecond, Kind: "kill-all"},
+	}},
+	{"departed, then all nodes down until the record has ended", []planner.Step{
+		{At: time.Second, Kind: "depart-healthy", Length: 6 * time.Second},
+		{At: 1500 * time.Millisecond, Kind: "kill-all", Length: 4 * time.Second},
+		{At: 2500 * time.Millisecond, Kind: "record-removed"},
+	}},
+}
+
+// TestDepartureOutlivesAllProcesses guards against an upstream that was told that its leaving is acknowledged and gets calls again after
+// all nodes were killed, because only their memory or a short lease held the leaving.
+func TestDepartureOutlivesAllProcesses(t *testing.T) { runDepartures(t, allKilled) }
+
 // TestDepartedUpstreamUsedAgain guards against an upstream that has left and gets calls again after its node was restarted: a late
 // heartbeat, a health answer, a peer or a record of the store may bring it back, and the restarted process may know of no leaving.
-func TestDepartedUpstreamUsedAgain(t *testing.T) {
+func TestDepartedUpstreamUsedAgain(t *testing.T) { runDepartures(t, departures) }
+
+// runDepartures plays each of the departures against five nodes.
+func runDepartures(t *testing.T, departures []departure) {
 	program := build(t, nil)
 	for i, d := range departures {
 		t.Run(d.name, func(t *testing.T) {
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -80,6 +80,8 @@
 //   - large-answers: sends bursts of non-idempotent requests whose answers are large
 //   - poison-rolling: requests that crash upstreams come again and again while the nodes of a service are restarted in turn
 //   - corrupt: the upstream changes one byte in the heads of a share of its answers
+//   - depart-outage: the upstream deregisters while the store is away and runs on, and all nodes are killed and restarted, once or twice,
+//     before a late heartbeat arrives
 var ReviewKinds = []ReviewKind{
 	{"depart-stop", true},
 	{"depart-kill", false},
@@ -87,6 +89,7 @@
 	{"large-answers", true},
 	{"poison-rolling", true},
 	{"corrupt", false},
+	{"depart-outage", false},
 }
 
 // ReviewKind is one of ReviewKinds. Always is true if it is drawn for seeds with planned operations only, too.
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -35,7 +35,7 @@
 )
 
 // everywhereKinds are the kinds of steps, besides storeFaults, that are not limited to one host.
-var everywhereKinds = []string{"store-compact", "store-restore", "kill-many", "refuse-all", judge.KindPoison}
+var everywhereKinds = []string{"store-compact", "store-restore", "kill-many", "kill-all", "refuse-all", judge.KindPoison}
 
 // storeFaults are the faults of the store by kind of step.
 var storeFaults = map[string]storeserver.Faults{
@@ -75,8 +75,8 @@
 	h := s.hosts[p.Host]
 	d := judge.Disruption{Kind: p.Kind, Host: h.Name, Store: strings.HasPrefix(p.Kind, "store-")}
 	switch p.Kind {
-	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "odd-entries",
-		"depart-stop", "depart-kill", "stop-long", "large-answers":
+	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "drain", "odd-entries",
+		"depart-stop", "depart-kill", "depart-outage", "stop-long", "large-answers":
 		d.Planned = true
 	}
 	if _, ok := storeFaults[p.Kind]; ok || slices.Contains(everywhereKinds, p.Kind) {
@@ -143,7 +143,9 @@
 	case "kill":
 		s.exclusive(h, func() { s.killAndRestart(h, p.Length/2) })
 	case "kill-many":
-		s.killMany(p)
+		s.killMany(p, killShare)
+	case "kill-all":
+		s.killMany(p, 1)
 	case "pause":
 		s.exclusive(h, func() {
 			h.Signal(syscall.SIGSTOP)
@@ -172,8 +174,12 @@
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{}) })
 	case "depart-healthy":
 		s.exclusive(h.Worker, func() { s.departUpstream(h, p.Length, worker.Faults{Healthy: true}) })
+	case "drain":
+		s.exclusive(h.Worker, func() { s.leaveAndRunOn(h, h.Worker.Announce, p.Length, worker.Faults{}) })
 	case "depart-stop", "depart-kill":
 		s.departWithRestart(p, h)
+	case "depart-outage":
+		s.departInOutage(p, h)
 	case "stop-long":
 		s.exclusive(h, func() { s.stopDuringLong(p, h) })
 	case "large-answers":
@@ -229,11 +235,11 @@
 	}
 }
 
-// killMany kills and restarts each node with probability killShare, at the same time.
-func (s *Soaker) killMany(p planner.Step) {
+// killMany kills and restarts each node with the probability share, at the same time.
+func (s *Soaker) killMany(p planner.Step, share float64) {
 	var wg sync.WaitGroup
 	for _, h := range s.hosts {
-		if rand.Float64() < killShare {
+		if rand.Float64() < share {
 			wg.Go(func() { s.exclusive(h, func() { s.killAndRestart(h, p.Length/2) }) })
 		}
 	}
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -1,5 +1,5 @@
-// Package confirmer tracks where the record of this node is held outside of its process: in the store, and at the nodes that
-// have acknowledged it. What is held outlives the process.
+// Package confirmer tracks where it is held that the upstream of this node leaves: in the store, and at the nodes that have acknowledged
+// the record of this node. Only what the store holds outlives all processes; the other nodes know it while the store does not answer.
 package confirmer
 
 import (
@@ -11,14 +11,15 @@
 // use.
 type Confirmer struct {
 	mu sync.Mutex
-	// stored is the sequence of the record in the store, byPeer that of the record at each node that has acknowledged one.
+	// stored is the sequence up to which the store holds what the record says of a leaving, byPeer that of the record at each node that
+	// has acknowledged one.
 	stored uint64
 	byPeer map[string]uint64
 	// changed is closed when stored or byPeer changes; nil if nobody waits.
 	changed chan struct{}
 }
 
-// Stored records that the store holds the record with the sequence.
+// Stored records that the store holds the leaving that the record with the sequence names.
 func (c *Confirmer) Stored(sequence uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -45,8 +46,8 @@
 	}
 }
 
-// Wait waits until the store or more than half of the named nodes hold the record with the sequence, or a later one. It
-// returns false if ctx ends before.
+// Wait waits until the store and more than half of the named nodes hold the record with the sequence, or a later one; without nodes,
+// until the store does. It returns false if ctx ends before.
 func (c *Confirmer) Wait(ctx context.Context, sequence uint64, names []string) bool {
 	for {
 		held, changed := c.check(sequence, names)
@@ -83,10 +84,7 @@
 func (c *Confirmer) check(sequence uint64, names []string) (bool, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stored >= sequence {
-		return true, nil
-	}
-	if 2*c.holding(sequence, names) > len(names) {
+	if c.stored >= sequence && (len(names) == 0 || 2*c.holding(sequence, names) > len(names)) {
 		return true, nil
 	}
 	if c.changed == nil {
--- a/confirmer/confirmer_test.go
+++ b/confirmer/confirmer_test.go
@@ -8,7 +8,7 @@
 	"github.com/matryer/is"
 )
 
-// TestHeld guards against a record that counts as held although it would be forgotten with this process.
+// TestHeld guards against a record that counts as held although it would be forgotten with this process, or with all processes at once.
 func TestHeld(t *testing.T) {
 	is := is.New(t)
 	var c Confirmer
@@ -24,13 +24,16 @@
 	c.Acknowledged("b", 1)
 	is.True(!held(2, "a", "b"))
 	c.Acknowledged("b", 2)
-	c.Acknowledged("b", 1) // overtaken on its way
-	is.True(held(2, "a", "b"))
-	is.True(!held(2, "a", "b", "c", "d"))
-	is.True(!held(2)) // no node is linked
+	c.Acknowledged("b", 1)      // overtaken on its way
+	is.True(!held(2, "a", "b")) // all nodes may end together
+	is.True(!held(2))
+	c.Stored(1)
+	is.True(!held(2, "a", "b"))
 	c.Stored(3)
-	is.True(held(2))
-	is.True(held(3, "c"))
+	is.True(held(2, "a", "b"))
+	is.True(!held(2, "a", "b", "c", "d")) // the store may not answer when this node has restarted
+	is.True(!held(3, "c"))
+	is.True(held(3)) // no node is linked
 	is.True(!held(4))
 }
 
@@ -45,6 +48,7 @@
 		go func() { result <- c.Wait(ctx, 1, []string{"a"}) }()
 	}
 	c.Acknowledged("b", 1)
+	c.Stored(1)
 	c.Acknowledged("a", 1)
 	is.True(<-result)
 	is.True(<-result)
