observer: a start that an earlier process has used is not taken for the one that left

What callers would see: after an upstream left and started again under its id, each restart of its node within 10 min left it out of use until its next heartbeat, up to 1.5 s, although it had answered the health check.

Cause: a health answer names no start, so it did not count for an id of which a start had left.

Change: the record of an earlier process that says that a later start served proves that start, and a health answer of the id counts again. The leaving itself stays: a late heartbeat of the start that left is stale, and the leaving of the later start is final as well.

TestRestartAfterStartOfSameID failed before at the health answer after the record, and passes.

--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -135,12 +135,17 @@
 }
 
 // applyEarlierRecord applies a record of an earlier process of this node. If it says that its upstream leaves, that start is
-// not used any more.
+// not used any more. If it says that its upstream serves, that start is later than one that left before.
 func (a *Agent) applyEarlierRecord(m hornbeamcroft.Member, source string) {
 	changed := false
-	if m.HasLeft() && m.Service == a.Settings.Agent.Service {
+	if m.Service == a.Settings.Agent.Service {
 		a.upstreamMu.Lock()
-		changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
+		switch {
+		case m.HasLeft():
+			changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
+		case m.State == hornbeamcroft.MemberServing && m.Born > 0:
+			a.observer.ApplyServed(m.Instance, m.Born)
+		}
 		a.upstreamMu.Unlock()
 	}
 	a.Log.Info().Str("source", source).Uint64("incarnation", m.Incarnation).Uint64("sequence", m.Sequence).
--- /dev/null
+++ b/agent/leaving_test.go
@@ -0,0 +1,44 @@
+package agent
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"hornbeamcroft"
+	"hornbeamcroft/observer"
+)
+
+// earlierRecords returns the records of an earlier process of a: its upstream "i-1" that started at the time born, leaving and serving.
+func earlierRecords(a *Agent, born int64) (left, serving hornbeamcroft.Member) {
+	left = a.ownRecord()
+	left.Instance, left.Born, left.Slots, left.Incarnation, left.State = "i-1", born, 4, 1, hornbeamcroft.MemberLeft
+	serving = left
+	serving.State = hornbeamcroft.MemberServing
+	return left, serving
+}
+
+// TestRestartAfterStartOfSameID guards against an upstream that stays out of use after each restart of its node until its heartbeat,
+// because the store still holds that an earlier start under its id has left.
+func TestRestartAfterStartOfSameID(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent("b")
+	a.observer.Service, a.observer.Address = "front", "127.0.0.1:9"
+	left, _ := earlierRecords(a, 10)
+	_, later := earlierRecords(a, 20)
+	a.onLeavingsRead([]hornbeamcroft.Member{left})
+	is.True(!a.observer.ApplyHealthProbe("i-1", true, 4)) // it may be the start that left
+	a.setPreviousRecord(later)
+	is.True(a.observer.ApplyHealthProbe("i-1", true, 4))
+	is.True(a.observer.Upstream().Usable())
+
+	a.applyEarlierRecord(left, "peer")
+	late := observer.Announcement{Instance: "i-1", Born: 10, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
+	is.Equal(a.observer.ApplyAnnouncement(0, late), observer.OutcomeStale)
+	is.True(a.observer.Upstream().Usable())
+
+	left.Born = 20
+	a.applyEarlierRecord(left, "peer")
+	is.True(!a.observer.Upstream().Usable())
+	is.True(!a.observer.ApplyHealthProbe("i-1", true, 4))
+}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -148,6 +148,9 @@
 	// left holds, by instance, the time of the latest start that has announced that it leaves. Only a later start of the
 	// instance is used.
 	left map[string]int64
+	// servedInstance and servedBorn name the start that an earlier process of this node has used last; empty if none is known.
+	servedInstance string
+	servedBorn     int64
 }
 
 // contender is a start of the upstream that seems to be older than the known one but sends announcements.
@@ -219,10 +222,10 @@
 }
 
 // ApplyHealthProbe applies the answer to a health probe and reports whether it changed the state. An answer counts only
-// while Known returns false, and not if a start of the instance has left: the answer does not tell whether it is that of a
-// later start. Slots is the assumed number of slots of the instance, because a health answer does not carry it.
+// while Known returns false. If a start of the instance has left, it counts only if an earlier process has used a later one: the
+// answer does not tell of which start it is. Slots is the assumed number of slots of the instance, because a health answer does not carry it.
 func (o *Observer) ApplyHealthProbe(instance string, healthy bool, slots int) bool {
-	if _, left := o.left[instance]; left || o.Known() || !ValidInstance(instance) || slots < 1 {
+	if born, left := o.left[instance]; left && !o.servedAfter(instance, born) || o.Known() || !ValidInstance(instance) || slots < 1 {
 		return false
 	}
 	o.upstream = Upstream{Instance: instance, Slots: slots, State: hornbeamcroft.MemberServing}
