agent: a departure that does not name its start is held before it is acknowledged

After a restart the node may know its upstream by a health answer only, or not yet. A departure without the time of its start then named no fact that the store or other nodes could hold, and was acknowledged all the same.

Change: of an upstream that a health answer has shown, it counts for all starts until now, and is held like others. Of an unknown one it is not acknowledged; the upstream repeats it, and is known by then.

--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -30,6 +30,9 @@
 // the store does not answer.
 func (a *Agent) awaitLeavingHeld(ctx context.Context) error {
 	record := a.ownRecord()
+	if record.State == hornbeamcroft.MemberLeft && record.Born == 0 {
+		return errLeavingNotHeld // it cannot be told from a later start
+	}
 	if !record.HasLeft() {
 		return nil
 	}
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -1,7 +1,9 @@
 package agent
 
 import (
+	"context"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -42,3 +44,22 @@
 	is.True(!a.observer.Upstream().Usable())
 	is.True(!a.observer.ApplyHealthProbe("i-1", true, 4))
 }
+
+// TestUnnamedDeparture guards against a departure that is acknowledged and cannot be held outside of the process, because it does not name
+// the start and the node, which was restarted, knows the upstream by a health answer only, or not yet.
+func TestUnnamedDeparture(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent("b")
+	a.observer.Service, a.observer.Address = "front", "127.0.0.1:9"
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(a.onDepart(ctx, "i-1", 0) != nil) // not known yet
+	is.True(a.observer.ApplyHealthProbe("i-1", true, 4))
+	now := time.Now().UnixMilli()
+	is.True(a.onDepart(ctx, "i-1", 0) != nil) // the store does not hold it
+	is.True(a.ownRecord().HasLeft())
+	heartbeat := observer.Announcement{Instance: "i-1", Born: now - 1, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
+	is.Equal(a.observer.ApplyAnnouncement(0, heartbeat), observer.OutcomeStale)
+	heartbeat.Born = now + time.Minute.Milliseconds()
+	is.Equal(a.observer.ApplyAnnouncement(0, heartbeat), observer.OutcomeStarted)
+}
