agent: a departure that does not name its start is not acknowledged, and no time of day stands in for it

The test is right: a clock that was set back would make the leaving cover a later start, or miss this one.

Change: of an upstream that is known by a health answer only, or not at all, such a departure is in force and is not acknowledged, as no store could hold which start it means. When a later message names the start, the leaving becomes that start's.

--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 
@@ -69,11 +68,12 @@
 	cancel()
 	is.True(a.onDepart(ctx, "i-1", 0) != nil) // not known yet
 	is.True(answerHealth(a))
-	now := time.Now().UnixMilli()
-	is.True(a.onDepart(ctx, "i-1", 0) != nil) // the store does not hold it
-	is.True(a.ownRecord().HasLeft())
-	heartbeat := observer.Announcement{Instance: "i-1", Born: now - 1, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
+	is.True(a.onDepart(ctx, "i-1", 0) != nil)
+	is.Equal(a.ownRecord().State, hornbeamcroft.MemberLeft)
+	heartbeat := observer.Announcement{Instance: "i-1", Born: 10, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
 	is.Equal(announce(a, heartbeat), observer.OutcomeStale)
-	heartbeat.Born = now + time.Minute.Milliseconds()
+	is.True(a.onDepart(ctx, "i-1", 10) != nil) // the store does not hold it
+	is.True(a.ownRecord().HasLeft())
+	heartbeat.Born = 11
 	is.Equal(announce(a, heartbeat), observer.OutcomeStarted)
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -69,10 +69,6 @@
 // this process. The time born is zero if the notification does not name the start of the instance.
 func (a *Agent) onDepart(ctx context.Context, instance string, born int64) error {
 	a.upstreamMu.Lock()
-	if u := a.observer.Upstream(); born == 0 && u.Born == 0 && u.Instance == instance {
-		// A health answer has shown that the instance runs, on the host of this node, so that its start began before now.
-		born = time.Now().UnixMilli()
-	}
 	outcome := a.observer.ApplyDeparture(instance, born)
 	a.upstreamMu.Unlock()
 	if outcome == observer.OutcomeChanged {
--- a/observer/leaving.go
+++ b/observer/leaving.go
@@ -21,7 +21,7 @@
 		return OutcomeForeign
 	case !o.onlyProbed && born != o.upstream.Born:
 		return OutcomeStale
-	case o.upstream.State == hornbeamcroft.MemberLeft:
+	case o.upstream.State == hornbeamcroft.MemberLeft && (!o.onlyProbed || born == 0):
 		return OutcomeUnchanged
 	}
 	o.leave(born)
