--- a/cmd/hornbeam-soak/judge/statements_test.go
+++ b/cmd/hornbeam-soak/judge/statements_test.go
@@ -58,8 +58,10 @@
 // addLimitedRun adds a request that runs at the time and is answered 1 ms later.
 func addLimitedRun(j *Judge, runs time.Time, states bool) {
 	id := strconv.FormatInt(runs.UnixNano(), 10)
-	o := caller.Outcome{Attempt: caller.Attempt{ID: id}, SentAt: runs, EndedAt: runs.Add(time.Millisecond), Status: 200, Signed: true,
-		Complete: true, Instance: "i"}
+	o := caller.Outcome{
+		Attempt: caller.Attempt{ID: id}, SentAt: runs, EndedAt: runs.Add(time.Millisecond), Status: 200, Signed: true,
+		Complete: true, Instance: "i",
+	}
 	if states {
 		o.RateLimit = 8
 	}
