--- a/cmd/hornbeam-soak/judge/statements.go
+++ b/cmd/hornbeam-soak/judge/statements.go
@@ -138,7 +138,7 @@
 
 // excused reports whether the node of the host was restarted, paused or cut off between the times.
 func (j *Judge) excused(from, to time.Time, host string) bool {
-	kinds := []string{"kill", "kill-many", "stop", "pause", "links-silent", "links-one-way", "links-reset"}
+	kinds := []string{"kill", "kill-many", "kill-all", "stop", "pause", "links-silent", "links-one-way", "links-reset"}
 	return slices.ContainsFunc(j.disruptions, func(d *Disruption) bool {
 		return slices.Contains(kinds, d.Kind) && (d.Host == "" || d.Host == host) && d.during(from, to)
 	})
--- a/cmd/hornbeam-soak/judge/statements_test.go
+++ b/cmd/hornbeam-soak/judge/statements_test.go
@@ -55,6 +55,22 @@
 	}
 }
 
+// TestRestartExcuses guards against a finding at a node that was restarted since it passed a statement on, by whatever step.
+func TestRestartExcuses(t *testing.T) {
+	for _, kind := range []string{"kill", "kill-many", "kill-all", "stop"} {
+		var j Judge
+		for i := range 200 {
+			addLimitedRun(&j, at(float64(i)/20), true)
+		}
+		j.disruptions = []*Disruption{{Kind: kind, From: at(1), To: at(2)}}
+		for _, f := range j.Finish() {
+			if f.Promise == "limit" {
+				t.Errorf("%s: %s", kind, f.Text)
+			}
+		}
+	}
+}
+
 // addLimitedRun adds a request that runs at the time and is answered 1 ms later.
 func addLimitedRun(j *Judge, runs time.Time, states bool) {
 	id := strconv.FormatInt(runs.UnixNano(), 10)
