resetkeeper, exchanger: an answer cut while its upload is written is broken off

Callers saw: an upstream that answered a long upload at once, without a length, and reset the connection; the part that had arrived came as a complete answer, whole or streamed, whatever its status, at the node beside the upstream and over two hops. An attempt that may run once got 200 with 6 of its bytes in place of 502.

Hypotheses before any change of logic: (1) the kernel reports a reset once, to the call that comes first; the write of the upload gets it, and the read sees the end of the stream; (2) the node's own close ends the read like that; (3) the upstream's end cannot be told from an orderly one on the wire. A program with two sockets and no product code (Linux 6.18) shows (1): in 197 of 300 resets the write got ECONNRESET and the read EOF; in the other 103 the read got ECONNRESET and the write EPIPE. If the read came 20 ms late: EOF in 100 of 100. (2) and (3) are ruled out: nothing had been closed here, and an end of the stream differs: the write gets EPIPE (100 of 100) and the kernel counts one byte more than was read. The same happens without a reset by the upstream: an upload that nobody reads ends by TCP_USER_TIMEOUT, the write gets ETIMEDOUT and the read EOF (3 of 3).

Change: resetkeeper, a net.Conn round the connection to the upstream. A read that finds the end of the stream asks what became of the write. It waits for one that has not returned, ended by a deadline in the past, so that an orderly end costs no wait. A failed write makes the end an error, unless the kernel reports a broken pipe (the end came before the reset) or has counted the end of the stream.

--- a/cmd/hornbeam-node/broken_test.go
+++ b/cmd/hornbeam-node/broken_test.go
@@ -34,6 +34,8 @@
 // brokenUpstream writes the text first to an attempt that arrives for the first time and closes the connection, and a whole answer to
 // one that arrives again.
 type brokenUpstream struct {
+	answerer answerer.Answerer
+
 	mu    sync.Mutex
 	first string
 	runs  map[string]int
@@ -58,10 +60,10 @@
 	t.Helper()
 	is := is.New(t)
 	u := &brokenUpstream{runs: make(map[string]int)}
-	a := &answerer.Answerer{Answer: u.answer}
-	address, err := a.Listen()
+	u.answerer.Answer = u.answer
+	address, err := u.answerer.Listen()
 	is.NoErr(err)
-	t.Cleanup(a.Close)
+	t.Cleanup(u.answerer.Close)
 	var routes []operator.Route
 	for _, name := range []string{"get", "post"} {
 		routes = append(routes, operator.Route{
--- a/cmd/hornbeam-node/hops_test.go
+++ b/cmd/hornbeam-node/hops_test.go
@@ -13,6 +13,9 @@
 	"hornbeamcroft/platform/standin/worker"
 )
 
+// hopsMaxBody bounds the bodies of callers in bytes. The accounts of the nodes have 8 MiB.
+const hopsMaxBody = 6 << 20
+
 // startHops starts a node without an upstream, and a last hop whose upstream is the worker, or what is at the address that the worker
 // announces. Their configuration has the routes.
 func startHops(t *testing.T, w *worker.Worker, routes []operator.Route) (ingress, lastHop *node) {
@@ -32,7 +35,7 @@
 	program, address := build(t), strings.TrimPrefix(server.URL, "http://")
 	ingress = startStreamNode(t, program, "in", address, "")
 	lastHop = startStreamNode(t, program, "last", address, cmp.Or(w.Announced, w.Address()))
-	value, err := operator.Operator{HealthPath: worker.HealthPath}.Document(1, routes)
+	value, err := operator.Operator{HealthPath: worker.HealthPath, MaxBody: hopsMaxBody}.Document(1, routes)
 	is.NoErr(err)
 	store.Put(storeserver.KeyConfiguration, value)
 	lastHop.await(t, func() bool { return w.Announce(lastHop.announcements) == nil })
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"hornbeamcroft"
+	"hornbeamcroft/resetkeeper"
 )
 
 const (
@@ -62,8 +63,9 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "connect to the upstream")
 	}
-	source := &boundedSource{net: n}
-	return &conn{net: n, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout}, nil
+	kept := &resetkeeper.ResetKeeper{Conn: n}
+	source := &boundedSource{net: kept}
+	return &conn{net: kept, source: source, reader: bufio.NewReaderSize(source, bufferSize), idleTimeout: defaultIdleTimeout}, nil
 }
 
 // abort closes the connection, which makes a running exchange fail.
