pipeliner: an answer that ends with its connection is a reset until it is complete

Callers saw: over HTTP/1.0 an answer without a length ends with the connection. If the node closed the connection in the middle of it (it makes room for other connections, or the caller takes too long for a part), the caller got an orderly end, and the part as a whole answer. Only an answer that its handler gave up was reset.

Cause: abort set SO_LINGER to zero, the other ways to close a connection did not.

Change: the option is set when the head of such an answer is written and taken back when its last byte is. Whatever closes the connection in between resets it. A complete answer ends as before (TestBrokenOff/complete).

--- a/pipeliner/exchange.go
+++ b/pipeliner/exchange.go
@@ -68,12 +68,6 @@
 	e.p.closing = true
 	e.p.mu.Unlock()
 	_ = e.await()
-	if e.out != nil && !e.bodiless && !e.chunked && e.length < 0 {
-		// Such a body ends with the connection: only a reset shows that it is not complete.
-		if c, ok := e.p.Conn.(interface{ SetLinger(sec int) error }); ok {
-			_ = c.SetLinger(0)
-		}
-	}
 	e.broken = true
 }
 
--- a/pipeliner/response.go
+++ b/pipeliner/response.go
@@ -20,6 +20,12 @@
 	dropTime        = 3 * time.Second
 )
 
+// Arguments of SetLinger: closing the connection resets it, or ends it once its bytes are sent.
+const (
+	lingerReset     = 0
+	lingerByDefault = -1
+)
+
 // response is the state of an answer.
 type response struct {
 	header http.Header
@@ -125,18 +131,35 @@
 	if err := e.flush(nil); err != nil {
 		return
 	}
+	if e.endsWithConn() {
+		e.setLinger(lingerByDefault)
+	}
 	if !e.bodiless && e.length >= 0 && e.written < e.length {
 		e.broken = true // the client must not take a short body for the whole
 	}
 }
 
+// endsWithConn reports whether the answer has a body whose end is that of the connection.
+func (e *exchange) endsWithConn() bool { return !e.bodiless && e.length < 0 && !e.chunked }
+
+// setLinger sets what closing the connection does with bytes that were not sent, if it is one of the operating system.
+func (e *exchange) setLinger(seconds int) {
+	if c, ok := e.p.Conn.(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(seconds) // fails only if the connection is closed
+	}
+}
+
 // writeHead puts the head of the answer into the buffer.
 func (e *exchange) writeHead() {
 	e.out = buffers.Get().(*[]byte)
 	r := e.head.Request
-	undeclared := !e.bodiless && e.length < 0 && !e.chunked
+	endsWithConn := e.endsWithConn()
+	if endsWithConn {
+		// Until the body is complete, the end of the connection is a reset, whatever it comes from. Nothing else shows it to the client.
+		e.setLinger(lingerReset)
+	}
 	// Behind status 101, the client speaks the other protocol.
-	want := r.Close || undeclared || e.status < 200 || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
+	want := r.Close || endsWithConn || e.status < 200 || strings.EqualFold(e.header.Get("Connection"), "close") || !e.dropBody()
 	last := e.decideClose(want)
 	b := appendStatus((*e.out)[:0], e.status)
 	for name, values := range e.header {
