platform: a response cut while its transaction is written is no response

What was seen: a store that answered a large transaction early with 404, 412, 429 or 503, without a length, and reset the connection. The status counted as that of a whole response: the transaction did not take effect, for certain. Store.callWithTimeout promises a status only if the whole response arrived.

A 200 was an error before, as its JSON is cut.

Change: the client's connections are resetkeeper's. answerer.Cut is the stand-in's part, which the test of the node uses as well.

--- a/cmd/hornbeam-node/cutupload_test.go
+++ b/cmd/hornbeam-node/cutupload_test.go
@@ -38,10 +38,7 @@
 		_, err := io.WriteString(w, answerer.Whole(id, answerInstance, answerBody))
 		return err == nil
 	}
-	_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\n"+answerer.Fields(id, answerInstance)+"\r\n"+part)
-	time.Sleep(time.Millisecond) // the part has left the buffer, mostly
-	_ = w.(*net.TCPConn).SetLinger(0)
-	return false
+	return answerer.Cut(w, "HTTP/1.1 200 OK\r\n"+answerer.Fields(id, answerInstance)+"\r\n"+part)
 }
 
 // upload sends a long body on the route by HTTP/1.1 or 1.0, and returns the status and the body of the answer, or an error if the caller
--- a/resetkeeper/resetkeeper.go
+++ b/resetkeeper/resetkeeper.go
@@ -4,6 +4,7 @@
 package resetkeeper
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -34,6 +35,17 @@
 	failure error
 }
 
+// DialContext returns a function for http.Transport that opens connections with the dialer.
+func DialContext(d *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &ResetKeeper{Conn: conn}, nil
+	}
+}
+
 // Write implements net.Conn.
 func (k *ResetKeeper) Write(p []byte) (int, error) {
 	k.writing.Lock()
