etcdclient: an answer cut while its transaction is written is no answer

What was seen: an endpoint that answered a large transaction early with 400 or 404, without a length, and reset the connection. The part counted as the store's own rejection, a part that ends like JSON also as a missing lease.

--- a/etcdclient/client.go
+++ b/etcdclient/client.go
@@ -22,6 +22,7 @@
 	"github.com/zeromicro/go-zero/rest/httpc"
 
 	"hornbeamcroft"
+	"hornbeamcroft/resetkeeper"
 )
 
 const (
@@ -83,7 +84,7 @@
 	}
 	client := &http.Client{
 		Transport: &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}).DialContext,
+			DialContext:            resetkeeper.DialContext(&net.Dialer{Timeout: dialTimeout, KeepAlive: 5 * time.Second}),
 			MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
 			IdleConnTimeout:        time.Minute,
 			MaxResponseHeaderBytes: maxHeadBytes,
