hornbeamctl: an answer that broke off before the request was sent is no answer

What was seen: a process at a node's address that answers before it reads the request, without a length, and resets the connection. Its part of an answer counted as that of the node; drain printed that the planned stop had started.

A small request is written at once, but a reset can arrive before that; the write is told, and net/http's read of the body finds the end of the stream.

Change: the collector's connections are resetkeeper's.

--- a/cmd/hornbeamctl/collector/collector.go
+++ b/cmd/hornbeamctl/collector/collector.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -12,6 +13,8 @@
 	"github.com/go-faster/errors"
 	"github.com/zeromicro/go-zero/core/breaker"
 	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"hornbeamcroft/resetkeeper"
 )
 
 const (
@@ -50,7 +53,12 @@
 // Redirects are not followed.
 func (c *Collector) RequestAll(ctx context.Context, method, path string) []Answer {
 	breaker.NoBreakerFor(breakerName)
-	client := &http.Client{CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.DialContext = resetkeeper.DialContext(&net.Dialer{})
+	client := &http.Client{
+		Transport:     transport,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}
 	service := httpc.NewServiceWithClient(breakerName, client)
 	defer client.CloseIdleConnections()
 	answers := make([]Answer, len(c.Addresses))
