resetkeeper: the deadline that ends a write is not a time of day

The test is right; the deadline is now the present time, which has the same effect.

Measured: the root package and exchanger pass.

--- a/resetkeeper/resetkeeper.go
+++ b/resetkeeper/resetkeeper.go
@@ -19,9 +19,6 @@
 // ErrBrokenOff is the error of a read at the end of a connection that the other side has not ended.
 var ErrBrokenOff = errors.New("connection broke off while it was written to")
 
-// past is a deadline that has passed.
-var past = time.Unix(1, 0)
-
 // ResetKeeper is a connection whose reads return io.EOF only if the other side has ended the stream.
 type ResetKeeper struct {
 	// Conn must be set before the first read or write.
@@ -80,7 +77,7 @@
 // not returned yet, is awaited; its deadline ends it if the other side takes no more bytes.
 func (k *ResetKeeper) writeFailure() error {
 	if !k.writing.TryLock() {
-		_ = k.Conn.SetWriteDeadline(past) // fails only if the connection is closed, as the write then does
+		_ = k.Conn.SetWriteDeadline(time.Now()) // fails only if the connection is closed, as the write then does
 		k.writing.Lock()
 	}
 	defer k.writing.Unlock()
