hornbeamcroft: an answer of another node with a blank in a field's name is malformed

What was seen: no report; found while looking for readers that the tests of malformed heads do not reach. A node took an answer from another node with an empty name of a field, or a blank, a control byte or a line end in one.

Change: Answer.Check checks the names, as it checks the status. The outcome of such a call is unknown, its link goes on. Bytes beyond ASCII pass as before: TestMessageEndsLink holds them.

--- a/call.go
+++ b/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -169,7 +170,8 @@
 	ServiceTime time.Duration `cbor:"10,keyasint,omitempty"`
 	// Home is the name of the node that is the home of the key, if the call was sent to another node.
 	Home string `cbor:"11,keyasint,omitempty"`
-	// Header holds the end-to-end header fields of the upstream's answer to a call with a Message.
+	// Header holds the end-to-end header fields of the upstream's answer to a call with a Message. Their names are not empty and have no
+	// blank or control characters, by which a receiver would take a field for another, or for the end of the head.
 	Header []Field `cbor:"12,keyasint,omitempty"`
 	// Load is the load of the upstream to which the call was sent; nil if its node does not report it.
 	Load *Load `cbor:"13,keyasint,omitempty"`
@@ -189,6 +191,9 @@
 	Stream io.ReadCloser `cbor:"-"`
 }
 
+// isBlankOrControl reports whether the name of a header field must not have the character.
+func isBlankOrControl(c rune) bool { return c <= ' ' || c == '\x7f' }
+
 // FinalStatus reports whether an HTTP answer with the status ends its exchange. HTTP defines no status outside of 100 to 599, and an
 // upstream in trouble may send one, such as 000.
 func FinalStatus(status int) bool { return status >= 200 && status <= 599 }
@@ -237,6 +242,11 @@
 	if a.Code == CodeAnswered && !FinalStatus(a.Status) {
 		return errors.Errorf("answer: status %d: must be 200 to 599", a.Status)
 	}
+	for _, f := range a.Header {
+		if f.Name == "" || strings.ContainsFunc(f.Name, isBlankOrControl) {
+			return errors.Errorf("answer: field %q: name is empty or has a blank or a control character", f.Name)
+		}
+	}
 	if len(a.Home) > maxNameLength {
 		return errors.New("answer: home is bounded to 128 bytes")
 	}
