--- a/exchanger/cutupload_test.go
+++ b/exchanger/cutupload_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -32,6 +33,8 @@
 	// slowReadBytes and slowReadPause make an upload of cutUploadBytes take 25 s.
 	slowReadBytes = 64 << 10
 	slowReadPause = 100 * time.Millisecond
+	// maxResetDelay is the longest time between an answer and the reset of its connection.
+	maxResetDelay = 2 * time.Millisecond
 )
 
 // cutUpload is a line of testdata/cut-uploads.txt.
@@ -100,7 +103,7 @@
 	}
 	switch c.end {
 	case "reset":
-		time.Sleep(time.Millisecond) // the answer has left the buffer, mostly
+		time.Sleep(rand.N(maxResetDelay))
 		_ = conn.SetLinger(0)
 	case "close":
 		await(conn, unix.TIOCINQ, func(unread int) bool { return unread > 0 }) // without it, the kernel ends the stream
