resetkeeper: the error of a read that broke off wraps that of the write alone

The exported error could not be found by errors.Is, and nothing looks for it: it is gone. TestCutUpload, TestCutTransaction and TestWallClock pass.

--- a/resetkeeper/resetkeeper.go
+++ b/resetkeeper/resetkeeper.go
@@ -16,9 +16,6 @@
 	"golang.org/x/sys/unix"
 )
 
-// ErrBrokenOff is the error of a read at the end of a connection that the other side has not ended.
-var ErrBrokenOff = errors.New("connection broke off while it was written to")
-
 // ResetKeeper is a connection whose reads return io.EOF only if the other side has ended the stream.
 type ResetKeeper struct {
 	// Conn must be set before the first read or write.
@@ -60,7 +57,8 @@
 	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded) && !errors.Is(err, net.ErrClosed)
 }
 
-// Read implements net.Conn. A read that finds the end of the stream ends a write that runs, because no answer can follow.
+// Read implements net.Conn. It returns the error of the write that was told that the connection broke off. A read that finds the end of the
+// stream ends a write that runs, because no answer can follow.
 func (k *ResetKeeper) Read(p []byte) (int, error) {
 	n, err := k.Conn.Read(p)
 	k.received += uint64(n)
@@ -68,7 +66,7 @@
 		return n, err
 	}
 	if failure := k.writeFailure(); failure != nil && !k.ended(failure) {
-		return n, errors.Wrap(failure, ErrBrokenOff.Error())
+		return n, errors.Wrap(failure, "connection broke off while it was written to")
 	}
 	return n, io.EOF
 }
