exchanger: stand-ins that stall behind a whole answer wait until it has arrived

The node ends a connection whose upload nobody reads after 500 ms, so that a whole answer that is still on its way is cut, and its case would fail on a slow machine. The cases check the same as before; none has a bound of time for it.

--- a/exchanger/cutupload_test.go
+++ b/exchanger/cutupload_test.go
@@ -108,24 +108,41 @@
 	case "close":
 		await(conn, unix.TIOCINQ, func(unread int) bool { return unread > 0 }) // without it, the kernel ends the stream
 	case "end-reset":
-		await(conn, unix.TIOCOUTQ, func(unsent int) bool { return unsent == 0 })
+		readUntilArrived(conn)
 		_ = conn.SetLinger(0)
-	case "stall", "end-stall":
+	case "stall":
+		<-ended
+	case "arrived-stall", "end-stall":
+		readUntilArrived(conn)
 		<-ended
 	case "end":
 		readSlowly(ended, conn)
 	}
 }
 
-// await waits until the size of a queue of the connection is as wanted, or the connection has ended.
+// await waits until the size of a queue of the connection is as wanted.
 func await(conn *net.TCPConn, queue uint, wanted func(bytes int) bool) {
-	raw, err := conn.SyscallConn()
-	for done := false; err == nil && !done; time.Sleep(time.Millisecond) {
-		_ = raw.Control(func(fd uintptr) {
-			n := 0
-			n, err = unix.IoctlGetInt(int(fd), queue)
-			done = wanted(n)
-		})
+	for !wanted(queued(conn, queue)) {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// queued returns the number of bytes in a queue of the connection.
+func queued(conn *net.TCPConn, queue uint) (n int) {
+	if raw, err := conn.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), queue) })
+	}
+	return n
+}
+
+// readUntilArrived reads until all that was written has arrived at the other side: an upload that nobody reads ends the connection.
+func readUntilArrived(conn *net.TCPConn) {
+	buf := make([]byte, slowReadBytes)
+	for queued(conn, unix.TIOCOUTQ) > 0 {
+		if _, err := conn.Read(buf); err != nil {
+			return
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
