platform, etcdclient: the tests of cut transactions hold on a slow machine

Encoding 4 MiB under the race detector takes 0.2 s of the store's timeout of 1 s; beside load the call may end before it has a connection, and 'not carried out' is then true. The tests count the requests that reach the stand-in, and reject that claim for each of those.

--- a/etcdclient/cut_test.go
+++ b/etcdclient/cut_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-faster/errors"
@@ -27,7 +28,9 @@
 		for _, part := range []string{"", `{"header":{"revision":"3"},"succ`, `{"code":5,"message":"x"}`} {
 			t.Run(fmt.Sprint(status, part), func(t *testing.T) {
 				is := is.New(t)
+				var reached atomic.Int64
 				a := &answerer.Answerer{Answer: func(w io.Writer, _ *http.Request) bool {
+					reached.Add(1)
 					return answerer.Cut(w, fmt.Sprintf("HTTP/1.1 %d X\r\n\r\n%s", status, part))
 				}}
 				address, err := a.Listen()
@@ -36,9 +39,11 @@
 				c := &Client{Endpoints: []string{address}, NoBreaker: true}
 				c.Init()
 				for range cutRuns {
+					reached.Store(0)
 					_, err := c.Txn(t.Context(), nil, []hornbeamcroft.Put{{Key: "k", Value: make([]byte, cutValueBytes)}})
 					is.True(err != nil)
-					is.True(!errors.Is(err, hornbeamcroft.ErrStoreUnreachable)) // which means that it was not carried out
+					// The error means that the call was not carried out, for certain.
+					is.True(reached.Load() == 0 || !errors.Is(err, hornbeamcroft.ErrStoreUnreachable))
 					is.True(!errors.Is(err, hornbeamcroft.ErrLeaseNotFound))
 					is.True(!isRejection(err))
 				}
