--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -20,10 +20,11 @@
 
 // scenarios maps the name of a script to the function that plays it. It returns whether the rule held.
 var scenarios = map[string]func(w *world, trouble bool) (bool, error){
-	"broken-download": playBrokenDownload,
-	"early-departure": playEarlyDeparture,
-	"failing-backend": playFailingBackend,
-	"reused-address":  playReusedAddress,
+	"broken-download":     playBrokenDownload,
+	"early-departure":     playEarlyDeparture,
+	"failing-backend":     playFailingBackend,
+	"forgotten-departure": playForgottenDeparture,
+	"reused-address":      playReusedAddress,
 }
 
 func main() {
--- a/review/standin-3/scenarios.go
+++ b/review/standin-3/scenarios.go
@@ -4,11 +4,14 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"hornbeamcroft/platform/standin/operator"
+	"hornbeamcroft/platform/standin/storeserver"
 )
 
 const hostName = "shop.example"
@@ -273,3 +276,106 @@
 	}
 	return false
 }
+
+// staleLag is the age of what the store answers to reads that may be old, in playForgottenDeparture.
+const staleLag = 2 * time.Second
+
+// Times of playForgottenDeparture after the acknowledgement.
+const (
+	outageAfter   = 500 * time.Millisecond
+	nodeKillAfter = time.Second
+	nodeBackAfter = 1500 * time.Millisecond
+	requestAfter  = 6 * time.Second
+	outageUntil   = 8500 * time.Millisecond
+)
+
+// playForgottenDeparture: a backend deregisters, which the node beside it acknowledges. The store goes down, and the node is killed and
+// started again. Nodes of another service, with which it had no links before, give it the configuration. The backend, which still
+// runs, must get no request.
+func playForgottenDeparture(w *world, trouble bool) (bool, error) {
+	if err := w.openStore(); err != nil {
+		return false, err
+	}
+	w.store.SetFaults(storeserver.Faults{StaleLag: staleLag})
+	if err := w.configure(7, order("order", "desk"), order("pay", "cash")); err != nil {
+		return false, err
+	}
+	for i := range 12 {
+		service := "cash"
+		if i == 0 || i >= 10 {
+			service = "desk"
+		}
+		if _, err := w.newHost(fmt.Sprintf("side-%02d", i+1), service, []string{"a", "b"}[i%2]); err != nil {
+			return false, err
+		}
+	}
+	for _, h := range w.hosts {
+		for _, seed := range w.hosts[1:4] {
+			h.seeds = append(h.seeds, seed.announcements)
+		}
+		if err := h.writeSettings(); err != nil {
+			return false, err
+		}
+	}
+	if err := w.startAll(func(*backend) {}); err != nil {
+		return false, err
+	}
+	time.Sleep(2 * staleLag) // until the nodes have found each other
+	leaver := w.hosts[0]
+	quiet := w.newClient(leaver)
+	for i, h := range w.hosts {
+		path := "/pay/"
+		if h.service == "desk" {
+			path = "/order/"
+		}
+		if i > 0 {
+			c := w.newClient(h)
+			w.repeat(100*time.Millisecond, func() { go c.send(http.MethodPost, hostName, path+h.name, 3*time.Second) })
+		}
+	}
+	for range 5 {
+		quiet.send(http.MethodPost, hostName, "/order/"+leaver.name, 3*time.Second)
+		time.Sleep(500 * time.Millisecond)
+	}
+	b := leaver.backend
+	b.mu.Lock()
+	b.leaving = true
+	b.mu.Unlock()
+	if !b.deregister(leaver.announcements) {
+		return false, errors.New("the departure was not acknowledged")
+	}
+	acknowledged := time.Now()
+	w.note("departure of %s acknowledged", b.id)
+	if trouble {
+		if err := forget(w, leaver, acknowledged); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(time.Until(acknowledged.Add(requestAfter)))
+	var orders sync.WaitGroup
+	for range 5 {
+		orders.Go(func() { quiet.send(http.MethodPost, hostName, "/order/"+leaver.name, 3*time.Second) })
+	}
+	orders.Wait()
+	time.Sleep(time.Until(acknowledged.Add(outageUntil)))
+	w.store.SetFaults(storeserver.Faults{StaleLag: staleLag})
+	time.Sleep(2 * time.Second)
+	late := w.runsSince(acknowledged.Add(drainTime), func(r runLine) bool { return r.instance == b.id })
+	w.note("%d requests ran at %s later than 2 s after the acknowledgement", len(late), b.id)
+	leaver.noteLog("observer:")
+	leaver.noteLog("agent:")
+	leaver.noteLog("links:")
+	return len(late) == 0, nil
+}
+
+// forget lets the store go down, and kills the node and starts it again.
+func forget(w *world, h *host, acknowledged time.Time) error {
+	time.Sleep(time.Until(acknowledged.Add(outageAfter)))
+	w.note("the store is down: it answers 503")
+	w.store.SetFaults(storeserver.Faults{Busy: true, StaleLag: staleLag})
+	time.Sleep(time.Until(acknowledged.Add(nodeKillAfter)))
+	w.note("node %s is killed", h.name)
+	h.kill()
+	time.Sleep(time.Until(acknowledged.Add(nodeBackAfter)))
+	return h.startNode()
+}
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -28,6 +28,9 @@
 // gracePeriod is the bound graceS.
 const gracePeriod = 6 * time.Second
 
+// firstIP is the last part of the IP address of the first machine.
+const firstIP = 10
+
 // startTimeout bounds the start of the nodes.
 const startTimeout = 15 * time.Second
 
@@ -41,7 +44,9 @@
 	done    chan struct{}
 	hosts   []*host
 	ports   portallocator.PortAllocator
-	closers []func()
+	// portNumbers are the ports of each machine.
+	portNumbers []string
+	closers     []func()
 
 	mu    sync.Mutex
 	lines []string
@@ -141,19 +146,28 @@
 	cmd    *exec.Cmd
 	exited chan struct{}
 	log    *os.File
+	// seeds are the control addresses of other machines.
+	seeds []string
 	// backend is the one that startAll has started.
 	backend *backend
 }
 
-// newHost adds a machine.
+// newHost adds a machine. Each machine has an IP address of its own, and the ports are the same on all machines.
 func (w *world) newHost(name, service, zone string) (*host, error) {
-	h := &host{w: w, name: name, service: service, zone: zone}
-	for _, a := range []*string{&h.wayIn, &h.links, &h.announcements, &h.readiness, &h.metrics, &h.appAddress} {
-		free, err := w.ports.Address()
-		if err != nil {
-			return nil, err
+	if w.portNumbers == nil {
+		for range 6 {
+			free, err := w.ports.Address()
+			if err != nil {
+				return nil, err
+			}
+			_, port, _ := net.SplitHostPort(free)
+			w.portNumbers = append(w.portNumbers, port)
 		}
-		*a = free
+	}
+	h := &host{w: w, name: name, service: service, zone: zone}
+	ip := fmt.Sprintf("127.0.0.%d", firstIP+len(w.hosts))
+	for i, a := range []*string{&h.wayIn, &h.links, &h.announcements, &h.readiness, &h.metrics, &h.appAddress} {
+		*a = net.JoinHostPort(ip, w.portNumbers[i])
 	}
 	var err error
 	if h.log, err = os.Create(filepath.Join(w.folder, name+".log")); err != nil {
@@ -169,8 +183,8 @@
 // writeSettings writes the settings file as the template of the deploy file has it.
 func (h *host) writeSettings() error {
 	text := fmt.Sprintf("[agent]\nname = %s\nservice = %s\nzone = %s\nway-in = %s\nlinks = %s\nannouncements = %s\nreadiness = %s\n"+
-		"metrics = %s\nupstream = %s\nintroducers = \nmemory-mb = 284\nplacement = auto\nbounds = %s\n\n[platform-store]\naddress = %s\n",
-		h.name, h.service, h.zone, h.wayIn, h.links, h.announcements, h.readiness, h.metrics, h.appAddress, bounds, h.w.storeAt)
+		"metrics = %s\nupstream = %s\nintroducers = %s\nmemory-mb = 284\nplacement = auto\nbounds = %s\n\n[platform-store]\naddress = %s\n",
+		h.name, h.service, h.zone, h.wayIn, h.links, h.announcements, h.readiness, h.metrics, h.appAddress, strings.Join(h.seeds, ","), bounds, h.w.storeAt)
 	return os.WriteFile(h.settingsPath(), []byte(text), 0o644)
 }
 
