--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 folder="$(cd "$(dirname "$0")" && pwd)"
 cd "$folder/../.." || exit 2
 [ -x target/hornbeam-node ] && [ -x target/standin-3 ] || { echo "run the build of the deploy file and review/build-3.sh first"; exit 2; }
-exec target/standin-3 -node target/hornbeam-node -record "$folder/record.txt" failing-backend
+exec target/standin-3 -node target/hornbeam-node -now "$(date +%s%3N)" -record "$folder/record.txt" failing-backend
--- a/review/standin-3/backend.go
+++ b/review/standin-3/backend.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	b := &backend{w: w, id: id, service: service, zone: zone, address: address, born: time.Now().UnixMilli(), work: 20 * time.Millisecond, slots: 64}
+	b := &backend{w: w, id: id, service: service, zone: zone, address: address, born: w.timeOfDay(), work: 20 * time.Millisecond, slots: 64}
 	b.server = &http.Server{Handler: b, ReadHeaderTimeout: time.Minute, IdleTimeout: 10 * time.Second}
 	go func() { _ = b.server.Serve(l) }()
 	w.closers = append(w.closers, b.crash)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -30,24 +30,25 @@
 func main() {
 	node := flag.String("node", "target/hornbeam-node", "program of the node")
 	record := flag.String("record", "record.txt", "file of the record")
+	now := flag.Int64("now", 0, "time of day in Unix milliseconds")
 	flag.Parse()
 	play := scenarios[flag.Arg(0)]
-	if play == nil {
-		fmt.Fprintln(os.Stderr, "unknown script", flag.Arg(0))
+	if play == nil || *now <= 0 {
+		fmt.Fprintln(os.Stderr, "unknown script, or no time of day:", flag.Arg(0))
 		os.Exit(statusNotRun)
 	}
-	os.Exit(run(play, *node, *record, os.Getenv("TROUBLE") != "0"))
+	os.Exit(run(play, *node, *record, *now, os.Getenv("TROUBLE") != "0"))
 }
 
 // run plays a script and returns the exit status.
-func run(play func(w *world, trouble bool) (bool, error), node, record string, trouble bool) int {
+func run(play func(w *world, trouble bool) (bool, error), node, record string, now int64, trouble bool) int {
 	folder, err := os.MkdirTemp("", "standin-3-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return statusNotRun
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	w := &world{program: node, folder: folder, start: time.Now()}
+	w := &world{program: node, folder: folder, start: time.Now(), startMs: now}
 	w.note("script begins, trouble: %t", trouble)
 	held, err := play(w, trouble)
 	w.close()
--- a/review/standin-3/world.go
+++ b/review/standin-3/world.go
@@ -38,6 +38,8 @@
 type world struct {
 	program, folder string
 	start           time.Time
+	// startMs is the time of day at start, in Unix milliseconds.
+	startMs int64
 
 	store   storeserver.StoreServer
 	storeAt string
@@ -62,6 +64,9 @@
 	born                     int64
 }
 
+// timeOfDay returns the time of day in Unix milliseconds.
+func (w *world) timeOfDay() int64 { return w.startMs + time.Since(w.start).Milliseconds() }
+
 // note adds a line to the record.
 func (w *world) note(format string, args ...any) {
 	w.mu.Lock()
