--- a/review/standin-3/scenarios.go
+++ b/review/standin-3/scenarios.go
@@ -33,7 +33,8 @@
 // drainTime is the bound drainMs.
 const drainTime = 2 * time.Second
 
-// usualWork and usualSlots are those of most backends; busyWork and busySlots let one backend alone be overloaded, so that the other is used again soon after a crash.
+// usualWork and usualSlots are those of most backends; busyWork and busySlots let the other backends of a service be
+// overloaded without the one that has crashed, so that it is used again soon.
 const (
 	usualWork  = 20 * time.Millisecond
 	usualSlots = 64
@@ -52,7 +53,7 @@
 	}
 	var hosts []*host
 	var first *backend
-	for _, name := range []string{"side-a-1", "side-b-1"} {
+	for _, name := range []string{"side-a-1", "side-a-2", "side-b-1", "side-b-2"} {
 		h, err := w.newHost(name, "desk", name[:6])
 		if err != nil {
 			return false, err
@@ -78,8 +79,8 @@
 	time.Sleep(4 * time.Second)
 	for _, h := range hosts {
 		c := w.newClient(h)
-		w.repeat(70*time.Millisecond, func() { go c.send(http.MethodPost, hostName, "/order/"+h.name, 3*time.Second) })
-		w.repeat(70*time.Millisecond, func() { go c.send(http.MethodGet, hostName, "/lookup/"+h.name, 3*time.Second) })
+		w.repeat(55*time.Millisecond, func() { go c.send(http.MethodPost, hostName, "/order/"+h.name, 3*time.Second) })
+		w.repeat(55*time.Millisecond, func() { go c.send(http.MethodGet, hostName, "/lookup/"+h.name, 3*time.Second) })
 	}
 	time.Sleep(3 * time.Second)
 	leaver := first
