--- a/agent/agent.go
+++ b/agent/agent.go
@@ -94,6 +94,8 @@
 	observer   observer.Observer
 	// recordSequence is the sequence number of the member record of this node.
 	recordSequence uint64
+	// servedFound wakes the health probes when a record names a further instance that an earlier process has used.
+	servedFound chan struct{}
 
 	suspectsMu sync.Mutex
 	suspects   suspecter.Suspecter
--- a/agent/components.go
+++ b/agent/components.go
@@ -49,6 +49,7 @@
 	a.recorder = &recorder.Recorder{Log: a.Log.Logger}
 	a.bodies = &reserver.Reserver{Limit: int64(cfg.MemoryMB) << 20 / bodyMemoryDivisor}
 	a.observer = observer.Observer{Service: cfg.Service, Address: cfg.Upstream}
+	a.servedFound = make(chan struct{}, 1)
 	a.store = &platform.Store{Address: a.Settings.Store.Address, WatchHold: a.routesWatchHold, OnEra: a.onStoreEra}
 	a.store.Open()
 	a.storeBreaker = &breaker.Breaker{Store: a.store, Clock: a.clock}
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -86,7 +86,7 @@
 		a.membersMu.Unlock()
 	}
 	for _, l := range a.links.Links() {
-		a.sendEarlierRecord(l)
+		a.sendEarlierRecords(l)
 	}
 	a.leavingsRead.Store(true)
 	a.broadcastNodeState()
@@ -138,25 +138,32 @@
 }
 
 // applyEarlierRecord applies a record of an earlier process of this node. If it says that its upstream leaves, that start is
-// not used any more. If it says that its upstream serves, that start is later than one that left before.
+// not used any more. If it says that its upstream serves, that start is later than one that left before, and its instance is one of this
+// service. A record of another service proves nothing: the node had other settings.
 func (a *Agent) applyEarlierRecord(m hornbeamcroft.Member, source string) {
-	changed := false
+	changed, found := false, false
 	if m.Service == a.Settings.Agent.Service {
 		a.upstreamMu.Lock()
 		switch {
 		case m.HasLeft():
 			changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
-		case m.State == hornbeamcroft.MemberServing && m.Born > 0:
-			a.observer.ApplyServed(m.Instance, m.Born)
+		case m.State == hornbeamcroft.MemberServing:
+			found = a.observer.ApplyServed(m.Instance, m.Born)
 		}
 		a.upstreamMu.Unlock()
 	}
-	a.Log.Info().Str("source", source).Uint64("incarnation", m.Incarnation).Uint64("sequence", m.Sequence).
+	a.Log.Info().Str("source", source).Str("service", m.Service).Uint64("incarnation", m.Incarnation).Uint64("sequence", m.Sequence).
 		Str("instance", m.Instance).Int64("born", m.Born).Str("state", m.State.String()).Bool("changed", changed).
 		Msg("observer: record of an earlier process")
 	if changed {
 		a.applyUpstream(false)
 	}
+	if found {
+		select {
+		case a.servedFound <- struct{}{}:
+		default: // the health probes have not taken the last one yet
+		}
+	}
 }
 
 // keepsRecord reports whether the record of this node stays in the store after a planned stop, so that the next process knows
@@ -181,13 +188,18 @@
 	}
 }
 
-// sendEarlierRecord sends the peer of a link that was opened what an earlier process of it announced of an upstream that leaves.
-func (a *Agent) sendEarlierRecord(l *connector.Link) {
+// sendEarlierRecords sends the peer of a link that was opened what an earlier process of it announced: of an upstream that leaves, and
+// which upstream it used last, as the peer cannot read that in the store while that does not answer.
+func (a *Agent) sendEarlierRecords(l *connector.Link) {
 	a.membersMu.Lock()
-	m, ok := a.retainer.Left(a.clock.Now(), l.Peer.Name)
+	left, hasLeft := a.retainer.Left(a.clock.Now(), l.Peer.Name)
+	last, known := a.locator.Member(l.Peer.Name)
 	a.membersMu.Unlock()
-	if ok && m.Incarnation != l.Peer.Incarnation {
-		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: m})
+	if hasLeft && left.Incarnation != l.Peer.Incarnation {
+		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: left})
+	}
+	if known && last.Incarnation != l.Peer.Incarnation && last.State == hornbeamcroft.MemberServing && last.Instance != "" {
+		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: last})
 	}
 }
 
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -67,6 +67,8 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
 	is.True(a.onDepart(ctx, "i-1", 0) != nil) // not known yet
+	_, serving := earlierRecords(a, 0)
+	a.applyEarlierRecord(serving, "peer")
 	is.True(answerHealth(a))
 	is.True(a.onDepart(ctx, "i-1", 0) != nil)
 	is.Equal(a.ownRecord().State, hornbeamcroft.MemberLeft)
@@ -77,3 +79,32 @@
 	heartbeat.Born = 11
 	is.Equal(announce(a, heartbeat), observer.OutcomeStarted)
 }
+
+// TestServiceOfHealthAnswer guards against a node that takes an upstream of another service for its own after a restart, and against one that
+// does not use its own upstream until a heartbeat although a peer knows that the process before used it.
+func TestServiceOfHealthAnswer(t *testing.T) {
+	for _, c := range []struct {
+		service string
+		state   hornbeamcroft.MemberState
+		proven  bool
+	}{
+		{"front", hornbeamcroft.MemberServing, true},
+		{"front", hornbeamcroft.MemberLeft, false},
+		{"other", hornbeamcroft.MemberServing, false},
+	} {
+		t.Run(c.service+" "+c.state.String(), func(t *testing.T) {
+			is := is.New(t)
+			peer, started := newLinkedAgent("a"), newLinkedAgent("b")
+			_, m := earlierRecords(started, 10)
+			m.Service, m.State = c.service, c.state
+			is.True(!answerHealth(started))
+			peer.locator.AddFromPeer(0, m)
+			peer.leavingsRead.Store(true)
+			peer.retainer.Record(peer.clock.Now(), m)
+			started.startInquiry()
+			linkTo(t, started, peer)
+			is.True(eventually(func() bool { return heardPeers(started) == 1 }))
+			is.Equal(answerHealth(started), c.proven)
+		})
+	}
+}
--- a/agent/members.go
+++ b/agent/members.go
@@ -164,7 +164,7 @@
 	a.membersMu.Lock()
 	a.locator.Introduce(l.Peer.Name, l.Peer.Incarnation)
 	a.membersMu.Unlock()
-	a.sendEarlierRecord(l)
+	a.sendEarlierRecords(l)
 	a.sendSuspects(l)
 	// From here on, changes of the state are sent over the link. An earlier one would precede what the state has to follow.
 	a.introduced.Store(l, true)
--- a/agent/probe_test.go
+++ b/agent/probe_test.go
@@ -30,7 +30,9 @@
 		_ = c.Close()
 	}()
 	a := &Agent{Log: logger.New(io.Discard, "info"), observer: observer.Observer{Service: "s", Address: l.Addr().String()}}
+	a.metrics = newMetricSet()
 	a.Settings.Agent.Upstream = l.Addr().String()
+	a.observer.ApplyServed("i-1234", 10)
 	a.probeOnce(t.Context(), "/health")
 	return a
 }
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -126,26 +126,31 @@
 }
 
 // probeUntilKnown sends health probes to the local upstream until the upstream is known to this process. After a restart
-// of the node alone, the upstream's next heartbeat may be more than a second away.
+// of the node alone, the upstream's next heartbeat may be more than a second away. An answer counts only for an instance that a record of
+// an earlier process names, so that none is requested before there is such a record.
 func (a *Agent) probeUntilKnown(ctx context.Context) {
 	if a.Settings.Agent.Upstream == "" {
 		return
 	}
 	for ctx.Err() == nil {
 		a.upstreamMu.Lock()
-		known := a.observer.Known()
+		known, served := a.observer.Known(), a.observer.ServedAny()
 		a.upstreamMu.Unlock()
 		if known {
 			return
 		}
-		wait := probePollInterval
-		if r := a.routes.Load(); r != nil {
-			a.probeOnce(ctx, r.table.Services[a.Settings.Agent.Service].HealthPath)
-			wait = probeInterval
+		r := a.routes.Load()
+		var next <-chan time.Time
+		switch {
+		case r == nil:
+			next = time.After(probePollInterval)
+		case served && a.probeOnce(ctx, r.table.Services[a.Settings.Agent.Service].HealthPath):
+			next = time.After(probeInterval)
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(wait):
+		case <-a.servedFound:
+		case <-next:
 		}
 	}
 }
@@ -161,32 +166,37 @@
 	return defaultProbedSlots
 }
 
-// probeOnce requests the upstream's health path and applies the answer. It does nothing if the path is not known.
-func (a *Agent) probeOnce(ctx context.Context, path string) {
+// probeOnce requests the upstream's health path and applies the answer. It does nothing if the path is not known. It reports whether another
+// probe may tell more: not if an instance has answered that no record names, as only its heartbeat proves its service.
+func (a *Agent) probeOnce(ctx context.Context, path string) bool {
 	if path == "" {
-		return
+		return true
 	}
 	ctx, cancel := context.WithTimeout(ctx, platform.HealthTimeout)
 	defer cancel()
 	target, err := url.Parse("http://" + a.Settings.Agent.Upstream + path)
 	if err != nil {
 		a.Log.Warn().Str("path", path).Err(err).Msg("observer: health probe not sent")
-		return
+		return true
 	}
 	upstream := exchanger.Exchanger{Address: a.Settings.Agent.Upstream}
 	resp, err := upstream.Probe(ctx, target.RequestURI())
 	if err != nil {
 		a.Log.Debug().Err(err).Msg("observer: no health answer")
-		return
+		return true
 	}
 	instance, healthy := platform.HealthAnswer(resp)
 	slots := a.previousSlots(instance)
 	a.upstreamMu.Lock()
-	changed := a.observer.ApplyHealthProbe(instance, healthy, slots)
+	changed, served := a.observer.ApplyHealthProbe(instance, healthy, slots), a.observer.Served(instance)
 	a.upstreamMu.Unlock()
-	a.Log.Info().Str("instance", instance).Bool("healthy", healthy).Bool("changed", changed).
+	a.Log.Info().Str("instance", instance).Bool("healthy", healthy).Bool("served-before", served).Bool("changed", changed).
 		Msg("observer: health answer")
+	if !served {
+		a.metrics.count("upstream/unproven-health-answers")
+	}
 	if changed {
 		a.applyUpstream(true)
 	}
+	return served || instance == ""
 }
--- a/observer/leaving.go
+++ b/observer/leaving.go
@@ -50,16 +50,6 @@
 	return true
 }
 
-// ApplyServed applies that an earlier process of this node has used a start of the upstream, as its record says.
-func (o *Observer) ApplyServed(instance string, born int64) {
-	o.servedInstance, o.servedBorn = instance, born
-}
-
-// servedAfter reports whether an earlier process has used a start of the instance that began after the time born.
-func (o *Observer) servedAfter(instance string, born int64) bool {
-	return instance == o.servedInstance && born < o.servedBorn
-}
-
 // adoptLeft makes a start that has left the known one. A later start is then recognized as such.
 func (o *Observer) adoptLeft(instance string, born int64, slots int) {
 	o.upstream = Upstream{Instance: instance, Slots: slots}
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -148,9 +148,9 @@
 	// left holds, by instance, the time of the latest start that has announced that it leaves. Only a later start of the
 	// instance is used.
 	left map[string]int64
-	// servedInstance and servedBorn name the start that an earlier process of this node has used last; empty if none is known.
-	servedInstance string
-	servedBorn     int64
+	// served holds, by instance, the time of the latest start that an earlier process of this node has used as an upstream of Service;
+	// zero if that process knew the instance, but not the time.
+	served map[string]int64
 }
 
 // contender is a start of the upstream that seems to be older than the known one but sends announcements.
@@ -222,10 +222,15 @@
 }
 
 // ApplyHealthProbe applies the answer to a health probe and reports whether it changed the state. An answer counts only
-// while Known returns false. If a start of the instance has left, it counts only if an earlier process has used a later one: the
-// answer does not tell of which start it is. Slots is the assumed number of slots of the instance, because a health answer does not carry it.
+// while Known returns false, and only for an instance that an earlier process has used: the address may have been assigned to an upstream
+// of another service since then, and the answer names no service. If a start of the instance has left, it counts only if an earlier
+// process has used a later one: the answer does not tell of which start it is. Slots is the assumed number of slots of the instance,
+// because a health answer does not carry it.
 func (o *Observer) ApplyHealthProbe(instance string, healthy bool, slots int) bool {
-	if born, left := o.left[instance]; left && !o.servedAfter(instance, born) || o.Known() || !ValidInstance(instance) || slots < 1 {
+	if !o.Served(instance) || o.Known() || !ValidInstance(instance) || slots < 1 {
+		return false
+	}
+	if born, left := o.left[instance]; left && !o.servedAfter(instance, born) {
 		return false
 	}
 	o.upstream = Upstream{Instance: instance, Slots: slots, State: hornbeamcroft.MemberServing}
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -43,6 +43,7 @@
 func TestProbe(t *testing.T) {
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
+	is.True(o.ApplyServed("a", 5))
 	is.True(o.ApplyHealthProbe("a", true, 8))
 	is.Equal(o.Upstream().Slots, 8)
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 10, 0)), OutcomeChanged)
@@ -122,6 +123,7 @@
 func TestReportOfEarlierStart(t *testing.T) {
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
+	is.True(o.ApplyServed("a", 5))
 	is.True(o.ApplyHealthProbe("a", true, 8))
 	is.True(o.ApplyReport(hornbeamcroft.InstanceStatement{Instance: "a", Born: 7, Statement: hornbeamcroft.Statement{Leaving: true}}))
 	is.True(!o.Upstream().Usable())
@@ -133,6 +135,7 @@
 func TestBornOfStatementUnknown(t *testing.T) {
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
+	is.True(o.ApplyServed("a", 5))
 	is.True(o.ApplyHealthProbe("a", true, 4))
 	is.True(o.ApplyStatement("a", 0, hornbeamcroft.Statement{Limited: true, RateLimit: 5}))
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 7, 1)), OutcomeConfirmed)
@@ -148,6 +151,7 @@
 	} {
 		is := is.New(t)
 		o := &Observer{Service: "s", Address: "1"}
+		is.Equal(o.ApplyServed(id, 5), want)
 		is.Equal(o.ApplyHealthProbe(id, true, 8), want)
 		is.Equal(heartbeat(id, 10, 0).Check() == nil, want)
 	}
