agent: a node whose settings name another service or upstream stops and is started again

Callers saw: after the settings file of a host had changed its service, the running node went on as one of the old service: their requests carried the old service as their origin, and the new upstream was not used until the node's next start.

Cause: applied at the next start only, and only logged until then. By reading: the file was read a second time to compare later changes with, so that a change between both reads was missed.

Change: a planned stop, after which the platform starts the node with the settings in effect; from the change on, requests count as those of the new service. Later changes are told from the text that the settings in force were read from.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -90,6 +90,9 @@
 	leavingsRead     atomic.Bool
 	storeUnreachable atomic.Bool
 
+	// origin is the service of the host if the settings that were read again name another one than at the start; nil otherwise.
+	origin atomic.Pointer[string]
+
 	upstreamMu sync.Mutex
 	observer   observer.Observer
 	// recordSequence is the sequence number of the member record of this node.
@@ -152,7 +155,7 @@
 	maxTenantRate float64
 }
 
-// Run serves requests until ctx ends, then carries out a planned stop.
+// Run serves requests until ctx ends or the settings that were read again require another start, then carries out a planned stop.
 func (a *Agent) Run(ctx context.Context) error {
 	a.createComponents()
 	a.startInquiry()
@@ -194,8 +197,8 @@
 	return nil
 }
 
-// waitForStop handles reloaded settings until the node is to stop. It returns nil when ctx ends, and the error when a server
-// fails.
+// waitForStop handles reloaded settings until the node is to stop. It returns nil when ctx ends or the settings require another start, and
+// the error when a server fails.
 func (a *Agent) waitForStop(ctx context.Context, serverErrs <-chan error) error {
 	for {
 		select {
@@ -204,7 +207,9 @@
 		case <-ctx.Done():
 			return nil
 		case s := <-a.Reload:
-			a.logReloadedSettings(s)
+			if a.applyReloadedSettings(s) {
+				return nil
+			}
 		}
 	}
 }
@@ -219,13 +224,6 @@
 	return a.listenInternal(serverErrs)
 }
 
-// logReloadedSettings logs that the settings were read again, and whether the upstream's address or the service differs. A
-// running node keeps its addresses, name and service; changes take effect at the next start.
-func (a *Agent) logReloadedSettings(s loader.AgentSettings) {
-	a.Log.Info().Bool("changed", s.Agent.Upstream != a.Settings.Agent.Upstream || s.Agent.Service != a.Settings.Agent.Service).
-		Msg("agent: settings read again")
-}
-
 // tick calls the periodic work of the components that have no timer of their own, until ctx ends.
 func (a *Agent) tick(ctx context.Context) {
 	const interval = 100 * time.Millisecond
--- a/agent/calls.go
+++ b/agent/calls.go
@@ -128,6 +128,7 @@
 func (a *Agent) newCall(
 	in hornbeamcroft.Incoming, route hornbeamcroft.Route, tenant hornbeamcroft.Tenant, service string,
 ) hornbeamcroft.Call {
+	origin := a.originService()
 	remaining := route.Timeout
 	if in.Remaining > 0 {
 		remaining = min(remaining, in.Remaining)
@@ -137,7 +138,7 @@
 		Tenant: tenant.Name, Importance: route.Importance.InBand(tenant.Band), Depth: 1,
 		Remaining: remaining, Objective: min(route.Objective, remaining),
 		Idempotent: route.Idempotent, Streams: route.Idempotent, Message: &in.Message, Body: in.Body, Memory: in.Memory,
-		Origin: a.Settings.Agent.Service, Fingerprint: fingerprint(in, a.Settings.Agent.Service),
+		Origin: origin, Fingerprint: fingerprint(in, origin),
 	}
 }
 
--- a/cmd/hornbeam-node/agent.go
+++ b/cmd/hornbeam-node/agent.go
@@ -48,7 +48,11 @@
 	sighup := make(chan os.Signal, 1)
 	signal.Notify(sighup, syscall.SIGHUP) // before the settings are read: the default action would end the process
 	path := cmd.String("settings")
-	cfg, bounds, err := readSettings(path)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return &usageError{errors.Wrap(err, "read settings")}
+	}
+	cfg, bounds, err := platform.DecodeSettings(text)
 	if err != nil {
 		return &usageError{err}
 	}
@@ -58,25 +62,16 @@
 	debug.SetMemoryLimit(int64(cfg.Agent.MemoryMB) << 20 * collectorShare / 100)
 	l, flush := logger.NewAsync(os.Stdout, cfg.Log.Level)
 	defer flush()
-	a := &agent.Agent{Settings: cfg, Bounds: bounds, Log: l, Reload: watchSettings(ctx, path, sighup, l.Logger)}
+	a := &agent.Agent{Settings: cfg, Bounds: bounds, Log: l, Reload: watchSettings(ctx, path, text, sighup, l.Logger)}
 	return a.Run(ctx)
 }
 
-func readSettings(path string) (loader.AgentSettings, platform.Bounds, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return loader.AgentSettings{}, platform.Bounds{}, errors.Wrap(err, "read settings")
-	}
-	return platform.DecodeSettings(text)
-}
-
-// watchSettings sends the settings to the returned channel each time the file has changed. It checks the file at
-// regular intervals and on SIGHUP, which sighup receives. If the changed file is invalid, it logs the error and sends nothing.
-func watchSettings(ctx context.Context, path string, sighup <-chan os.Signal, l *log.Logger) <-chan loader.AgentSettings {
+// watchSettings sends the settings to the returned channel each time the file differs from the text that was read last. It checks the file
+// at regular intervals and on SIGHUP, which sighup receives. If the changed file is invalid, it logs the error and sends nothing.
+func watchSettings(ctx context.Context, path string, last []byte, sighup <-chan os.Signal, l *log.Logger) <-chan loader.AgentSettings {
 	changes := make(chan loader.AgentSettings)
 	go func() {
 		// SIGHUP is still caught after ctx has ended: during a planned stop its default action would end the process.
-		last, _ := os.ReadFile(path)
 		t := time.NewTicker(settingsPollInterval)
 		defer t.Stop()
 		for {
@@ -92,7 +87,7 @@
 				continue
 			}
 			last = text
-			cfg, _, err := readSettings(path)
+			cfg, _, err := platform.DecodeSettings(text)
 			if err != nil {
 				l.Error().Err(err).Msg("agent: changed settings are invalid; keeping the settings in force")
 				continue
--- a/cmd/hornbeam-node/ingress_test.go
+++ b/cmd/hornbeam-node/ingress_test.go
@@ -42,8 +42,8 @@
 	worker *worker.Worker
 	cmd    *exec.Cmd
 
-	// log is the path of the file with the node's output.
-	log string
+	// log is the path of the file with the node's output, settings that of its settings.
+	log, settings string
 
 	mu   sync.Mutex
 	runs []worker.Run
@@ -94,6 +94,7 @@
 	log, err := os.Create(filepath.Join(t.TempDir(), "node.log"))
 	is.NoErr(err)
 	n.log = log.Name()
+	n.settings = path
 	n.cmd = exec.Command(build(t), "agent", "--settings", path)
 	n.cmd.Stdout, n.cmd.Stderr = log, log
 	is.NoErr(n.cmd.Start())
