--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -25,6 +25,29 @@
 // errLeavingNotHeld means that a leaving is in force, but would be forgotten if this process ended now.
 var errLeavingNotHeld = errors.New("the leaving is in force, but the store and most linked nodes do not hold it yet")
 
+// errLeavingUnknown means that a leaving cannot be acknowledged because its start is neither the present one nor known to have ended: a
+// later process of this node might use it.
+var errLeavingUnknown = errors.New("the leaving is about a start that this node does not know")
+
+// awaitLeaving returns nil if the leaving of a start binds this process and later ones: the start has ended, or it is the present one
+// and its leaving is held outside of this process. The time born is zero if the upstream has not named the start.
+func (a *Agent) awaitLeaving(ctx context.Context, instance string, born int64) error {
+	a.upstreamMu.Lock()
+	u := a.observer.Upstream()
+	ended := a.observer.Ended(instance, born)
+	a.upstreamMu.Unlock()
+	switch {
+	case ended:
+		return nil
+	case u.Instance == instance && (born == 0 || u.Born == born):
+		return a.awaitLeavingHeld(ctx)
+	}
+	a.metrics.count("upstream/leavings-unknown")
+	a.Log.Warn().Str("instance", instance).Int64("born", born).Str("known", u.Instance).Int64("known-born", u.Born).
+		Msg("observer: leaving of an unknown start not acknowledged")
+	return errLeavingUnknown
+}
+
 // awaitLeavingHeld waits until the store and most linked nodes hold the record of this node if its upstream has left. An
 // acknowledgement binds later processes of this node too: they know of it from the store, whatever has ended, and from other nodes while
 // the store does not answer.
@@ -138,20 +161,18 @@
 }
 
 // applyEarlierRecord applies a record of an earlier process of this node. If it says that its upstream leaves, that start is
-// not used any more. If it says that its upstream serves, that start is later than one that left before, and its instance is one of this
-// service. A record of another service proves nothing: the node had other settings.
+// not used any more, whatever service the node had. If it says that its upstream serves, that start is later than one that left before, and
+// its instance is one of the service in the record.
 func (a *Agent) applyEarlierRecord(m hornbeamcroft.Member, source string) {
 	changed, found := false, false
-	if m.Service == a.Settings.Agent.Service {
-		a.upstreamMu.Lock()
-		switch {
-		case m.HasLeft():
-			changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
-		case m.State == hornbeamcroft.MemberServing:
-			found = a.observer.ApplyServed(m.Instance, m.Born)
-		}
-		a.upstreamMu.Unlock()
-	}
+	a.upstreamMu.Lock()
+	switch {
+	case m.HasLeft():
+		changed = a.observer.ApplyLeft(m.Instance, m.Born, m.Slots)
+	case m.State == hornbeamcroft.MemberServing && m.Service == a.Settings.Agent.Service:
+		found = a.observer.ApplyServed(m.Instance, m.Born)
+	}
+	a.upstreamMu.Unlock()
 	a.Log.Info().Str("source", source).Str("service", m.Service).Uint64("incarnation", m.Incarnation).Uint64("sequence", m.Sequence).
 		Str("instance", m.Instance).Int64("born", m.Born).Str("state", m.State.String()).Bool("changed", changed).
 		Msg("observer: record of an earlier process")
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -108,3 +108,40 @@
 		})
 	}
 }
+
+// TestLeavingOfUnknownStart guards against a leaving that is acknowledged although nothing holds it: its start is neither the present one,
+// nor has it ended, so that a late heartbeat brings it into service after a restart of the node.
+func TestLeavingOfUnknownStart(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent("b")
+	a.observer.Service, a.observer.Address = "front", "127.0.0.1:9"
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, serving := earlierRecords(a, 10)
+	a.applyEarlierRecord(serving, "store")
+	is.True(answerHealth(a))
+	is.True(a.onDepart(ctx, "i-2", 20) != nil) // it may be later than i-1
+	is.NoErr(a.onDepart(ctx, "i-1", 5))        // an earlier start of i-1
+	is.Equal(a.ownRecord().State, hornbeamcroft.MemberServing)
+	draining := observer.Announcement{Instance: "i-3", Born: 30, Service: "front", Address: "127.0.0.1:8", Slots: 4, Draining: true}
+	is.True(a.onHeartbeat(ctx, draining) != nil) // it is not beside this node
+
+	heartbeat := observer.Announcement{Instance: "i-1", Born: 10, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
+	is.Equal(announce(a, heartbeat), observer.OutcomeConfirmed)
+	is.NoErr(a.onDepart(ctx, "i-0", 9))        // it has ended
+	is.True(a.onDepart(ctx, "i-1", 11) != nil) // the present start from now on; the store does not hold it
+	is.True(a.ownRecord().HasLeft())
+	is.Equal(a.ownRecord().Born, int64(11))
+}
+
+// TestLeavingUnderOtherSettings guards against a leaving that a node has forgotten because the settings named another service before.
+func TestLeavingUnderOtherSettings(t *testing.T) {
+	is := is.New(t)
+	a := newLinkedAgent("b")
+	a.observer.Service, a.observer.Address = "front", "127.0.0.1:9"
+	left, _ := earlierRecords(a, 10)
+	left.Service = "before"
+	a.onLeavingsRead([]hornbeamcroft.Member{left})
+	late := observer.Announcement{Instance: "i-1", Born: 10, Service: "front", Address: "127.0.0.1:9", Slots: 4, Sequence: 9}
+	is.Equal(announce(a, late), observer.OutcomeStale)
+}
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -43,7 +43,7 @@
 func (a *Agent) onHeartbeat(ctx context.Context, announcement observer.Announcement) error {
 	a.applyAnnouncement(announcement)
 	if announcement.Draining {
-		return a.awaitLeavingHeld(ctx)
+		return a.awaitLeaving(ctx, announcement.Instance, announcement.Born)
 	}
 	return nil
 }
@@ -75,7 +75,7 @@
 		a.applyUpstream(false)
 	}
 	a.Log.Info().Str("instance", instance).Int64("born", born).Str("outcome", outcome.String()).Msg("observer: departure")
-	return a.awaitLeavingHeld(ctx)
+	return a.awaitLeaving(ctx, instance, born)
 }
 
 // onInstanceReplaced marks the upstream as left if an instance other than the known one answered at its address.
--- a/observer/leaving.go
+++ b/observer/leaving.go
@@ -6,7 +6,8 @@
 const maxLeftInstances = 64
 
 // ApplyDeparture applies a notification that an instance leaves. The time born is zero if the notification does not name
-// the start; it is then about the present start of the instance.
+// the start; it is then about the present start of the instance. A start that is not known yet is known from then on, as one that has left,
+// if it is later than the known one: its first heartbeat may be late.
 func (o *Observer) ApplyDeparture(instance string, born int64) Outcome {
 	known := instance == o.upstream.Instance
 	if known && born == 0 {
@@ -14,13 +15,16 @@
 	}
 	o.markLeft(instance, born)
 	switch {
-	case o.upstream.Instance == "" || !known && !o.onlyProbed && born > o.upstream.Born:
-		o.adoptLeft(instance, born, 1)
+	case o.Ended(instance, born):
+		if known {
+			return OutcomeStale
+		}
+		return OutcomeForeign
+	case o.upstream.Instance == "" || instance == o.answered || !o.onlyProbed && born > o.upstream.Born:
+		o.adoptLeft(instance, born, max(o.upstream.Slots, 1))
 		return OutcomeChanged
 	case !known:
 		return OutcomeForeign
-	case !o.onlyProbed && born != o.upstream.Born:
-		return OutcomeStale
 	case o.upstream.State == hornbeamcroft.MemberLeft && (!o.onlyProbed || born == 0):
 		return OutcomeUnchanged
 	}
@@ -28,6 +32,29 @@
 	return OutcomeChanged
 }
 
+// Ended reports whether a start is known to have ended, because a later one is known: by its heartbeat, or because an earlier process of
+// this node has used a later start of the instance.
+func (o *Observer) Ended(instance string, born int64) bool {
+	if born == 0 || instance == o.answered {
+		return false
+	}
+	return !o.onlyProbed && born < o.upstream.Born || o.servedAfter(instance, born)
+}
+
+// applyLeavingHeartbeat applies a heartbeat that says that its start leaves, whatever else it says: that is never taken back, so that it
+// counts if a later heartbeat has overtaken it, and for an upstream of another service, which the next process of this node may have to know.
+func (o *Observer) applyLeavingHeartbeat(a Announcement) Outcome {
+	if a.Service != o.Service {
+		return o.ApplyDeparture(a.Instance, a.Born)
+	}
+	o.markLeft(a.Instance, a.Born)
+	if a.Instance != o.upstream.Instance || a.Born != o.upstream.Born || !o.upstream.Usable() {
+		return OutcomeStale
+	}
+	o.upstream.State = hornbeamcroft.MemberDraining
+	return OutcomeChanged
+}
+
 // ApplyLeft applies that a start of the upstream has announced that it leaves, of which the store or another node knows. It
 // reports whether that changed the state. Slots is the number of slots of the start.
 func (o *Observer) ApplyLeft(instance string, born int64, slots int) bool {
@@ -53,6 +80,7 @@
 // adoptLeft makes a start that has left the known one. A later start is then recognized as such.
 func (o *Observer) adoptLeft(instance string, born int64, slots int) {
 	o.upstream = Upstream{Instance: instance, Slots: slots}
+	o.contender, o.answered = contender{}, ""
 	o.leave(born)
 }
 
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -167,6 +167,16 @@
 
 // ApplyAnnouncement applies an announcement for which Check has returned no error.
 func (o *Observer) ApplyAnnouncement(now time.Duration, a Announcement) Outcome {
+	outcome := o.applyHeartbeat(now, a)
+	ignored := outcome == OutcomeStale || outcome == OutcomeForeign
+	if ignored && a.Draining && a.Address == o.Address {
+		return o.applyLeavingHeartbeat(a)
+	}
+	return outcome
+}
+
+// applyHeartbeat applies an announcement, unless it is foreign or stale.
+func (o *Observer) applyHeartbeat(now time.Duration, a Announcement) Outcome {
 	if a.Service != o.Service || a.Address != o.Address {
 		return OutcomeForeign
 	}
