observer: a leaving that was answered before the first heartbeat of a start outlasts it

What callers would see: requests at an upstream later than 2 s after it has answered that it leaves, if it had crashed before, was back under its id, and the first heartbeat of the new start arrives after the answer.

Cause: an answer names the instance and not the start, so that the statement was kept for the start before and dropped with it.

Change: a start of the instance that began before the answer, by the time of day of the host, and is announced within 30 s has made that statement.

Test: TestScripts/early-leaving-answer fails before ("started: a 20 serving, want started: a 20 draining").

--- a/agent/statement.go
+++ b/agent/statement.go
@@ -19,7 +19,8 @@
 // onStatement applies what the upstream stated about itself in an answer. It is in force before onStatement returns, and so
 // before the answer is passed on.
 func (a *Agent) onStatement(to observer.Upstream, s hornbeamcroft.Statement) {
-	a.applyStatement("answer", func() bool { return a.observer.ApplyStatement(to.Instance, to.Born, s) })
+	at := observer.Moment{Monotonic: a.clock.Now(), UnixMilli: time.Now().UnixMilli()}
+	a.applyStatement("answer", func() bool { return a.observer.ApplyStatement(at, to.Instance, to.Born, s) })
 }
 
 // onReport applies a statement of the upstream of which the sender of a call knows.
--- a/observer/leaving_test.go
+++ b/observer/leaving_test.go
@@ -26,7 +26,7 @@
 	{"heartbeat of an earlier start", func(o *Observer) { o.ApplyAnnouncement(0, heartbeat("a", 9, 9)) }},
 	{"health answer", func(o *Observer) { o.ApplyHealthProbe("a", true, 8) }},
 	{"statement of another node", func(o *Observer) { o.ApplyReport(hornbeamcroft.InstanceStatement{Instance: "a", Born: 10}) }},
-	{"answer of the upstream", func(o *Observer) { o.ApplyStatement("a", 10, hornbeamcroft.Statement{}) }},
+	{"answer of the upstream", func(o *Observer) { o.ApplyStatement(Moment{}, "a", 10, hornbeamcroft.Statement{}) }},
 }
 
 // leavings lists the ways in which the observer learns that the start "a" at 10 leaves.
--- a/observer/observer.go
+++ b/observer/observer.go
@@ -143,6 +143,8 @@
 	// reportedBorn is the time of the start that another node named with a statement while the start was known from a health
 	// probe only; zero otherwise.
 	reportedBorn int64
+	// leavingAnswer is the moment of the last answer that stated that the upstream leaves.
+	leavingAnswer Moment
 	// answered is the id of another instance that has answered at the upstream's address; empty if there is none.
 	answered string
 	// left holds, by instance, the time of the latest start that has announced that it leaves. Only a later start of the
@@ -189,7 +191,7 @@
 	case !same && a.Born <= o.upstream.Born && a.Instance != o.answered && !o.replaces(now, a):
 		return OutcomeStale
 	}
-	before := o.upstream
+	before, statesLeaving := o.upstream, o.statesLeaving(now, a)
 	o.contender, o.answered = contender{}, ""
 	o.sequence, o.onlyProbed = a.Sequence, false
 	o.upstream = Upstream{
@@ -204,6 +206,9 @@
 		o.applyLeaving()
 	}
 	o.reportedBorn = 0
+	if statesLeaving {
+		o.setStatement(hornbeamcroft.Statement{Leaving: true})
+	}
 	switch {
 	case !same:
 		return OutcomeStarted
--- a/observer/observer_test.go
+++ b/observer/observer_test.go
@@ -95,13 +95,13 @@
 	is := is.New(t)
 	o := Observer{Service: "s", Address: "1"}
 	o.ApplyAnnouncement(0, heartbeat("a", 10, 1))
-	is.True(o.ApplyStatement("a", 10, hornbeamcroft.Statement{Leaving: true}))
+	is.True(o.ApplyStatement(Moment{}, "a", 10, hornbeamcroft.Statement{Leaving: true}))
 	is.True(!o.Upstream().Usable())
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 10, 2)), OutcomeUnchanged)
-	is.True(!o.ApplyStatement("a", 10, hornbeamcroft.Statement{}))
+	is.True(!o.ApplyStatement(Moment{}, "a", 10, hornbeamcroft.Statement{}))
 	is.True(!o.Upstream().Usable())
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 11, 0)), OutcomeStarted) // a restart under the same id
-	is.True(!o.ApplyStatement("a", 10, hornbeamcroft.Statement{Leaving: true}))
+	is.True(!o.ApplyStatement(Moment{}, "a", 10, hornbeamcroft.Statement{Leaving: true}))
 	is.True(o.Upstream().Usable())
 }
 
@@ -114,7 +114,7 @@
 		Instance: "a", Born: 7, Statement: hornbeamcroft.Statement{Limited: true, RateLimit: 5},
 	}))
 	o.ApplyAnnouncement(0, heartbeat("a", 8, 1))
-	is.True(o.ApplyStatement("a", 8, hornbeamcroft.Statement{Leaving: true}))
+	is.True(o.ApplyStatement(Moment{}, "a", 8, hornbeamcroft.Statement{Leaving: true}))
 	o.ApplyAnnouncement(0, heartbeat("a", 8, 2))
 	is.True(!o.Upstream().Usable())
 }
@@ -137,7 +137,7 @@
 	o := Observer{Service: "s", Address: "1"}
 	is.True(o.ApplyServed("a", 5))
 	is.True(o.ApplyHealthProbe("a", true, 4))
-	is.True(o.ApplyStatement("a", 0, hornbeamcroft.Statement{Limited: true, RateLimit: 5}))
+	is.True(o.ApplyStatement(Moment{}, "a", 0, hornbeamcroft.Statement{Limited: true, RateLimit: 5}))
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 7, 1)), OutcomeConfirmed)
 	is.Equal(o.Upstream().LastStatement().Born, int64(7))
 	is.Equal(o.ApplyAnnouncement(0, heartbeat("a", 7, 2)), OutcomeUnchanged)
--- a/observer/script_test.go
+++ b/observer/script_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"hornbeamcroft"
 	"hornbeamcroft/scripter"
 )
 
@@ -25,7 +26,8 @@
 	now      time.Duration
 }
 
-// run runs a command, whose words are its name, an instance, a time of start, the sequence of a heartbeat and its further marks. It returns the
+// run runs a command, whose words are its name, an instance, a time of start, the sequence of a heartbeat and its further marks, or the time of
+// day of an answer. It returns the
 // outcome and the known start.
 func (s *script) run(t *testing.T, words []string) string {
 	t.Helper()
@@ -59,6 +61,9 @@
 		o.ApplyLeft(words[1], number(2), 4)
 	case "probe":
 		o.ApplyHealthProbe(words[1], true, 4)
+	case "states-leaving":
+		at := Moment{Monotonic: s.now, UnixMilli: number(3)}
+		o.ApplyStatement(at, words[1], number(2), hornbeamcroft.Statement{Leaving: true})
 	case "replaced":
 		o.MarkReplaced(words[1])
 	default:
--- a/runner/statement_test.go
+++ b/runner/statement_test.go
@@ -27,7 +27,7 @@
 		}
 	}
 	r.OnStatement = func(to observer.Upstream, s hornbeamcroft.Statement) {
-		apply(func() bool { return o.ApplyStatement(to.Instance, to.Born, s) })
+		apply(func() bool { return o.ApplyStatement(observer.Moment{}, to.Instance, to.Born, s) })
 	}
 	r.OnReport = func(s hornbeamcroft.InstanceStatement) { apply(func() bool { return o.ApplyReport(s) }) }
 	r.SetUpstream(o.Upstream())
