--- a/runner/statement_test.go
+++ b/runner/statement_test.go
@@ -16,6 +16,7 @@
 // restartedNode connects a new runner, which knows its upstream from a health probe only, with an observer.
 func restartedNode(u *upstream) (*Runner, *observer.Observer) {
 	o := &observer.Observer{Service: "stock", Address: "1"}
+	o.ApplyServed("i-1", 7)
 	o.ApplyHealthProbe("i-1", true, 50)
 	r := newRunner(u, 100)
 	var mu sync.Mutex
