clock_test: the time of an answer that says that its upstream leaves

A step of the clock: set back within 30 s of the answer, a start after it may count as the one that leaves, for as long as it keeps its id; set forward, the answer is forgotten at the next start, as before.

--- a/clock_test.go
+++ b/clock_test.go
@@ -16,6 +16,7 @@
 var wallClockUses = map[string]string{
 	"agent/components.go":            "incarnation: only compared for equality (TestClockSetBack of locator, TestSenderClockSetBack of deduper)",
 	"agent/follow.go":                "time slots of watches: another slot, within one period (TestClockStep of agent)",
+	"agent/statement.go":             "answers before the first heartbeat: compared with the upstream's time of start by the same clock, for 30 s (TestScripts of observer)",
 	"applier/applier.go":             "history entries: shown to operators",
 	"arbiter/arbiter.go":             "keys: their time is compared with the allowed clock skew",
 	"pipeliner/date.go":              "Date field of answers",
