--- a/code.go
+++ b/code.go
@@ -82,6 +82,7 @@
 	CodeKeyExpired         Code = 307
 	CodeEarlierSendUnknown Code = 308
 	CodeAnswerGone         Code = 309
+	CodeUnprovenRefusal    Code = 310
 )
 
 // Results of requests rejected because of the caller's input.
@@ -165,6 +166,7 @@
 	{CodeKeyExpired, "key-expired", 502, "The key is older than the window; its record may have been dropped."},
 	{CodeEarlierSendUnknown, "earlier-send-unknown", 502, "This send did not run, but an earlier send of the key may have."},
 	{CodeAnswerGone, "answer-gone", 502, "The request ran; its answer was lost, and the node that had it needed the memory."},
+	{CodeUnprovenRefusal, "unproven-refusal", 502, "The upstream failed the request with a status that says that it did not run, and did not confirm that."},
 	{CodeUnknownService, "unknown-service", 404, "The document has no such service."},
 	{CodeUnknownRequestType, "unknown-request-type", 404, "The document has no such request type."},
 	{CodeKeyMissing, "key-missing", 400, "A non-idempotent request needs an Idempotency-Key."},
--- a/courier/delivery.go
+++ b/courier/delivery.go
@@ -132,7 +132,7 @@
 	case hornbeamcroft.CodeUpstreamRefused:
 		return a.RetryGranted
 	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated,
-		hornbeamcroft.CodeAnswered:
+		hornbeamcroft.CodeAnswered, hornbeamcroft.CodeUnprovenRefusal:
 		if !call.Idempotent || len(d.mayHaveRunOn) >= hornbeamcroft.MaxRuns {
 			return false
 		}
--- a/exchanger/answer.go
+++ b/exchanger/answer.go
@@ -52,7 +52,7 @@
 			c.reusable = a.keepsConnection() && c.reader.Buffered() == 0
 			return res
 		case res.Outcome != OutcomeAnswered:
-			return res // the body of a refusal is not passed on
+			return res // its body is not passed on
 		}
 		res.Body, res.StreamLength = nil, a.response.ContentLength
 		res.Stream = &stream{conn: c, answer: a, attempt: request.Attempt, prefix: a.body, memory: request.Memory}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -191,11 +192,14 @@
 		Instance: r.Header.Get(headerNames.Instance),
 	}
 	switch {
-	case r.StatusCode == headerNames.MisdirectedStatus && headerNames.MisdirectedStatus != 0:
+	case headerNames.misdirected(r):
 		res.Outcome = OutcomeWrongInstance
 		return res
 	case r.Header.Get(headerNames.NotRun) != "":
 		res.Outcome = OutcomeNotRun
+	case slices.Contains(headerNames.RefusalStatuses, r.StatusCode):
+		res.Outcome = OutcomeUnprovenRefusal
+		res.Err = errors.Wrapf(errUnprovenRefusal, "status %d", r.StatusCode)
 	}
 	res.Statement = statement(r.Header, headerNames)
 	return res
--- a/exchanger/exchanger.go
+++ b/exchanger/exchanger.go
@@ -45,13 +45,19 @@
 	OutcomeContextEnded
 	// OutcomeNoMemory means that the answer was not read because no memory was left for it; the request may have run.
 	OutcomeNoMemory
+	// OutcomeUnprovenRefusal means that the upstream's own answer has a status from which callers conclude that the request did not run,
+	// and does not state that; the request may have run.
+	OutcomeUnprovenRefusal
 )
 
 // String returns the name used in logs.
 func (o Outcome) String() string {
-	return [...]string{"answered", "not-sent", "not-run", "wrong-instance", "lost", "spoilt", "ended", "no-memory"}[o]
+	return [...]string{"answered", "not-sent", "not-run", "wrong-instance", "lost", "spoilt", "ended", "no-memory", "unproven-refusal"}[o]
 }
 
+// Answered reports whether the upstream's own answer arrived, and did not say that the request did not run.
+func (o Outcome) Answered() bool { return o == OutcomeAnswered || o == OutcomeUnprovenRefusal }
+
 // HeaderNames holds the names of the header fields, and the status, by which an upstream reports on a request.
 type HeaderNames struct {
 	// Attempt is the field that carries the attempt id in requests and answers.
@@ -66,9 +72,11 @@
 	// RateLimit is the field that states the number of requests per second that the upstream takes, Leaving the field
 	// with the value "1" in all answers of an upstream that is about to end.
 	RateLimit, Leaving string
-	// MisdirectedStatus is the status with which an instance answers a request addressed to another instance; zero if
-	// there is none.
+	// MisdirectedStatus is the status with which an instance answers a request addressed to another instance, without its signature; zero
+	// if there is none.
 	MisdirectedStatus int
+	// RefusalStatuses are the statuses from which callers conclude that a request did not run. With the field NotRun they are true.
+	RefusalStatuses []int
 }
 
 // Exchanger sends requests to one upstream. Set the exported fields before the first Exchange. It is safe for
--- a/exchanger/own.go
+++ b/exchanger/own.go
@@ -15,6 +15,8 @@
 	errAnswerMismatch = errors.New("answer of the upstream names another attempt")
 	errUnsigned       = errors.New("success of the upstream does not carry its signature exactly once")
 	errBodyNotAllowed = errors.New("answer announces a body that its status does not allow")
+	// errUnprovenRefusal is no reason not to accept an answer, but one not to pass it on.
+	errUnprovenRefusal = errors.New("answer does not state that the request did not run, as its status says")
 )
 
 // answer is an answer as it was read from the connection.
@@ -64,6 +66,15 @@
 	return nil
 }
 
+// misdirected reports whether the answer is that of another instance than the request was addressed to. One that is signed is that of the
+// instance which has run the request.
+func (n HeaderNames) misdirected(r *http.Response) bool {
+	if n.MisdirectedStatus == 0 || r.StatusCode != n.MisdirectedStatus {
+		return false
+	}
+	return r.Header.Get(n.NotRun) != "" || r.Header.Get(n.Signature) == ""
+}
+
 // signed reports whether the header has exactly one field of the name, which is not empty and is passed on.
 func signed(h http.Header, name string) bool {
 	name = textproto.CanonicalMIMEHeaderKey(name)
--- a/exchanger/request.go
+++ b/exchanger/request.go
@@ -30,8 +30,8 @@
 	StreamLength int64
 	// Instance is the id of the instance that answered; empty if the answer does not name it.
 	Instance string
-	// Statement is what the upstream states about itself. It is nil unless Outcome is OutcomeAnswered or OutcomeNotRun and
-	// the statement can be read.
+	// Statement is what the upstream states about itself. It is nil unless Outcome is OutcomeAnswered, OutcomeUnprovenRefusal or
+	// OutcomeNotRun and the statement can be read.
 	Statement *hornbeamcroft.Statement
 	// Err is the reason why there is no complete answer.
 	Err error
--- a/receiver/receiver.go
+++ b/receiver/receiver.go
@@ -274,7 +274,7 @@
 	body := a.Body
 	status := info.Status
 	if a.Code.Claim() == hornbeamcroft.ClaimRan {
-		status = a.Status
+		status = ranStatus(a.Status)
 		setContentType(h, a.ContentType)
 	} else {
 		setContentType(h, "application/json")
@@ -289,6 +289,16 @@
 	_, _ = w.Write(body)
 }
 
+// ranStatus returns the status of the answer to a request that ran, with the status of the upstream's answer. Those by which HTTP clients
+// take a request as not run, and send it again whatever its claim is, become 502.
+func ranStatus(status int) int {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return http.StatusBadGateway
+	}
+	return status
+}
+
 func setContentType(h http.Header, value string) {
 	if value != "" {
 		h.Set("Content-Type", value)
--- a/receiver/receiver_test.go
+++ b/receiver/receiver_test.go
@@ -114,6 +114,29 @@
 	}
 }
 
+// TestRefusalOfRunCall guards against an answer of a call that ran with a status by which HTTP clients take it as not run and send it again.
+func TestRefusalOfRunCall(t *testing.T) {
+	for status, want := range map[int]int{
+		http.StatusRequestTimeout: http.StatusBadGateway, http.StatusMisdirectedRequest: http.StatusBadGateway,
+		http.StatusTooManyRequests: http.StatusBadGateway, http.StatusServiceUnavailable: http.StatusBadGateway,
+		http.StatusOK: http.StatusOK, http.StatusConflict: http.StatusConflict, http.StatusInternalServerError: http.StatusInternalServerError,
+		http.StatusGatewayTimeout: http.StatusGatewayTimeout,
+	} {
+		is := is.New(t)
+		v := newReceiver(testDocument)
+		v.Forward = func(context.Context, []*registrar.RunningCall, hornbeamcroft.Call) hornbeamcroft.Answer {
+			return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswered, Status: status, Body: []byte("b")}
+		}
+		r := httptest.NewRequest(http.MethodPost, "/call/s/t", strings.NewReader("x"))
+		r.Header.Set("Idempotency-Key", "k")
+		w := httptest.NewRecorder()
+		v.Serve(w, r, "s", "t")
+		is.Equal(w.Code, want)
+		is.Equal(w.Header().Get(dispatcher.HeaderClaim), "ran")
+		is.Equal(w.Body.String(), "b")
+	}
+}
+
 // fixedClock is a clock whose time does not change.
 type fixedClock struct{}
 
--- a/runner/outcome.go
+++ b/runner/outcome.go
@@ -30,9 +30,9 @@
 	case hornbeamcroft.CodeUpstreamRefused:
 	case hornbeamcroft.CodeOutcomeUnknown, hornbeamcroft.CodeUpstreamCrashed, hornbeamcroft.CodeAnswerTruncated:
 		mayHaveRun = true
-	case hornbeamcroft.CodeAnswered:
+	case hornbeamcroft.CodeAnswered, hornbeamcroft.CodeUnprovenRefusal:
 		// If the run made calls, most likely one of them failed, and it has already been retried.
-		if a.Status < 500 || len(a.ServiceCalls) > 0 {
+		if a.Code == hornbeamcroft.CodeAnswered && a.Status < 500 || len(a.ServiceCalls) > 0 {
 			return false
 		}
 		mayHaveRun = true
@@ -99,6 +99,8 @@
 	switch res.Outcome {
 	case exchanger.OutcomeAnswered:
 		s.Failed = res.Status >= 500 && !madeCalls
+	case exchanger.OutcomeUnprovenRefusal:
+		s.Failed = !madeCalls
 	case exchanger.OutcomeNotRun:
 		s.Overloaded = true
 	case exchanger.OutcomeLost, exchanger.OutcomeMalformed:
@@ -124,6 +126,8 @@
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamNotRegistered, RetryAfter: busyRetryAfter}
 	case exchanger.OutcomeMalformed:
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeAnswerTruncated}
+	case exchanger.OutcomeUnprovenRefusal:
+		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUnprovenRefusal}
 	case exchanger.OutcomeContextEnded:
 		return hornbeamcroft.Answer{Code: hornbeamcroft.EndedCode(ctx)}
 	}
--- a/runner/run.go
+++ b/runner/run.go
@@ -45,12 +45,12 @@
 func (r *Runner) endRun(id uint64, run *tracer.Run, call hornbeamcroft.Call, res exchanger.Result) []hornbeamcroft.ServiceCalls {
 	r.mu.Lock()
 	serviceCalls := r.closeRun(id, run, call)
-	if res.Outcome == exchanger.OutcomeAnswered {
+	if res.Outcome.Answered() {
 		r.crashed = false
 		r.recordOwnTime(call, run, res)
 	}
 	r.mu.Unlock()
-	if res.Outcome == exchanger.OutcomeAnswered && r.OnCleared != nil {
+	if res.Outcome.Answered() && r.OnCleared != nil {
 		r.OnCleared(call.Fingerprint)
 	}
 	return serviceCalls
