--- a/agent/calls.go
+++ b/agent/calls.go
@@ -251,6 +251,7 @@
 // that the peer knows and this node does not.
 func (a *Agent) applyRoutesCopy(l *connector.Link, c routesCopy) {
 	a.acceptRoutes(c.Document, l.Peer.Name)
+	a.learnMembers(c.validMembers())
 	if !a.storeUnreachable.Load() {
 		return
 	}
--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -23,7 +23,7 @@
 )
 
 // errLeavingNotHeld means that a leaving is in force, but would be forgotten if this process ended now.
-var errLeavingNotHeld = errors.New("the leaving is in force, but the store and most linked nodes do not hold it yet")
+var errLeavingNotHeld = errors.New("the leaving is in force, but the store, most linked nodes and most replicas do not hold it yet")
 
 // errLeavingUnknown means that a leaving cannot be acknowledged because its start is neither the present one nor known to have ended: a
 // later process of this node might use it.
@@ -48,8 +48,8 @@
 	return errLeavingUnknown
 }
 
-// awaitLeavingHeld waits until the store and most linked nodes hold the record of this node if its upstream has left. An
-// acknowledgement binds later processes of this node too: they know of it from the store, whatever has ended, and from other nodes while
+// awaitLeavingHeld waits until the store, most linked nodes and most replicas hold the record of this node if its upstream has left. An
+// acknowledgement binds later processes of this node too: they know of it from the store, whatever has ended, and from the replicas while
 // the store does not answer.
 func (a *Agent) awaitLeavingHeld(ctx context.Context) error {
 	record := a.ownRecord()
@@ -65,11 +65,14 @@
 	if a.leavings.Keep(record) {
 		a.confirmer.Stored(record.Sequence)
 	}
+	replicas := a.linkReplicas(ctx)
 	peers := a.links.PeerNames()
-	held := a.confirmer.Wait(ctx, record.Sequence, peers)
+	held := a.confirmer.Wait(ctx, record.Sequence, peers, replicas)
 	stored, nodes := a.confirmer.Holders(record.Sequence, peers)
+	_, holding := a.confirmer.Holders(record.Sequence, replicas)
 	a.Log.Info().Str("instance", record.Instance).Int64("born", record.Born).Bool("acknowledged", held).Bool("stored", stored).
-		Int("nodes", nodes).Int("linked", len(peers)).Int64("took-ms", (a.clock.Now() - begin).Milliseconds()).Msg("observer: leaving")
+		Int("nodes", nodes).Int("linked", len(peers)).Int("replicas-holding", holding).Int("replicas-linked", len(replicas)).
+		Int64("took-ms", (a.clock.Now() - begin).Milliseconds()).Msg("observer: leaving")
 	if !held {
 		a.metrics.count("upstream/leavings-not-held")
 		return errLeavingNotHeld
--- a/agent/upstream.go
+++ b/agent/upstream.go
@@ -9,6 +9,7 @@
 
 	"hornbeamcroft"
 	"hornbeamcroft/exchanger"
+	"hornbeamcroft/inquirer"
 	"hornbeamcroft/observer"
 	"hornbeamcroft/platform"
 )
@@ -55,6 +56,9 @@
 		a.runner.SetUpstream(a.observer.Upstream())
 	}
 	a.upstreamMu.Unlock()
+	if !announcement.Draining && outcome != observer.OutcomeStale && outcome != observer.OutcomeForeign {
+		a.updateInquiry(func(i *inquirer.Inquirer, _ time.Duration) { i.Announced() })
+	}
 	switch outcome {
 	case observer.OutcomeUnchanged:
 		return
--- a/confirmer/confirmer.go
+++ b/confirmer/confirmer.go
@@ -46,11 +46,11 @@
 	}
 }
 
-// Wait waits until the store and more than half of the named nodes hold the record with the sequence, or a later one; without nodes,
-// until the store does. It returns false if ctx ends before.
-func (c *Confirmer) Wait(ctx context.Context, sequence uint64, names []string) bool {
+// Wait waits until the store and more than half of each of the groups of named nodes hold the record with the sequence, or a later one; without
+// nodes, until the store does. It returns false if ctx ends before.
+func (c *Confirmer) Wait(ctx context.Context, sequence uint64, groups ...[]string) bool {
 	for {
-		held, changed := c.check(sequence, names)
+		held, changed := c.check(sequence, groups)
 		if held {
 			return true
 		}
@@ -81,10 +81,14 @@
 }
 
 // check reports whether the record with the sequence is held, and returns a channel that is closed at the next change.
-func (c *Confirmer) check(sequence uint64, names []string) (bool, <-chan struct{}) {
+func (c *Confirmer) check(sequence uint64, groups [][]string) (bool, <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.stored >= sequence && (len(names) == 0 || 2*c.holding(sequence, names) > len(names)) {
+	held := c.stored >= sequence
+	for _, names := range groups {
+		held = held && (len(names) == 0 || 2*c.holding(sequence, names) > len(names))
+	}
+	if held {
 		return true, nil
 	}
 	if c.changed == nil {
--- a/confirmer/confirmer_test.go
+++ b/confirmer/confirmer_test.go
@@ -12,11 +12,12 @@
 func TestHeld(t *testing.T) {
 	is := is.New(t)
 	var c Confirmer
-	held := func(sequence uint64, names ...string) bool {
+	groups := func(sequence uint64, groups ...[]string) bool {
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		return c.Wait(ctx, sequence, names)
+		return c.Wait(ctx, sequence, groups...)
 	}
+	held := func(sequence uint64, names ...string) bool { return groups(sequence, names) }
 	is.True(!held(2))
 	is.True(!held(2, "a", "b"))
 	c.Acknowledged("a", 2)
@@ -35,6 +36,9 @@
 	is.True(!held(3, "c"))
 	is.True(held(3)) // no node is linked
 	is.True(!held(4))
+	is.True(groups(2, []string{"a", "b"}, []string{"b"}))
+	is.True(!groups(2, []string{"a", "b"}, []string{"c"})) // most linked nodes, but none of the replicas
+	is.True(!groups(2, []string{"c"}, []string{"a", "b"}))
 }
 
 // TestWait guards against an acknowledgement that comes later than needed, or never.
--- a/inquirer/inquirer_test.go
+++ b/inquirer/inquirer_test.go
@@ -2,60 +2,55 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
+
+	"hornbeamcroft/scripter"
 )
 
-// events are what may happen to a node that has started; a digit is the number of a peer that is heard.
+// events are what may happen to a node that has started, by the letter in the scripts.
 var events = map[rune]func(i *Inquirer, now time.Duration){
 	'c': func(i *Inquirer, now time.Duration) { i.Configured(now) },
 	'l': func(i *Inquirer, now time.Duration) { i.Linked(now) },
+	'h': func(i *Inquirer, _ time.Duration) { i.Announced() },
 	'o': func(i *Inquirer, _ time.Duration) { i.Listed(0, false) },
 	'x': func(i *Inquirer, _ time.Duration) { i.Listed(0, true) },
 	'2': func(i *Inquirer, _ time.Duration) { i.Listed(2, true) },
 	'n': func(i *Inquirer, _ time.Duration) { i.Listed(2, false) },
 	'9': func(i *Inquirer, _ time.Duration) { i.Listed(9, true) },
-	'A': func(i *Inquirer, _ time.Duration) { i.Heard("a") },
-	'B': func(i *Inquirer, _ time.Duration) { i.Heard("b") },
-	'C': func(i *Inquirer, _ time.Duration) { i.Heard("c") },
+	'q': func(i *Inquirer, _ time.Duration) { i.SetReplicas([]string{"A", "B"}) },
+	'r': func(i *Inquirer, _ time.Duration) { i.SetReplicas([]string{"A", "B", "C", "D", "E"}) },
 }
 
-// TestDone guards against a node that runs requests before it was told what its earlier process knew, and against one that holds them
-// for longer than needed. Each step lasts 100 ms.
-func TestDone(t *testing.T) {
-	for _, c := range []struct {
-		name, steps string
-		// doneAt is the step, counted from 0, after which requests run.
-		doneAt int
-	}{
-		{"alone", "co", 1},
-		{"the first node of all, before its list", "c", 20},
-		{"records have expired in an outage of the store", "xc", 21},
-		{"a new host, whose store answers", "cn", 1},
-		{"two peers", "c2lAAB", 5},
-		{"many peers", "c9lABC", 5},
-		{"peers heard before the configuration", "lABC" + strings.Repeat(" ", 50) + "c", 3},
-		{"one silent peer", "c2lA", 12},
-		{"a slow peer", "c9" + strings.Repeat(" ", 15) + "lA", 20},
-		{"long without the store, as in forgotten-leaving.md", strings.Repeat(" ", 80) + "c   9lABC", 88},
-		{"linked long before the configuration", "l" + strings.Repeat(" ", 50) + "c", 61},
-	} {
-		var i Inquirer
-		n := 0
-		for ; n < 200; n++ {
-			now := time.Duration(n) * 100 * time.Millisecond
-			if n < len(c.steps) && c.steps[n] != ' ' {
-				events[rune(c.steps[n])](&i, now)
-			}
-			if i.Done(now) {
-				break
+// TestScripts guards against a node that runs requests before it was told what its earlier process knew, and against one that holds them
+// for longer than needed. The words of a command are the events, of which each takes 100 ms, a capital letter is the name of a peer that is
+// heard, and a dot is a step without an event; the command shows the step, counted from 0, after which requests run.
+func TestScripts(t *testing.T) {
+	scripter.Scripter{New: func(*testing.T) func(*testing.T, []string) string {
+		return func(_ *testing.T, words []string) string { return strconv.Itoa(doneAt(strings.Join(words, ""))) }
+	}}.Run(t)
+}
+
+// doneAt returns the step after which requests run.
+func doneAt(steps string) int {
+	const maxSteps = 200
+	var i Inquirer
+	for n := range maxSteps {
+		now := time.Duration(n) * 100 * time.Millisecond
+		if n < len(steps) && steps[n] != '.' {
+			if event := events[rune(steps[n])]; event != nil {
+				event(&i, now)
+			} else {
+				i.Heard(steps[n : n+1])
 			}
 		}
-		if n != c.doneAt {
-			t.Errorf("%s: done after step %d, want %d", c.name, n, c.doneAt)
+		if i.Done(now) {
+			return n
 		}
 	}
+	return maxSteps
 }
 
 // TestAsk guards against a node that opens links to all nodes when it starts.
@@ -69,8 +64,15 @@
 	if got := strings.Join(slices.Concat(first, again, next), ""); got != "acdefghi" || len(first) != maxAsked || len(again) != 0 {
 		t.Errorf("asked %v, then %v, then %v", first, again, next)
 	}
+	i.SetReplicas([]string{"b", "h", "k"})
+	if got := strings.Join(i.Ask(askInterval, names), ""); got != "k" {
+		t.Errorf("asked %s, want the replica that was not asked before", got)
+	}
+	if got := strings.Join(i.Ask(3*askInterval, names), ""); got != "hkj" {
+		t.Errorf("asked %s, want the replicas that were not heard, and who is left", got)
+	}
 	i.Heard("c")
-	i.Heard("d")
+	i.Heard("h")
 	if !i.Done(0) || i.Ask(time.Hour, names) != nil {
 		t.Error("asks although enough peers were heard")
 	}
--- a/runner/admission.go
+++ b/runner/admission.go
@@ -7,15 +7,33 @@
 	"hornbeamcroft"
 )
 
-// awaitReady waits until calls may run. It returns false if ctx ends before.
-func (r *Runner) awaitReady(ctx context.Context) bool {
+// awaitReady waits until calls may run, and returns zero then, or the code with which the call is refused.
+func (r *Runner) awaitReady(ctx context.Context) hornbeamcroft.Code {
 	if r.Ready == nil {
-		return true
+		return 0
 	}
 	select {
 	case <-r.Ready:
-		return true
+		return 0
+	case <-r.Unready:
+		if r.unready() {
+			return hornbeamcroft.CodeUpstreamNotRegistered
+		}
+		return 0
 	case <-ctx.Done():
+		return hornbeamcroft.CodeCancelledBeforeStart
+	}
+}
+
+// unready reports whether calls are refused until Ready is closed.
+func (r *Runner) unready() bool { return isClosed(r.Unready) && !isClosed(r.Ready) }
+
+// isClosed reports whether the channel, which may be nil, is closed.
+func isClosed(ch <-chan struct{}) bool {
+	select {
+	case <-ch:
+		return true
+	default:
 		return false
 	}
 }
--- a/runner/runner.go
+++ b/runner/runner.go
@@ -58,6 +58,8 @@
 	Request func(call hornbeamcroft.Call, instance string, remaining time.Duration) exchanger.Request
 	// Ready is closed when calls may run; until then they wait. If it is nil, they need not.
 	Ready <-chan struct{}
+	// Unready is closed when calls are refused until Ready is closed, in place of waiting for it; it may be nil.
+	Unready <-chan struct{}
 	// Refuses reports whether calls with the fingerprint are refused because they crash upstreams; it may be nil.
 	Refuses func(fingerprint uint64) bool
 	// OnCrash is called with the fingerprints of the calls that were running when the upstream crashed, OnCleared with
@@ -150,11 +152,11 @@
 	return r.load()
 }
 
-// load implements Load. It reports a limit of zero while the upstream is not registered, is draining or has crashed. The
-// caller must hold r.mu.
+// load implements Load. It reports a limit of zero while the upstream is not registered, is draining or has crashed, or calls are refused
+// until the node is ready. The caller must hold r.mu.
 func (r *Runner) load() hornbeamcroft.Load {
 	l := r.scheduler.Load(r.Clock.Now())
-	if !r.upstream.Usable() || r.crashed {
+	if !r.upstream.Usable() || r.crashed || r.unready() {
 		l.Limit = 0
 	}
 	return l
@@ -237,8 +239,8 @@
 	if call.Service != r.Service {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeUpstreamNotRegistered}
 	}
-	if !r.awaitReady(ctx) {
-		return hornbeamcroft.Answer{Code: hornbeamcroft.CodeCancelledBeforeStart, RetryAfter: busyRetryAfter}
+	if code := r.awaitReady(ctx); code != 0 {
+		return hornbeamcroft.Answer{Code: code, RetryAfter: busyRetryAfter}
 	}
 	if r.Refuses != nil && r.Refuses(call.Fingerprint) {
 		return hornbeamcroft.Answer{Code: hornbeamcroft.CodePoisonRefused, RetryAfter: busyRetryAfter}
