--- a/cmd/hornbeam-soak/departure_test.go
+++ b/cmd/hornbeam-soak/departure_test.go
@@ -48,6 +48,25 @@
 	}},
 }
 
+// reviewSteps are further orders of events in which an upstream was used that must not be, or a request was taken for one that had not run.
+var reviewSteps = []departure{
+	{"departed before the first heartbeat", []planner.Step{{At: time.Second, Kind: "depart-early", Length: 3 * time.Second}}},
+	{"drained before the first heartbeat", []planner.Step{{At: time.Second, Kind: "drain-early", Length: 3 * time.Second}}},
+	{"departed, node killed in an outage", []planner.Step{{At: time.Second, Kind: "depart-stranger", Length: 2 * time.Second}}},
+	{"address reused", []planner.Step{{At: time.Second, Kind: "reuse-address", Length: 2 * time.Second}}},
+	{"failed with each status that promises", []planner.Step{
+		{At: time.Second, Kind: "fail-unproven", Length: 2*time.Second + 0},
+		{At: 3500 * time.Millisecond, Kind: "fail-unproven", Length: 2*time.Second + 1},
+		{At: 6 * time.Second, Kind: "fail-unproven", Length: 2*time.Second + 2},
+		{At: 8500 * time.Millisecond, Kind: "fail-unproven", Length: 2*time.Second + 3},
+	}},
+}
+
+// TestStepsOfReview guards against the faults that the third review showed, with five nodes: requests at an upstream that left before its first
+// heartbeat, or before its node was killed in an outage of the store; requests of a service at an upstream of another one; and answers that say
+// "not run" for requests that ran.
+func TestStepsOfReview(t *testing.T) { runDepartures(t, reviewSteps) }
+
 // allKilled are departures after which no process is left that has heard of them.
 var allKilled = []departure{
 	{"departed in an outage", []planner.Step{
--- a/cmd/hornbeam-soak/judge/check.go
+++ b/cmd/hornbeam-soak/judge/check.go
@@ -36,6 +36,9 @@
 			j.addFinding("unasked", s.ID, "ran as %s %s from %s, was sent as %s %s from %s",
 				run.Method, run.Target, run.Origin, s.Method, s.Target, s.Origin)
 		}
+		if run.Service != s.Service {
+			j.addFinding("service", s.ID, "ran at %s, an upstream of %s, and is for %s", run.Instance, run.Service, s.Service)
+		}
 	}
 	o := r.outcome
 	if o == nil {
--- a/cmd/hornbeam-soak/judge/judge.go
+++ b/cmd/hornbeam-soak/judge/judge.go
@@ -60,6 +60,7 @@
 //   - refusal: a request whose answer excludes a run did not run
 //   - repeats: the retries at a service stay within RetryRatio and RetryAllowance
 //   - routes: a node applies a configuration in time (see MustApply) and does not return to an older one
+//   - service: a request runs at the service that the configuration names for it
 //   - stop: a node exits in time after SIGTERM
 //   - store-rate: all nodes together make at most storeReadRate reads of the store in each second
 //   - unasked: upstreams run only requests that were sent, with the method, target, body and origin of the sent ones
--- a/cmd/hornbeam-soak/planner/planner.go
+++ b/cmd/hornbeam-soak/planner/planner.go
@@ -82,6 +82,10 @@
 //   - corrupt: the upstream changes one byte in the heads of a share of its answers
 //   - depart-outage: the upstream deregisters while the store is away and runs on, and all nodes are killed and restarted, once or twice,
 //     before a late heartbeat arrives
+//   - fail-unproven: the upstream fails a share of the requests that it has run with a status that promises that they have not run
+//   - depart-early, drain-early: the upstream crashes and is back under its id; it leaves before its first heartbeat, which is late, arrives
+//   - depart-stranger: the upstream deregisters and runs on, the store goes away, and its node is killed and restarted meanwhile
+//   - reuse-address: the upstream ends for good, its node is killed and restarted, and an upstream of another service starts at its address
 var ReviewKinds = []ReviewKind{
 	{"depart-stop", true},
 	{"depart-kill", false},
@@ -90,6 +94,11 @@
 	{"poison-rolling", true},
 	{"corrupt", false},
 	{"depart-outage", false},
+	{"fail-unproven", false},
+	{"depart-early", false},
+	{"drain-early", false},
+	{"depart-stranger", false},
+	{"reuse-address", false},
 }
 
 // ReviewKind is one of ReviewKinds. Always is true if it is drawn for seeds with planned operations only, too.
--- a/cmd/hornbeam-soak/soaker/soaker.go
+++ b/cmd/hornbeam-soak/soaker/soaker.go
@@ -78,6 +78,8 @@
 	configuration writtenConfiguration
 	// busy holds the hosts and workers that a step is stopping, pausing or replacing.
 	busy sync.Map
+	// quiet holds the workers whose heartbeats a step holds back.
+	quiet sync.Map
 }
 
 // Run runs the seed and returns its report. An error means that the nodes could not be started.
@@ -243,7 +245,7 @@
 		case <-ctx.Done():
 			return
 		case <-t.C:
-			if h.Worker.Alive() && !h.Worker.Draining() {
+			if _, quiet := s.quiet.Load(h.Worker); !quiet && h.Worker.Alive() && !h.Worker.Draining() {
 				// The error is ignored: the node may be down, and the next heartbeat follows.
 				_ = h.Worker.Announce(h.Announcements)
 			}
--- a/cmd/hornbeam-soak/soaker/steps.go
+++ b/cmd/hornbeam-soak/soaker/steps.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -56,6 +57,13 @@
 	"lose":       {Lose: 0.3},
 	"truncate":   {Truncate: 0.2},
 	"corrupt":    {Corrupt: 0.25},
+	// The status is drawn by setWorkerFaults.
+	"fail-unproven": {Fail: 0.45},
+}
+
+// promisingStatuses are the statuses by which callers know that a request has not run.
+var promisingStatuses = []int{
+	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
 }
 
 // proxyModes are the modes of a proxy by kind of step. proxyOf selects the proxy.
@@ -76,7 +84,7 @@
 	d := judge.Disruption{Kind: p.Kind, Host: h.Name, Store: strings.HasPrefix(p.Kind, "store-")}
 	switch p.Kind {
 	case "stop", "hangup", "replace", "routes", "depart", "depart-healthy", "drain", "odd-entries",
-		"depart-stop", "depart-kill", "depart-outage", "stop-long", "large-answers":
+		"depart-stop", "depart-kill", "depart-outage", "depart-stranger", "depart-early", "drain-early", "stop-long", "large-answers":
 		d.Planned = true
 	}
 	if _, ok := storeFaults[p.Kind]; ok || slices.Contains(everywhereKinds, p.Kind) {
@@ -106,6 +114,9 @@
 // setWorkerFaults sets the faults of the upstream on the step's host, or for "refuse-all" of all upstreams of its
 // service.
 func (s *Soaker) setWorkerFaults(p planner.Step, f worker.Faults) {
+	if f.Fail > 0 {
+		f.FailStatus = promisingStatuses[int(p.Length)%len(promisingStatuses)]
+	}
 	for i, h := range s.hosts {
 		if i == p.Host || p.Kind == "refuse-all" && h.Worker.Service == s.hosts[p.Host].Worker.Service {
 			h.Worker.SetFaults(f)
@@ -180,6 +191,14 @@
 		s.departWithRestart(p, h)
 	case "depart-outage":
 		s.departInOutage(p, h)
+	case "depart-early":
+		s.exclusive(h.Worker, func() { s.leaveEarly(p, h, h.Worker.Depart) })
+	case "drain-early":
+		s.exclusive(h.Worker, func() { s.leaveEarly(p, h, h.Worker.Announce) })
+	case "depart-stranger":
+		s.departBeforeOutage(p, h)
+	case "reuse-address":
+		s.exclusive(h.Worker, func() { s.reuseAddress(p, h) })
 	case "stop-long":
 		s.exclusive(h, func() { s.stopDuringLong(p, h) })
 	case "large-answers":
