--- a/agent/replicas_test.go
+++ b/agent/replicas_test.go
@@ -74,6 +74,14 @@
 	}
 }
 
+// depart applies that a start of the upstream leaves, without an acknowledgement.
+func depart(a *Agent, instance string, born int64) {
+	a.upstreamMu.Lock()
+	a.observer.ApplyDeparture(instance, born)
+	a.upstreamMu.Unlock()
+	a.applyUpstream(false)
+}
+
 // TestAcknowledgedLeavingReachesNextProcess guards against a node that uses an upstream whose leaving its earlier process has acknowledged: the
 // store does not answer, and the peers that it hears first never had a link with that process.
 func TestAcknowledgedLeavingReachesNextProcess(t *testing.T) {
@@ -83,8 +91,7 @@
 	leaver := f.agents[name]
 	leaver.locator.ReplaceRecords(0, f.members)
 	leaver.applyAnnouncement(observer.Announcement{Instance: "i-1", Born: 5, Service: "front", Address: "127.0.0.1:9", Slots: 4})
-	leaver.observer.ApplyDeparture("i-1", 5)
-	leaver.applyUpstream(false)
+	depart(leaver, "i-1", 5)
 	leaver.onLeavingKept(leaver.ownRecord()) // the store holds it
 	is.Equal(leaver.links.Count(), 0)
 	is.NoErr(leaver.awaitLeaving(t.Context(), "i-1", 5))
@@ -120,8 +127,7 @@
 	}
 	leaver.locator.ReplaceRecords(0, members)
 	leaver.applyAnnouncement(observer.Announcement{Instance: "i-1", Born: 5, Service: "front", Address: "127.0.0.1:9", Slots: 4})
-	leaver.observer.ApplyDeparture("i-1", 5)
-	leaver.applyUpstream(false)
+	depart(leaver, "i-1", 5)
 	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
 	is.True(leaver.awaitLeaving(ctx, "i-1", 5) != nil) // the store does not hold it
