agent: a restarted node gets its serving record although its state overtakes the link

What callers would see: an upstream that waits for its heartbeat after a restart of its node while the store is away, as no peer says that the process before used it.

Cause: a link reads messages before onUp runs. A state of the new process that is handled first replaces the record of the earlier one, which onUp would send. Found by reading; no run showed it.

Change: the record that a state replaces is sent as well.

--- a/agent/leaving.go
+++ b/agent/leaving.go
@@ -222,8 +222,15 @@
 	if hasLeft && left.Incarnation != l.Peer.Incarnation {
 		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: left})
 	}
-	if known && last.Incarnation != l.Peer.Incarnation && last.State == hornbeamcroft.MemberServing && last.Instance != "" {
-		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: last})
+	if known {
+		a.sendServingRecord(l, last)
+	}
+}
+
+// sendServingRecord sends the peer of a link the record m of it if an earlier process wrote it and its upstream was serving.
+func (a *Agent) sendServingRecord(l *connector.Link, m hornbeamcroft.Member) {
+	if m.Incarnation != l.Peer.Incarnation && m.State == hornbeamcroft.MemberServing && m.Instance != "" {
+		a.send(l, framer.TypeEarlierRecord, earlierRecord{Member: m})
 	}
 }
 
--- a/agent/leaving_test.go
+++ b/agent/leaving_test.go
@@ -7,6 +7,7 @@
 	"github.com/matryer/is"
 
 	"hornbeamcroft"
+	"hornbeamcroft/locator"
 	"hornbeamcroft/observer"
 )
 
@@ -80,6 +81,22 @@
 	is.Equal(announce(a, heartbeat), observer.OutcomeStarted)
 }
 
+// TestStateBeforeServingRecord guards against a record that a restarted node does not get because its state has arrived at the peer first.
+func TestStateBeforeServingRecord(t *testing.T) {
+	is := is.New(t)
+	peer, started := newLinkedAgent("a"), newLinkedAgent("b")
+	linkTo(t, started, peer)
+	is.True(eventually(func() bool { return peer.links.LinkTo("b") != nil }))
+	_, serving := earlierRecords(started, 10)
+	peer.membersMu.Lock()
+	peer.locator = locator.Locator{}
+	peer.locator.AddFromPeer(0, serving)
+	peer.membersMu.Unlock()
+	is.True(!answerHealth(started))
+	peer.onNodeState(peer.links.LinkTo("b"), started.newNodeState())
+	is.True(eventually(func() bool { return answerHealth(started) }))
+}
+
 // TestServiceOfHealthAnswer guards against a node that takes an upstream of another service for its own after a restart, and against one that
 // does not use its own upstream until a heartbeat although a peer knows that the process before used it.
 func TestServiceOfHealthAnswer(t *testing.T) {
--- a/agent/members.go
+++ b/agent/members.go
@@ -140,6 +140,9 @@
 	before, known := a.locator.Member(n.Member.Name)
 	a.locator.ApplyNotice(a.clock.Now(), n.Member)
 	a.membersMu.Unlock()
+	if known {
+		a.sendServingRecord(l, before) // the state may have overtaken onUp, which would no longer find it
+	}
 	if !known || before.State != n.Member.State || before.Incarnation != n.Member.Incarnation {
 		a.Log.Info().Str("member", n.Member.Name).Str("service", n.Member.Service).Str("state", n.Member.State.String()).
 			Uint64("incarnation", n.Member.Incarnation).Uint64("sequence", n.Member.Sequence).Msg("members: heard over a link")
