observer: a record of a later start of a known instance wakes the health probes

If the records of a restarted node arrive in the order left, served before that, served after that, its health answer counts from the third on; the next probe came up to 1 s later.

--- a/observer/served.go
+++ b/observer/served.go
@@ -4,7 +4,7 @@
 const maxServedInstances = 64
 
 // ApplyServed applies that an earlier process of this node has used a start of the instance as an upstream of Service, as a record of that
-// process says. The time born is zero if the record does not name it. It reports whether the instance was not known as such.
+// process says. The time born is zero if the record does not name it. It reports whether that was not known: a health answer may count now.
 func (o *Observer) ApplyServed(instance string, born int64) bool {
 	last, known := o.served[instance]
 	if !known && (!ValidInstance(instance) || len(o.served) >= maxServedInstances) {
@@ -14,7 +14,7 @@
 		o.served = make(map[string]int64)
 	}
 	o.served[instance] = max(last, born)
-	return !known
+	return !known || born > last
 }
 
 // Served reports whether an earlier process of this node has used the instance.
--- a/observer/served_test.go
+++ b/observer/served_test.go
@@ -31,6 +31,7 @@
 	for i := range 2 * maxServedInstances {
 		is.Equal(o.ApplyServed("i"+strconv.Itoa(i), 1), i < maxServedInstances)
 	}
-	is.True(!o.ApplyServed("i0", 2)) // known
+	is.True(!o.ApplyServed("i0", 1)) // known
+	is.True(o.ApplyServed("i0", 2))  // a later start, which may not have left
 	is.True(o.servedAfter("i0", 1))
 }
