--- a/cmd/hornbeam-node/crowd/crowd_test.go
+++ b/cmd/hornbeam-node/crowd/crowd_test.go
@@ -17,8 +17,10 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
+	"hornbeamcroft"
 	"hornbeamcroft/platform/standin/caller"
 	"hornbeamcroft/platform/standin/operator"
 	"hornbeamcroft/platform/standin/portallocator"
@@ -94,6 +96,17 @@
 	await(t, n.answers)
 }
 
+// earlierRecord returns the record of an earlier process of the node, which has used an upstream. Without one, the node sends no health probes.
+func earlierRecord(t *testing.T) []byte {
+	t.Helper()
+	value, err := cbor.Marshal(hornbeamcroft.Member{
+		Name: "a", Service: "s", Zone: "z", Address: "127.0.0.1:1", Incarnation: 1, Sequence: 1, State: hornbeamcroft.MemberServing, Slots: 8,
+		Instance: "i-before", Born: 1,
+	})
+	is.New(t).NoErr(err)
+	return value
+}
+
 // startNodeUnannounced starts a node whose upstream does not announce itself yet.
 func startNodeUnannounced(t *testing.T, w *worker.Worker) *node {
 	t.Helper()
@@ -111,6 +124,7 @@
 	}})
 	is.NoErr(err)
 	store.Put(storeserver.KeyConfiguration, value)
+	store.Put(storeserver.MembersPrefix+"a", earlierRecord(t))
 	n := &node{}
 	var b strings.Builder
 	fmt.Fprintf(&b, "[agent]\nname = a\nservice = s\nzone = z\nmemory-mb = %d\nbounds = graceS=6\nupstream = %s\n", memoryMB, upstream)
